Add design page, public headers, messages and build

Starts the project: the design with the alternatives weighed, the interfaces of the core as headers, the wire messages, and the build with formatter, linter and one test program.

--- /dev/null
+++ b/include/wigeoncart/address.h
@@ -0,0 +1,33 @@
+#ifndef WIGEONCART_ADDRESS_H
+#define WIGEONCART_ADDRESS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  WC_ADDRESS_TEXT_BYTES = 64
+};
+
+/**
+ * struct WcAddress - IP address and port, free of socket types.
+ * @ip: network byte order; the first 4 bytes for IPv4, 16 for IPv6.
+ * @family: 4, 6, or 0 for no address.
+ * @port: host byte order.
+ */
+typedef struct
+{
+  uint8_t  ip[16];
+  uint8_t  family;
+  uint16_t port;
+} WcAddress;
+
+/** wc_address_parse() - read "127.0.0.1:80" or "[::1]:80"; false when malformed. */
+bool wc_address_parse (const char *text, WcAddress *address);
+
+/** wc_address_format() - write the address as text into @text and return @text. */
+const char *wc_address_format (const WcAddress *address, char text[WC_ADDRESS_TEXT_BYTES]);
+
+bool wc_address_equal (const WcAddress *a, const WcAddress *b);
+
+#endif
--- /dev/null
+++ b/include/wigeoncart/answer_store.h
@@ -0,0 +1,53 @@
+#ifndef WIGEONCART_ANSWER_STORE_H
+#define WIGEONCART_ANSWER_STORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <wigeoncart/status.h>
+
+enum
+{
+  WC_ANSWER_PART_BYTES = 1100
+};
+
+/** struct WcAnswerStore - answers of one worker, in bounded memory, found by random identifier. */
+typedef struct WcAnswerStore WcAnswerStore;
+
+WcAnswerStore *wc_answer_store_new (size_t max_bytes, uint32_t max_answers);
+void           wc_answer_store_delete (WcAnswerStore *store);
+
+/**
+ * wc_answer_store_begin() - start an answer.
+ * @id: not 0, unique; drawn at random by the caller.
+ * @max_bytes: longest length; append beyond it fails with TOO_LARGE.
+ *
+ * Return: OK, or NO_SPACE when the store is full of answers that have not expired.
+ */
+WcStatus wc_answer_store_begin (WcAnswerStore *store, uint64_t now_us, uint64_t id, size_t max_bytes);
+
+/** wc_answer_store_append() - Return: OK, TOO_LARGE, NO_SPACE, or NOT_FOUND. */
+WcStatus wc_answer_store_append (WcAnswerStore *store, uint64_t id, const void *data, size_t size_bytes);
+
+/** wc_answer_store_finish() - the answer is whole; it is kept until @expiry_us. */
+WcStatus wc_answer_store_finish (WcAnswerStore *store, uint64_t id, uint32_t http_status, uint64_t expiry_us);
+
+/** wc_answer_store_release() - drop an answer; unknown ids are ignored. */
+void wc_answer_store_release (WcAnswerStore *store, uint64_t id);
+
+/** wc_answer_store_get_info() - false when the id is unknown or the answer is not whole yet. An empty answer has one
+ * part. */
+bool wc_answer_store_get_info (const WcAnswerStore *store, uint64_t id, uint32_t *http_status, uint32_t *total_bytes,
+                               uint32_t *part_count);
+
+/** wc_answer_store_get_part() - bytes of a part, valid until the store changes; NULL when there is none. */
+const uint8_t *wc_answer_store_get_part (const WcAnswerStore *store, uint64_t id, uint32_t part, size_t *size_bytes);
+
+/** wc_answer_store_expire() - drop answers past their expiry. Return: how many. */
+uint32_t wc_answer_store_expire (WcAnswerStore *store, uint64_t now_us);
+
+uint32_t wc_answer_store_get_count (const WcAnswerStore *store);
+size_t   wc_answer_store_get_bytes (const WcAnswerStore *store);
+
+#endif
--- /dev/null
+++ b/include/wigeoncart/dispatcher.h
@@ -0,0 +1,116 @@
+#ifndef WIGEONCART_DISPATCHER_H
+#define WIGEONCART_DISPATCHER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <wigeoncart/policy.h>
+#include <wigeoncart/status.h>
+
+/** enum WcRefusal - why a request was not admitted. */
+typedef enum
+{
+  WC_REFUSAL_NONE = 0,
+  WC_REFUSAL_QUEUE_FULL,
+  WC_REFUSAL_LOW_WORTH,
+  WC_REFUSAL_TOO_LATE,
+  WC_REFUSAL_NO_TARGET,
+  WC_REFUSAL_RETRY_BUDGET,
+  WC_REFUSAL_COUNT
+} WcRefusal;
+
+extern const char *const WC_REFUSAL_STRINGS[WC_REFUSAL_COUNT];
+
+/** enum WcOutcome - how an attempt ended, as the dispatcher needs to know it. */
+typedef enum
+{
+  WC_OUTCOME_DONE = 0,
+  WC_OUTCOME_REFUSED,
+  WC_OUTCOME_FAILED,
+  WC_OUTCOME_CANCELLED,
+  WC_OUTCOME_COUNT
+} WcOutcome;
+
+/**
+ * struct WcDispatchTarget - a target of the dispatcher's shard.
+ * @slots: requests that it runs at once.
+ * @weight: percent of the normal share.
+ * @leaving: gets no new work; outstanding work is still counted.
+ * @cold_until_us: end of the ramp-up; 0 when warm.
+ */
+typedef struct
+{
+  uint32_t id;
+  uint32_t slots;
+  uint32_t weight;
+  uint32_t cold_start_ms;
+  bool     leaving;
+} WcDispatchTarget;
+
+/**
+ * struct WcDispatchRequest - a request that waits for a slot.
+ * @request: caller's handle, unique in the dispatcher.
+ * @preferred_target: target of the flow's token, 0 for none.
+ * @worth: value to its customer if delivered once and on time.
+ * @attempts: attempts made so far; more than 0 draws on the retry budget.
+ */
+typedef struct
+{
+  uint64_t request;
+  uint64_t deadline_us;
+  uint32_t worth;
+  uint32_t preferred_target;
+  uint32_t attempts;
+  uint32_t flow_hash;
+} WcDispatchRequest;
+
+/** struct WcDispatchDecision - one step to take: dispatch @request to @target, or refuse it when @refusal is set. */
+typedef struct
+{
+  uint64_t  request;
+  uint32_t  target;
+  WcRefusal refusal;
+} WcDispatchDecision;
+
+typedef struct
+{
+  uint32_t queue_max_requests;
+  uint32_t retry_budget_percent;
+  uint64_t refusal_backoff_us;
+  bool     late_binding;
+} WcDispatcherConfig;
+
+/** struct WcDispatcher - queue and outstanding counts of one shard of a service in a domain. */
+typedef struct WcDispatcher WcDispatcher;
+
+WcDispatcher *wc_dispatcher_new (const WcDispatcherConfig *config, const WcPolicy *policy, GRand *random);
+void          wc_dispatcher_delete (WcDispatcher *dispatcher);
+
+/** wc_dispatcher_set_targets() - replace the set of targets; counts of targets that stay are kept. */
+void
+wc_dispatcher_set_targets (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchTarget *targets, size_t count);
+
+/** wc_dispatcher_submit() - queue a request, or refuse it at once. */
+WcRefusal wc_dispatcher_submit (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
+
+/** wc_dispatcher_next() - next decision to carry out; call until it returns false, after each change and each tick. */
+bool wc_dispatcher_next (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision);
+
+/** wc_dispatcher_end() - an attempt dispatched to @target has ended; @run_us is 0 when unknown. */
+void wc_dispatcher_end (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, WcOutcome outcome, uint64_t run_us);
+
+/** wc_dispatcher_hint() - load told in an answer's header; informs estimates, never admits work. */
+void wc_dispatcher_hint (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, uint32_t running);
+
+/** wc_dispatcher_remove() - drop a queued request (cancelled); false when it is not queued. */
+bool wc_dispatcher_remove (WcDispatcher *dispatcher, uint64_t request);
+
+size_t   wc_dispatcher_get_queue_length (const WcDispatcher *dispatcher);
+uint32_t wc_dispatcher_get_outstanding (const WcDispatcher *dispatcher, uint32_t target);
+
+/** wc_dispatcher_get_wake_us() - when wc_dispatcher_next() may have work with no other event; UINT64_MAX for never. */
+uint64_t wc_dispatcher_get_wake_us (const WcDispatcher *dispatcher);
+
+#endif
--- /dev/null
+++ b/include/wigeoncart/keyring.h
@@ -0,0 +1,33 @@
+#ifndef WIGEONCART_KEYRING_H
+#define WIGEONCART_KEYRING_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <wigeoncart/register.h>
+
+/** enum WcKeyUse - purpose of a derived key; each purpose has a key of its own. */
+typedef enum
+{
+  WC_KEY_USE_TOKEN = 0,
+  WC_KEY_USE_TICKET,
+  WC_KEY_USE_RELAY,
+  WC_KEY_USE_PEER,
+  WC_KEY_USE_COUNT
+} WcKeyUse;
+
+/** struct WcKeyring - immutable keys by epoch, reference-counted (atomic). */
+typedef struct WcKeyring WcKeyring;
+
+/** wc_keyring_new() - derive the keys of all uses from @keys; the highest epoch seals. */
+WcKeyring *wc_keyring_new (const WcKey *keys, size_t count);
+WcKeyring *wc_keyring_ref (WcKeyring *keyring);
+void       wc_keyring_unref (WcKeyring *keyring);
+
+/** wc_keyring_get_newest_epoch() - epoch that seals; 0 when the ring is empty. */
+uint32_t wc_keyring_get_newest_epoch (const WcKeyring *keyring);
+
+/** wc_keyring_find() - derived key of WC_KEY_BYTES bytes; NULL when the epoch is not in the ring. */
+const uint8_t *wc_keyring_find (const WcKeyring *keyring, uint32_t epoch, WcKeyUse use);
+
+#endif
--- /dev/null
+++ b/include/wigeoncart/name_id.h
@@ -0,0 +1,17 @@
+#ifndef WIGEONCART_NAME_ID_H
+#define WIGEONCART_NAME_ID_H
+
+#include <stdint.h>
+
+/**
+ * wc_name_id32() - identifier of a service, domain, customer or target name.
+ *
+ * The identifier is the first 4 bytes of the BLAKE2b hash of the name and never 0. Operators publish names only;
+ * the register is rejected when two names of a kind collide.
+ */
+uint32_t wc_name_id32 (const char *name);
+
+/** wc_name_id64() - identifier of an instance name, never 0. */
+uint64_t wc_name_id64 (const char *name);
+
+#endif
--- /dev/null
+++ b/include/wigeoncart/ownership.h
@@ -0,0 +1,36 @@
+#ifndef WIGEONCART_OWNERSHIP_H
+#define WIGEONCART_OWNERSHIP_H
+
+#include <wigeoncart/membership.h>
+#include <wigeoncart/register.h>
+
+enum
+{
+  WC_SHARD_TARGETS = 16,
+  WC_READERS_PER_DOMAIN = 2
+};
+
+/** wc_ownership_get_shard_count() - shards of a service with @target_count targets in a domain, at least 1. */
+uint32_t wc_ownership_get_shard_count (size_t target_count);
+
+/** wc_ownership_find_owner() - live member of @domain with the highest rendezvous weight; NULL when none is live. */
+const WcMember *wc_ownership_find_owner (const WcMemberTable *table, uint32_t domain, uint32_t service, uint32_t shard);
+
+/** wc_ownership_get_worker() - worker of an owner that handles a service's shard. */
+uint32_t wc_ownership_get_worker (uint32_t service, uint32_t shard, uint32_t worker_count);
+
+/** wc_ownership_is_reader() - whether @self reads the platform for its domain. */
+bool wc_ownership_is_reader (const WcMemberTable *table, uint64_t self, uint32_t domain);
+
+/**
+ * wc_ownership_pick_domain() - domain that handles a new request that arrived in @domain.
+ * @random: uniform 32-bit number.
+ *
+ * Keeps a request in its domain as far as the domain's share of the slots allows, given its share of the live
+ * instances, and sends the excess to domains with a surplus of slots. A domain without targets in service keeps
+ * nothing.
+ */
+uint32_t wc_ownership_pick_domain (const WcMemberTable *table, const WcRegister *reg, uint32_t service, uint32_t domain,
+                                   uint32_t random);
+
+#endif
--- /dev/null
+++ b/src/cli/command.h
@@ -0,0 +1,28 @@
+#ifndef WC_CLI_COMMAND_H
+#define WC_CLI_COMMAND_H
+
+/** enum WcExit - exit status of every subcommand. */
+typedef enum
+{
+  /* Success. */
+  WC_EXIT_OK = 0,
+  /* The command ran and the answer is no: a promise broke, a check failed, a request was refused. */
+  WC_EXIT_FAILED = 1,
+  /* Wrong arguments, settings or input files. */
+  WC_EXIT_USAGE = 2,
+  /* The environment failed: an address is in use, a peer cannot be reached. */
+  WC_EXIT_ENVIRONMENT = 3
+} WcExit;
+
+/**
+ * struct WcCommand - a subcommand of the binary.
+ * @run: gets its arguments from the subcommand's name on; returns a WcExit.
+ */
+typedef struct
+{
+  const char *name;
+  const char *summary;
+  int (*run) (int argc, char **argv);
+} WcCommand;
+
+#endif
