--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &wc__config_id__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wc__member_note__init
+                     (Wc__MemberNote         *message)
+{
+  static const Wc__MemberNote init_value = WC__MEMBER_NOTE__INIT;
+  *message = init_value;
+}
+size_t wc__member_note__get_packed_size
+                     (const Wc__MemberNote *message)
+{
+  assert(message->base.descriptor == &wc__member_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wc__member_note__pack
+                     (const Wc__MemberNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wc__member_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wc__member_note__pack_to_buffer
+                     (const Wc__MemberNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wc__member_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wc__MemberNote *
+       wc__member_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wc__MemberNote *)
+     protobuf_c_message_unpack (&wc__member_note__descriptor,
+                                allocator, len, data);
+}
+void   wc__member_note__free_unpacked
+                     (Wc__MemberNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wc__member_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wc__peer_frame__init
                      (Wc__PeerFrame         *message)
 {
@@ -1393,6 +1438,135 @@
   (ProtobufCMessageInit) wc__config_id__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wc__member_note__field_descriptors[8] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__MemberNote, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__MemberNote, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__MemberNote, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__MemberNote, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workers",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__MemberNote, workers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__MemberNote, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wc__MemberNote, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__MemberNote, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wc__member_note__field_indices_by_name[] = {
+  5,   /* field[5] = domain */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = instance */
+  6,   /* field[6] = ip */
+  7,   /* field[7] = port */
+  3,   /* field[3] = state */
+  2,   /* field[2] = version */
+  4,   /* field[4] = workers */
+};
+static const ProtobufCIntRange wc__member_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wc__member_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wc.MemberNote",
+  "MemberNote",
+  "Wc__MemberNote",
+  "wc",
+  sizeof(Wc__MemberNote),
+  8,
+  wc__member_note__field_descriptors,
+  wc__member_note__field_indices_by_name,
+  1,  wc__member_note__number_ranges,
+  (ProtobufCMessageInit) wc__member_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue wc__peer_frame__kind__enum_values_by_number[6] =
 {
   { "NONE", "WC__PEER_FRAME__KIND__NONE", 0 },
@@ -1429,7 +1603,7 @@
   wc__peer_frame__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor wc__peer_frame__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wc__peer_frame__field_descriptors[18] =
 {
   {
     "kind",
@@ -1587,17 +1761,82 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epochs",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wc__PeerFrame, n_epochs),
+    offsetof(Wc__PeerFrame, epochs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "logical",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerFrame, logical),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wc__PeerFrame, n_members),
+    offsetof(Wc__PeerFrame, members),
+    &wc__member_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerFrame, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerFrame, echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__peer_frame__field_indices_by_name[] = {
   6,   /* field[6] = challenge */
   5,   /* field[5] = config */
   7,   /* field[7] = content */
   8,   /* field[8] = digests */
+  16,   /* field[16] = domain */
+  17,   /* field[17] = echo */
   10,   /* field[10] = epoch */
+  13,   /* field[13] = epochs */
   2,   /* field[2] = incarnation */
   1,   /* field[1] = instance */
   0,   /* field[0] = kind */
+  14,   /* field[14] = logical */
   11,   /* field[11] = mac */
+  15,   /* field[15] = members */
   12,   /* field[12] = name */
   9,   /* field[9] = sequence */
   3,   /* field[3] = state */
@@ -1606,7 +1845,7 @@
 static const ProtobufCIntRange wc__peer_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor wc__peer_frame__descriptor =
 {
@@ -1616,7 +1855,7 @@
   "Wc__PeerFrame",
   "wc",
   sizeof(Wc__PeerFrame),
-  13,
+  18,
   wc__peer_frame__field_descriptors,
   wc__peer_frame__field_indices_by_name,
   1,  wc__peer_frame__number_ranges,
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Wc__TokenBody Wc__TokenBody;
 typedef struct Wc__TicketBody Wc__TicketBody;
 typedef struct Wc__ConfigId Wc__ConfigId;
+typedef struct Wc__MemberNote Wc__MemberNote;
 typedef struct Wc__PeerFrame Wc__PeerFrame;
 
 
@@ -205,6 +206,27 @@
     , 0, {0,NULL} }
 
 
+/*
+ * What an instance tells its peers about a member of its domain. A note replaces another one of the same incarnation
+ *when its (version, state) is higher; only the member itself raises its version. 
+ */
+struct  Wc__MemberNote
+{
+  ProtobufCMessage base;
+  uint64_t instance;
+  uint64_t incarnation;
+  uint32_t version;
+  uint32_t state;
+  uint32_t workers;
+  uint32_t domain;
+  ProtobufCBinaryData ip;
+  uint32_t port;
+};
+#define WC__MEMBER_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wc__member_note__descriptor) \
+    , 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
+
+
 /*
  * Frame between instances over TCP, behind a 32-bit big-endian length. 
  */
@@ -225,10 +247,17 @@
   uint32_t epoch;
   ProtobufCBinaryData mac;
   char *name;
+  size_t n_epochs;
+  uint32_t *epochs;
+  uint64_t logical;
+  size_t n_members;
+  Wc__MemberNote **members;
+  uint32_t domain;
+  ProtobufCBinaryData echo;
 };
 #define WC__PEER_FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__peer_frame__descriptor) \
-    , WC__PEER_FRAME__KIND__NONE, 0, 0, 0, 0, NULL, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string }
+    , WC__PEER_FRAME__KIND__NONE, 0, 0, 0, 0, NULL, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, {0,NULL} }
 
 
 /* Wc__AnswerRef methods */
@@ -364,6 +393,25 @@
 void   wc__config_id__free_unpacked
                      (Wc__ConfigId *message,
                       ProtobufCAllocator *allocator);
+/* Wc__MemberNote methods */
+void   wc__member_note__init
+                     (Wc__MemberNote         *message);
+size_t wc__member_note__get_packed_size
+                     (const Wc__MemberNote   *message);
+size_t wc__member_note__pack
+                     (const Wc__MemberNote   *message,
+                      uint8_t             *out);
+size_t wc__member_note__pack_to_buffer
+                     (const Wc__MemberNote   *message,
+                      ProtobufCBuffer     *buffer);
+Wc__MemberNote *
+       wc__member_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wc__member_note__free_unpacked
+                     (Wc__MemberNote *message,
+                      ProtobufCAllocator *allocator);
 /* Wc__PeerFrame methods */
 void   wc__peer_frame__init
                      (Wc__PeerFrame         *message);
@@ -406,6 +454,9 @@
 typedef void (*Wc__ConfigId_Closure)
                  (const Wc__ConfigId *message,
                   void *closure_data);
+typedef void (*Wc__MemberNote_Closure)
+                 (const Wc__MemberNote *message,
+                  void *closure_data);
 typedef void (*Wc__PeerFrame_Closure)
                  (const Wc__PeerFrame *message,
                   void *closure_data);
@@ -425,6 +476,7 @@
 extern const ProtobufCMessageDescriptor wc__token_body__descriptor;
 extern const ProtobufCMessageDescriptor wc__ticket_body__descriptor;
 extern const ProtobufCMessageDescriptor wc__config_id__descriptor;
+extern const ProtobufCMessageDescriptor wc__member_note__descriptor;
 extern const ProtobufCMessageDescriptor wc__peer_frame__descriptor;
 extern const ProtobufCEnumDescriptor    wc__peer_frame__kind__descriptor;
 
--- /dev/null
+++ b/src/core/control.c
@@ -0,0 +1,572 @@
+#include "core/control_private.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <wigeoncart/ownership.h>
+
+enum
+{
+  MS = 1000,
+  /* A view that only confirms an unchanged state is published at this pace, for workers that check its age. */
+  CONFIRM_PUBLISH_US = 250 * MS
+};
+
+const char *const WC_PLATFORM_STATE_STRINGS[WC_PLATFORM_STATE_COUNT] = {
+  [WC_PLATFORM_UNREAD] = "unread",
+  [WC_PLATFORM_UP] = "up",
+  [WC_PLATFORM_STALE] = "stale",
+  [WC_PLATFORM_DOWN] = "down",
+};
+
+static void enter (WcControl *control, uint64_t now_us);
+static void leave (WcControl *control, uint64_t now_us);
+static void set_lifecycle (WcControl *control, WcLifecycle lifecycle, const char *reason);
+static void check_join (WcControl *control, uint64_t now_us);
+static void check_reconfirm (WcControl *control, uint64_t now_us);
+static void check_drain (WcControl *control, uint64_t now_us);
+static bool peers_settled (const WcControl *control, uint64_t now_us, bool peer_has_config);
+static void pause_detected (WcControl *control, uint64_t now_us, uint64_t gap_us);
+
+void
+wc_control_config_init (WcControlConfig *config)
+{
+  assert (config != NULL);
+
+  memset (config, 0, sizeof *config);
+  config->heartbeat_us = 500 * MS;
+  config->suspect_after_us = 2000 * MS;
+  config->pause_threshold_us = 500 * MS;
+  config->confirm_limit_us = 2000 * MS;
+  config->drain_limit_us = 30000 * MS;
+  config->join_limit_us = 3000 * MS;
+  config->silence_us = 5000 * MS;
+  config->watch_retry_us = 500 * MS;
+}
+
+WcControl *
+wc_control_new (const WcControlConfig *config, const WcControlOps *ops, void *user_data, WcCounters *counters)
+{
+  WcControl *control;
+
+  assert (config != NULL);
+  assert (ops != NULL);
+  assert (counters != NULL);
+  assert (config->self.id != 0 && config->self.incarnation != 0);
+
+  control = g_new0 (WcControl, 1);
+  control->config = *config;
+  control->ops = ops;
+  control->user_data = user_data;
+  control->counters = counters;
+  control->random = g_rand_new_with_seed (config->seed);
+  control->lifecycle = WC_LIFECYCLE_JOINING;
+  control->membership = wc_membership_new (&config->self, config->suspect_after_us);
+  control->store = wc_config_store_new ();
+  control->records = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  control->links = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  control->desired = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  control->avoided = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  control->pending_notes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  control->own_version = 1;
+  control->own_state = WC_MEMBER_LISTED;
+  wc_control_update_table (control);
+  return control;
+}
+
+void
+wc_control_delete (WcControl *control)
+{
+  if (!control)
+    return;
+  g_array_free (control->pending_notes, TRUE);
+  g_hash_table_destroy (control->avoided);
+  g_hash_table_destroy (control->desired);
+  g_hash_table_destroy (control->links);
+  g_hash_table_destroy (control->records);
+  if (control->head_in_force)
+    g_bytes_unref (control->head_in_force);
+  if (control->held_head)
+    g_bytes_unref (control->held_head);
+  if (control->keyring)
+    wc_keyring_unref (control->keyring);
+  wc_member_table_unref (control->table);
+  wc_config_store_delete (control->store);
+  wc_membership_delete (control->membership);
+  g_rand_free (control->random);
+  g_free (control);
+}
+
+void
+wc_control_start (WcControl *control, uint64_t now_us)
+{
+  assert (control != NULL);
+
+  control->last_us = now_us;
+  control->join_started_us = now_us;
+  control->view_dirty = true;
+  wc_control_record (control, WC_EVENT_LIFECYCLE, control->lifecycle, WC_LIFECYCLE_STRINGS[control->lifecycle]);
+  wc_control_tick (control, now_us);
+}
+
+void
+wc_control_tick (WcControl *control, uint64_t now_us)
+{
+  assert (control != NULL);
+
+  enter (control, now_us);
+  wc_control_members_tick (control, now_us);
+  wc_control_config_tick (control, now_us);
+  leave (control, now_us);
+}
+
+void
+wc_control_terminate (WcControl *control, uint64_t now_us)
+{
+  assert (control != NULL);
+
+  enter (control, now_us);
+  if (control->lifecycle == WC_LIFECYCLE_SERVING)
+    {
+      control->drain_started_us = now_us;
+      wc_membership_set_self_state (control->membership, WC_MEMBER_LEAVING);
+      wc_control_set_own_state (control, now_us, WC_MEMBER_LEAVING);
+      set_lifecycle (control, WC_LIFECYCLE_DRAINING, "stop was requested");
+    }
+  else if (control->lifecycle != WC_LIFECYCLE_STOPPED)
+    set_lifecycle (control, WC_LIFECYCLE_STOPPED,
+                   control->lifecycle == WC_LIFECYCLE_JOINING ? "stop before serving" : "second stop request");
+  leave (control, now_us);
+}
+
+void
+wc_control_link_up (WcControl *control, uint64_t now_us, uint64_t peer, uint64_t incarnation, uint32_t domain)
+{
+  WcControlLink *link;
+
+  assert (control != NULL);
+
+  enter (control, now_us);
+  link = g_new0 (WcControlLink, 1);
+  link->id = peer;
+  link->incarnation = incarnation;
+  link->domain = domain;
+  link->heard_us = now_us;
+  g_hash_table_replace (control->links, &link->id, link);
+  wc_control_send_heartbeat (control, now_us, link, true);
+  leave (control, now_us);
+}
+
+void
+wc_control_link_down (WcControl *control, uint64_t now_us, uint64_t peer)
+{
+  assert (control != NULL);
+
+  enter (control, now_us);
+  g_hash_table_remove (control->links, &peer);
+  wc_control_link_lost_fetch (control, peer);
+  leave (control, now_us);
+}
+
+void
+wc_control_receive (WcControl *control, uint64_t now_us, uint64_t peer, const Wc__PeerFrame *frame)
+{
+  WcControlLink *link;
+
+  assert (control != NULL);
+  assert (frame != NULL);
+
+  enter (control, now_us);
+  link = g_hash_table_lookup (control->links, &peer);
+  if (link)
+    {
+      if (frame->kind == WC__PEER_FRAME__KIND__HEARTBEAT)
+        wc_control_heartbeat_receive (control, now_us, link, frame);
+      else
+        wc_control_config_receive (control, now_us, link, frame);
+    }
+  leave (control, now_us);
+}
+
+void
+wc_control_list (WcControl *control, uint64_t now_us, const WcMember *members, size_t count, size_t size_bytes)
+{
+  /* At most 256 bytes a second: the list of 1,200 instances has about 144 KB. */
+  static const uint64_t US_PER_BYTE = 1000 * MS / 256;
+  uint64_t              pace_us = size_bytes * US_PER_BYTE;
+
+  assert (control != NULL);
+  assert (members != NULL || count == 0);
+
+  enter (control, now_us);
+  control->list_pending = false;
+  control->list_known = true;
+  control->next_list_us = now_us + wc_control_jitter (control, MAX (pace_us, (uint64_t)5000 * MS));
+  wc_membership_apply_list (control->membership, now_us, members, count);
+
+  GHashTableIter iterator;
+  gpointer       value;
+
+  g_hash_table_iter_init (&iterator, control->records);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    ((WcControlRecord *)value)->listed = false;
+  for (size_t i = 0; i < count; i++)
+    {
+      WcControlRecord *record;
+
+      if (members[i].domain != control->config.self.domain || members[i].id == control->config.self.id)
+        continue;
+      record = g_hash_table_lookup (control->records, &members[i].id);
+      if (!record)
+        {
+          record = g_new0 (WcControlRecord, 1);
+          record->member = members[i];
+          record->member.state = WC_MEMBER_LISTED;
+          record->first_us = now_us;
+          g_hash_table_insert (control->records, &record->member.id, record);
+        }
+      else if (record->member.state == WC_MEMBER_LISTED)
+        {
+          record->member.address = members[i].address;
+          record->member.workers = members[i].workers;
+        }
+      record->listed = true;
+    }
+  control->next_topology_us = now_us;
+  wc_control_members_tick (control, now_us);
+  leave (control, now_us);
+}
+
+void
+wc_control_list_failed (WcControl *control, uint64_t now_us)
+{
+  assert (control != NULL);
+
+  enter (control, now_us);
+  control->list_pending = false;
+  control->next_list_us = now_us + wc_control_jitter (control, control->list_known ? 5000 * MS : 1000 * MS);
+  leave (control, now_us);
+}
+
+WcLifecycle
+wc_control_get_lifecycle (const WcControl *control)
+{
+  assert (control != NULL);
+
+  if (control->reconfirming && control->lifecycle != WC_LIFECYCLE_STOPPED)
+    return WC_LIFECYCLE_RECONFIRMING;
+  return control->lifecycle;
+}
+
+bool
+wc_control_is_ready (const WcControl *control, uint64_t now_us, const char **reason)
+{
+  assert (control != NULL);
+  assert (reason != NULL);
+
+  *reason = NULL;
+  if (control->lifecycle == WC_LIFECYCLE_JOINING)
+    *reason = wc_config_store_get_register (control->store) ? "joining: configuration is not confirmed by a peer yet"
+                                                            : "joining: no configuration yet";
+  else if (control->lifecycle == WC_LIFECYCLE_DRAINING)
+    *reason = "draining";
+  else if (control->lifecycle == WC_LIFECYCLE_STOPPED)
+    *reason = "stopped";
+  else if (control->reconfirming)
+    *reason = "reconfirming after a pause";
+  else if (now_us > control->last_us + control->config.pause_threshold_us)
+    *reason = "the control thread does not respond";
+  return *reason == NULL;
+}
+
+const WcConfigStore *
+wc_control_get_store (const WcControl *control)
+{
+  assert (control != NULL);
+
+  return control->store;
+}
+
+uint64_t
+wc_control_get_in_force_us (const WcControl *control)
+{
+  assert (control != NULL);
+
+  return control->in_force_us;
+}
+
+uint64_t
+wc_control_get_confirmed_us (const WcControl *control)
+{
+  assert (control != NULL);
+
+  return control->confirmed_us;
+}
+
+WcPlatformState
+wc_control_get_platform_state (const WcControl *control)
+{
+  assert (control != NULL);
+
+  return control->platform_state;
+}
+
+bool
+wc_control_is_reader (const WcControl *control)
+{
+  assert (control != NULL);
+
+  return wc_ownership_is_reader (control->table, control->config.self.id, control->config.self.domain);
+}
+
+uint32_t
+wc_control_get_link_count (const WcControl *control)
+{
+  assert (control != NULL);
+
+  return g_hash_table_size (control->links);
+}
+
+WcMemberTable *
+wc_control_snapshot_members (const WcControl *control)
+{
+  assert (control != NULL);
+
+  return wc_member_table_ref (control->table);
+}
+
+void
+wc_control_record (WcControl *control, WcEventKind kind, uint64_t value, const char *reason)
+{
+  WcEvent event = { .kind = kind, .value = value, .reason = reason };
+
+  wc_counters_add (control->counters, WC_COUNTER_EVENTS_RECORDED, 1);
+  control->ops->record (control->user_data, &event);
+}
+
+void
+wc_control_confirm (WcControl *control, uint64_t now_us)
+{
+  control->confirmed_us = now_us;
+  if (!control->reconfirming)
+    return;
+  control->reconfirming = false;
+  control->view_dirty = true;
+  wc_control_record (control, WC_EVENT_LIFECYCLE, control->lifecycle, "configuration confirmed after a pause");
+}
+
+void
+wc_control_check_lifecycle (WcControl *control, uint64_t now_us)
+{
+  if (control->lifecycle == WC_LIFECYCLE_JOINING)
+    check_join (control, now_us);
+  if (control->reconfirming)
+    check_reconfirm (control, now_us);
+  if (control->lifecycle == WC_LIFECYCLE_DRAINING)
+    check_drain (control, now_us);
+}
+
+void
+wc_control_publish (WcControl *control, uint64_t now_us)
+{
+  WcView *view;
+
+  (void)now_us;
+  wc_control_update_table (control);
+  if (!control->view_dirty && control->confirmed_us < control->published_confirmed_us + CONFIRM_PUBLISH_US)
+    return;
+  control->view_dirty = false;
+  control->published_confirmed_us = control->confirmed_us;
+  view = wc_view_new (wc_config_store_get_register (control->store), control->keyring, control->table,
+                      wc_control_get_lifecycle (control), control->confirmed_us);
+  control->ops->publish (control->user_data, view);
+  wc_view_unref (view);
+}
+
+uint64_t
+wc_control_jitter (WcControl *control, uint64_t base_us)
+{
+  return (uint64_t)((double)base_us * g_rand_double_range (control->random, 0.75, 1.25));
+}
+
+/* local functions */
+
+static void
+enter (WcControl *control, uint64_t now_us)
+{
+  uint64_t gap_us = now_us > control->last_us ? now_us - control->last_us : 0;
+
+  control->last_us = MAX (now_us, control->last_us);
+  if (gap_us > control->config.pause_threshold_us)
+    pause_detected (control, now_us, gap_us);
+}
+
+static void
+leave (WcControl *control, uint64_t now_us)
+{
+  if (control->stopped)
+    return;
+  wc_control_fetch (control, now_us);
+  wc_control_check_lifecycle (control, now_us);
+  wc_control_flush_notes (control, now_us, 0);
+  wc_control_publish (control, now_us);
+  if (control->lifecycle == WC_LIFECYCLE_STOPPED)
+    {
+      control->stopped = true;
+      control->ops->stop (control->user_data);
+    }
+}
+
+static void
+set_lifecycle (WcControl *control, WcLifecycle lifecycle, const char *reason)
+{
+  control->lifecycle = lifecycle;
+  control->view_dirty = true;
+  wc_control_record (control, WC_EVENT_LIFECYCLE, lifecycle, reason);
+}
+
+/* What arrived during the pause may lie in socket buffers, so only an answer to a question asked now counts. */
+static void
+pause_detected (WcControl *control, uint64_t now_us, uint64_t gap_us)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+
+  wc_counters_add (control->counters, WC_COUNTER_PAUSES_DETECTED, 1);
+  wc_control_record (control, WC_EVENT_PAUSE_DETECTED, gap_us, "gap in the clock of the control thread");
+  control->suspect_grace_us = now_us + control->config.suspect_after_us;
+  g_hash_table_iter_init (&iterator, control->records);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlRecord *record = value;
+
+      record->direct_us = MAX (record->direct_us, now_us);
+    }
+  control->challenge = ((uint64_t)g_rand_int (control->random) << 32) | g_rand_int (control->random) | 1;
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    ((WcControlLink *)value)->echoed = false;
+  if (control->lifecycle == WC_LIFECYCLE_JOINING)
+    {
+      control->join_started_us = now_us;
+      control->first_peer_us = 0;
+    }
+  else if (control->lifecycle == WC_LIFECYCLE_SERVING || control->lifecycle == WC_LIFECYCLE_DRAINING)
+    {
+      if (!control->reconfirming)
+        wc_control_record (control, WC_EVENT_LIFECYCLE, WC_LIFECYCLE_RECONFIRMING, "pause detected");
+      control->reconfirming = true;
+      control->reconfirm_started_us = now_us;
+      control->reconfirm_deadline_us = now_us + control->config.confirm_limit_us;
+      control->view_dirty = true;
+      /* The workers must stop dispatching before anything else happens. */
+      wc_control_publish (control, now_us);
+      if (control->head_pending)
+        control->ops->cancel_head (control->user_data);
+      control->head_pending = false;
+      control->next_head_us = now_us + g_rand_int_range (control->random, 0, 100) * MS;
+    }
+  wc_control_send_challenges (control, now_us);
+}
+
+/* Serves once the newest configuration that any peer has is in force. The platform's head is held back until then: it
+ * may be stale, or a revision that the peers have rejected. */
+static void
+check_join (WcControl *control, uint64_t now_us)
+{
+  const WcConfigId *id = wc_config_store_get_id (control->store);
+  bool              limit_passed = now_us >= control->join_started_us + control->config.join_limit_us;
+  bool              peer_has_config = false;
+  bool              newer = false;
+  GHashTableIter    iterator;
+  gpointer          value;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      peer_has_config = peer_has_config || (link->heard && link->config.revision > 0);
+      newer = newer || (link->heard && wc_control_is_newer (control, &link->config));
+    }
+  if (!limit_passed && (newer || !peers_settled (control, now_us, peer_has_config)))
+    return;
+  if (!control->platform_accepted)
+    {
+      control->platform_accepted = true;
+      wc_control_accept_platform (control, now_us);
+    }
+  if (id->revision == 0 || !wc_config_store_get_register (control->store) || (newer && !limit_passed))
+    return;
+  wc_control_set_own_state (control, now_us, WC_MEMBER_LIVE);
+  wc_control_confirm (control, now_us);
+  set_lifecycle (control, WC_LIFECYCLE_SERVING,
+                 peer_has_config ? "configuration confirmed by a peer" : "no peer heard; platform's configuration");
+}
+
+/* Whether every wanted link has been heard. Two heartbeats after the first peer is enough if a peer has a configuration;
+ * peers that have none may all have just started, so the others are waited for. */
+static bool
+peers_settled (const WcControl *control, uint64_t now_us, bool peer_has_config)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+  uint32_t       heard = 0;
+  uint32_t       missing = 0;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    heard += ((WcControlLink *)value)->heard ? 1 : 0;
+  if (heard == 0)
+    return false;
+  g_hash_table_iter_init (&iterator, control->desired);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlDesired *desired = value;
+      WcControlLink    *link = g_hash_table_lookup (control->links, &desired->member.id);
+
+      missing += !link || !link->heard ? 1 : 0;
+    }
+  return missing == 0 || (peer_has_config && now_us >= control->first_peer_us + 2 * control->config.heartbeat_us);
+}
+
+static void
+check_reconfirm (WcControl *control, uint64_t now_us)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+  bool           confirmed = false;
+  bool           newer = false;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      if (!link->echoed || link->config.revision == 0)
+        continue;
+      confirmed = true;
+      newer = newer || wc_control_is_newer (control, &link->config);
+    }
+  if (confirmed && !newer)
+    wc_control_confirm (control, now_us);
+  else if (now_us >= control->reconfirm_deadline_us)
+    {
+      control->reconfirming = false;
+      control->confirmed_us = now_us;
+      control->view_dirty = true;
+      wc_control_record (control, WC_EVENT_LIFECYCLE, control->lifecycle,
+                         "nobody confirmed the configuration in time; serving in a partition");
+    }
+}
+
+/* Two heartbeats pass first, so that peers and workers have seen the announcement. */
+static void
+check_drain (WcControl *control, uint64_t now_us)
+{
+  if (now_us >= control->drain_started_us + control->config.drain_limit_us)
+    set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drain limit reached");
+  else if (now_us >= control->drain_started_us + 2 * control->config.heartbeat_us
+           && control->ops->workers_idle (control->user_data))
+    set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drained");
+}
--- /dev/null
+++ b/src/core/control_config.c
@@ -0,0 +1,524 @@
+#include "core/control_private.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <wigeoncart/ownership.h>
+
+enum
+{
+  MS = 1000,
+  PEER_ANSWER_US = 1000 * MS,
+  PLATFORM_ANSWER_US = 4000 * MS,
+  READ_INTERVAL_US = 200 * MS,
+  BACKOFF_MAX_US = 15000 * MS,
+  /* Every so many watches the value is read without a version: a platform restored from an old copy may have set the
+   * version back, and a watch for a higher one would never end. */
+  WATCHES_PER_READ = 4
+};
+
+static void           read_head (WcControl *control, uint64_t now_us, bool watch);
+static void           set_next_read (WcControl *control, uint64_t now_us);
+static uint64_t       backoff (WcControl *control);
+static void           activate (WcControl *control, uint64_t now_us);
+static void           rebuild_keyring (WcControl *control);
+static bool           get_missing (const WcControl *control, size_t index, uint8_t digest[WC_DIGEST_BYTES]);
+static WcControlLink *choose_head_source (WcControl *control);
+static WcControlLink *choose_part_source (WcControl *control);
+static bool           ask_parts (WcControl *control, WcControlLink *link);
+static void           answer_ask (WcControl *control, WcControlLink *link, const Wc__PeerFrame *frame);
+static void           fetch_failed (WcControl *control, uint64_t now_us);
+
+bool
+wc_control_is_newer (const WcControl *control, const WcConfigId *id)
+{
+  WcConfigId rejected;
+
+  if (wc_config_id_compare (id, wc_config_store_get_id (control->store)) <= 0)
+    return false;
+  return !wc_config_store_get_rejection (control->store, &rejected) || wc_config_id_compare (id, &rejected) != 0;
+}
+
+/* A joining instance reads the head once. Later the two readers of a domain keep a watch, and the others read only when
+ * no peer of the domain has confirmed the configuration for a while. */
+void
+wc_control_config_tick (WcControl *control, uint64_t now_us)
+{
+  bool reader = wc_control_is_reader (control);
+  bool silent = now_us >= control->confirmed_us + control->config.silence_us;
+  bool joining = control->lifecycle == WC_LIFECYCLE_JOINING;
+
+  if (control->lifecycle == WC_LIFECYCLE_STOPPED)
+    return;
+  if (!control->list_pending && now_us >= control->next_list_us)
+    {
+      control->list_pending = true;
+      wc_counters_add (control->counters, WC_COUNTER_PLATFORM_READS, 1);
+      control->ops->read_list (control->user_data);
+    }
+  if (control->head_pending)
+    {
+      if (control->head_is_watch && !reader)
+        {
+          control->ops->cancel_head (control->user_data);
+          control->head_pending = false;
+        }
+      return;
+    }
+  if (!joining && !reader && !silent && !control->reconfirming)
+    {
+      /* Spreads the reads of a domain whose peers fall silent at the same time. */
+      control->next_head_us
+          = now_us + control->config.silence_us
+            + (uint64_t)g_rand_int_range (control->random, 0, (gint32)MAX (control->config.silence_us, 1));
+      return;
+    }
+  if (now_us < control->next_head_us)
+    return;
+  read_head (control, now_us, !joining && reader && !control->reconfirming);
+}
+
+void
+wc_control_fetch (WcControl *control, uint64_t now_us)
+{
+  WcControlLink *link;
+  const char    *key;
+  uint8_t        digest[WC_DIGEST_BYTES];
+
+  if (control->fetch != WC_FETCH_IDLE)
+    {
+      if (now_us < control->fetch_deadline_us)
+        return;
+      fetch_failed (control, now_us);
+    }
+  if (now_us < control->fetch_retry_us || control->lifecycle == WC_LIFECYCLE_STOPPED)
+    return;
+
+  link = choose_head_source (control);
+  if (link)
+    {
+      Wc__PeerFrame ask = WC__PEER_FRAME__INIT;
+
+      ask.kind = WC__PEER_FRAME__KIND__CONFIG_ASK;
+      control->fetch = WC_FETCH_PEER_HEAD;
+      control->fetch_peer = link->id;
+      control->fetch_deadline_us = now_us + PEER_ANSWER_US;
+      if (!control->ops->send (control->user_data, link->id, &ask))
+        fetch_failed (control, now_us);
+      return;
+    }
+  if (!wc_config_store_get_missing (control->store, 0, &key, digest))
+    return;
+  link = choose_part_source (control);
+  if (link && ask_parts (control, link))
+    {
+      control->fetch = WC_FETCH_PEER_PARTS;
+      control->fetch_peer = link->id;
+      control->fetch_deadline_us = now_us + PEER_ANSWER_US;
+      return;
+    }
+  control->fetch = WC_FETCH_PLATFORM_PART;
+  control->fetch_peer = 0;
+  control->fetch_deadline_us = now_us + PLATFORM_ANSWER_US;
+  wc_counters_add (control->counters, WC_COUNTER_PLATFORM_READS, 1);
+  control->ops->read_part (control->user_data, key);
+}
+
+void
+wc_control_link_lost_fetch (WcControl *control, uint64_t peer)
+{
+  if (control->fetch == WC_FETCH_IDLE || control->fetch_peer != peer)
+    return;
+  control->fetch = WC_FETCH_IDLE;
+  control->fetch_attempts++;
+}
+
+void
+wc_control_config_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame)
+{
+  WcError error;
+
+  switch (frame->kind)
+    {
+    case WC__PEER_FRAME__KIND__CONFIG_ASK:
+      answer_ask (control, link, frame);
+      break;
+    case WC__PEER_FRAME__KIND__CONFIG_HEAD:
+      if (control->fetch == WC_FETCH_PEER_HEAD && control->fetch_peer == link->id)
+        control->fetch = WC_FETCH_IDLE;
+      link->tried_config = link->config;
+      if (frame->content.len > 0)
+        wc_control_offer_head (control, now_us, (const char *)frame->content.data, frame->content.len);
+      break;
+    case WC__PEER_FRAME__KIND__CONFIG_PART:
+      if (frame->content.len == 0)
+        {
+          if (control->fetch == WC_FETCH_PEER_PARTS && control->fetch_peer == link->id)
+            fetch_failed (control, now_us);
+          break;
+        }
+      if (control->fetch == WC_FETCH_PEER_PARTS && control->fetch_peer == link->id)
+        {
+          control->fetch_deadline_us = now_us + PEER_ANSWER_US;
+          if (--control->fetch_outstanding == 0)
+            control->fetch = WC_FETCH_IDLE;
+        }
+      if (wc_config_store_offer_part (control->store, frame->content.data, frame->content.len, &error) == WC_STATUS_OK)
+        {
+          control->fetch_attempts = 0;
+          activate (control, now_us);
+        }
+      break;
+    default:
+      wc_counters_add (control->counters, WC_COUNTER_PEER_FRAMES_REJECTED, 1);
+      break;
+    }
+}
+
+void
+wc_control_offer_head (WcControl *control, uint64_t now_us, const char *text, size_t size_bytes)
+{
+  WcError  error;
+  WcStatus status = wc_config_store_offer_head (control->store, text, size_bytes, &error);
+
+  if (status == WC_STATUS_STALE)
+    wc_counters_add (control->counters, WC_COUNTER_CONFIG_STALE, 1);
+  else if (status != WC_STATUS_OK)
+    {
+      wc_counters_add (control->counters, WC_COUNTER_CONFIG_REJECTED, 1);
+      wc_control_record (control, WC_EVENT_CONFIG_REJECTED, 0, "malformed head");
+    }
+  else
+    {
+      control->fetch_attempts = 0;
+      control->fetch_retry_us = 0;
+      activate (control, now_us);
+    }
+}
+
+void
+wc_control_accept_platform (WcControl *control, uint64_t now_us)
+{
+  const char *text;
+  gsize       size_bytes;
+  GBytes     *head = control->held_head;
+
+  if (!head)
+    return;
+  control->held_head = NULL;
+  text = g_bytes_get_data (head, &size_bytes);
+  wc_control_offer_head (control, now_us, text, size_bytes);
+  g_bytes_unref (head);
+}
+
+void
+wc_control_head (WcControl *control, uint64_t now_us, uint64_t version, const char *text, size_t size_bytes)
+{
+  const char *own;
+  gsize       own_bytes = 0;
+  uint8_t     digest[WC_DIGEST_BYTES];
+
+  assert (control != NULL);
+  assert (text != NULL);
+
+  /* Entering first detects a pause, which drops answers to reads issued before it. */
+  wc_control_tick (control, now_us);
+  if (!control->head_pending)
+    return;
+  control->head_pending = false;
+  control->head_version = version;
+  control->platform_failures = 0;
+  control->platform_state = WC_PLATFORM_UP;
+  set_next_read (control, now_us);
+  if (control->lifecycle == WC_LIFECYCLE_JOINING && !control->platform_accepted)
+    {
+      if (control->held_head)
+        g_bytes_unref (control->held_head);
+      control->held_head = g_bytes_new (text, size_bytes);
+      wc_control_tick (control, now_us);
+      return;
+    }
+  wc_control_offer_head (control, now_us, text, size_bytes);
+  own = control->head_in_force ? g_bytes_get_data (control->head_in_force, &own_bytes) : NULL;
+  if (own && own_bytes == size_bytes && memcmp (own, text, size_bytes) == 0)
+    wc_control_confirm (control, now_us);
+  else if (own && !get_missing (control, 0, digest))
+    control->platform_state = WC_PLATFORM_STALE;
+  wc_control_tick (control, now_us);
+}
+
+void
+wc_control_head_unchanged (WcControl *control, uint64_t now_us)
+{
+  uint8_t digest[WC_DIGEST_BYTES];
+
+  assert (control != NULL);
+
+  wc_control_tick (control, now_us);
+  if (!control->head_pending)
+    return;
+  control->head_pending = false;
+  control->platform_failures = 0;
+  set_next_read (control, now_us);
+  if (control->platform_state == WC_PLATFORM_UP && !get_missing (control, 0, digest) && control->head_issued_us >= control->reconfirm_started_us)
+    wc_control_confirm (control, now_us);
+  wc_control_tick (control, now_us);
+}
+
+void
+wc_control_head_failed (WcControl *control, uint64_t now_us)
+{
+  assert (control != NULL);
+
+  wc_control_tick (control, now_us);
+  if (!control->head_pending)
+    return;
+  control->head_pending = false;
+  control->platform_failures++;
+  control->platform_state = WC_PLATFORM_DOWN;
+  control->next_head_us = now_us + backoff (control);
+  wc_counters_add (control->counters, WC_COUNTER_PLATFORM_ERRORS, 1);
+}
+
+void
+wc_control_part (WcControl *control, uint64_t now_us, const void *data, size_t size_bytes)
+{
+  WcError error;
+
+  assert (control != NULL);
+
+  if (control->fetch == WC_FETCH_PLATFORM_PART)
+    {
+      control->fetch = WC_FETCH_IDLE;
+      /* Another digest means that the platform's part is older or newer than the head; the head is read again. */
+      if (wc_config_store_offer_part (control->store, data, size_bytes, &error) == WC_STATUS_OK)
+        {
+          control->fetch_attempts = 0;
+          activate (control, now_us);
+        }
+      else
+        {
+          fetch_failed (control, now_us);
+          control->head_version = 0;
+        }
+    }
+  wc_control_tick (control, now_us);
+}
+
+void
+wc_control_part_failed (WcControl *control, uint64_t now_us)
+{
+  assert (control != NULL);
+
+  if (control->fetch == WC_FETCH_PLATFORM_PART)
+    {
+      wc_counters_add (control->counters, WC_COUNTER_PLATFORM_ERRORS, 1);
+      fetch_failed (control, now_us);
+    }
+  wc_control_tick (control, now_us);
+}
+
+/* local functions */
+
+static void
+read_head (WcControl *control, uint64_t now_us, bool watch)
+{
+  uint64_t after = 0;
+
+  if (watch && control->head_version > 0 && ++control->watches % WATCHES_PER_READ != 0)
+    after = control->head_version;
+  control->head_pending = true;
+  control->head_is_watch = after > 0;
+  control->head_issued_us = now_us;
+  wc_counters_add (control->counters, WC_COUNTER_PLATFORM_READS, 1);
+  control->ops->read_head (control->user_data, after, after > 0 ? WC_CONTROL_WATCH_MS : 0);
+}
+
+/* A reader goes on to watch at once, but never issues more than 5 reads a second. */
+static void
+set_next_read (WcControl *control, uint64_t now_us)
+{
+  if (control->lifecycle == WC_LIFECYCLE_JOINING)
+    control->next_head_us = now_us + wc_control_jitter (control, 2000 * MS);
+  else if (control->reconfirming)
+    control->next_head_us = now_us + wc_control_jitter (control, control->config.watch_retry_us);
+  else if (wc_control_is_reader (control) && control->head_version > 0)
+    control->next_head_us = MAX (now_us, control->head_issued_us + READ_INTERVAL_US);
+  else
+    control->next_head_us = now_us + wc_control_jitter (control, control->config.silence_us);
+}
+
+static uint64_t
+backoff (WcControl *control)
+{
+  uint32_t shift = MIN (control->platform_failures, 6);
+  uint64_t delay_us = MIN (control->config.watch_retry_us << shift, (uint64_t)BACKOFF_MAX_US);
+
+  return wc_control_jitter (control, delay_us);
+}
+
+static void
+activate (WcControl *control, uint64_t now_us)
+{
+  WcError     error;
+  const char *head;
+  size_t      head_bytes;
+  WcStatus    status = wc_config_store_activate (control->store, &error);
+
+  if (status == WC_STATUS_NOT_FOUND)
+    return;
+  control->fetch = WC_FETCH_IDLE;
+  if (status != WC_STATUS_OK)
+    {
+      wc_counters_add (control->counters, WC_COUNTER_CONFIG_REJECTED, 1);
+      wc_control_record (control, WC_EVENT_CONFIG_REJECTED, wc_config_store_get_newest_id (control->store)->revision,
+                         "invalid register");
+      return;
+    }
+  head = wc_config_store_get_head (control->store, &head_bytes);
+  if (control->head_in_force)
+    g_bytes_unref (control->head_in_force);
+  control->head_in_force = g_bytes_new (head, head_bytes);
+  control->in_force_us = now_us;
+  control->view_dirty = true;
+  rebuild_keyring (control);
+  wc_counters_add (control->counters, WC_COUNTER_CONFIG_ACCEPTED, 1);
+  wc_control_record (control, WC_EVENT_CONFIG_ACCEPTED, wc_config_store_get_id (control->store)->revision, NULL);
+  wc_control_publish (control, now_us);
+  wc_control_announce (control, now_us);
+}
+
+static void
+rebuild_keyring (WcControl *control)
+{
+  size_t       count;
+  const WcKey *keys = wc_register_get_keys (wc_config_store_get_register (control->store), &count);
+
+  if (control->keyring)
+    wc_keyring_unref (control->keyring);
+  control->keyring = wc_keyring_new (keys, count);
+}
+
+static bool
+get_missing (const WcControl *control, size_t index, uint8_t digest[WC_DIGEST_BYTES])
+{
+  const char *key;
+
+  return wc_config_store_get_missing (control->store, index, &key, digest);
+}
+
+/* A link whose peer has a newer configuration in force than any seen here. */
+static WcControlLink *
+choose_head_source (WcControl *control)
+{
+  const WcConfigId *newest = wc_config_store_get_newest_id (control->store);
+  uint8_t           digest[WC_DIGEST_BYTES];
+  bool              collecting = get_missing (control, 0, digest);
+  WcControlLink    *best = NULL;
+  GHashTableIter    iterator;
+  gpointer          value;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      if (!wc_control_is_newer (control, &link->config)
+          || (collecting && wc_config_id_compare (&link->config, newest) <= 0)
+          || wc_config_id_compare (&link->config, &link->tried_config) == 0)
+        continue;
+      if (!best || wc_config_id_compare (&link->config, &best->config) > 0)
+        best = link;
+    }
+  return best;
+}
+
+/* A link whose peer has the collected configuration in force. Every third attempt goes to the platform. */
+static WcControlLink *
+choose_part_source (WcControl *control)
+{
+  const WcConfigId *newest = wc_config_store_get_newest_id (control->store);
+  GPtrArray        *sources;
+  WcControlLink    *source = NULL;
+  GHashTableIter    iterator;
+  gpointer          value;
+
+  if (control->fetch_attempts % 3 == 2)
+    return NULL;
+  sources = g_ptr_array_new ();
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      if (wc_config_id_compare (&link->config, newest) >= 0)
+        g_ptr_array_add (sources, link);
+    }
+  if (sources->len > 0)
+    source = g_ptr_array_index (sources, (guint)g_rand_int_range (control->random, 0, (gint32)sources->len));
+  g_ptr_array_free (sources, TRUE);
+  return source;
+}
+
+static bool
+ask_parts (WcControl *control, WcControlLink *link)
+{
+  uint8_t             digests[WC_CONTROL_PARTS_PER_ASK][WC_DIGEST_BYTES];
+  ProtobufCBinaryData wanted[WC_CONTROL_PARTS_PER_ASK];
+  Wc__PeerFrame       ask = WC__PEER_FRAME__INIT;
+
+  ask.kind = WC__PEER_FRAME__KIND__CONFIG_ASK;
+  ask.digests = wanted;
+  while (ask.n_digests < WC_CONTROL_PARTS_PER_ASK && get_missing (control, ask.n_digests, digests[ask.n_digests]))
+    {
+      wanted[ask.n_digests].data = digests[ask.n_digests];
+      wanted[ask.n_digests].len = WC_DIGEST_BYTES;
+      ask.n_digests++;
+    }
+  control->fetch_outstanding = (uint32_t)ask.n_digests;
+  return control->ops->send (control->user_data, link->id, &ask);
+}
+
+/* A part that is not held is answered by an empty one, so that the peer asks elsewhere at once. */
+static void
+answer_ask (WcControl *control, WcControlLink *link, const Wc__PeerFrame *frame)
+{
+  Wc__PeerFrame       answer = WC__PEER_FRAME__INIT;
+  ProtobufCBinaryData digest;
+
+  if (frame->n_digests == 0)
+    {
+      gsize size_bytes = 0;
+
+      answer.kind = WC__PEER_FRAME__KIND__CONFIG_HEAD;
+      if (control->head_in_force)
+        answer.content.data = (uint8_t *)g_bytes_get_data (control->head_in_force, &size_bytes);
+      answer.content.len = size_bytes;
+      control->ops->send (control->user_data, link->id, &answer);
+      return;
+    }
+  answer.kind = WC__PEER_FRAME__KIND__CONFIG_PART;
+  for (size_t i = 0; i < frame->n_digests && i < WC_CONTROL_PARTS_PER_ASK; i++)
+    {
+      if (frame->digests[i].len != WC_DIGEST_BYTES)
+        continue;
+      digest = frame->digests[i];
+      answer.digests = &digest;
+      answer.n_digests = 1;
+      answer.content.data
+          = (uint8_t *)wc_config_store_find_part (control->store, frame->digests[i].data, &answer.content.len);
+      if (!answer.content.data)
+        answer.content.len = 0;
+      control->ops->send (control->user_data, link->id, &answer);
+    }
+}
+
+static void
+fetch_failed (WcControl *control, uint64_t now_us)
+{
+  bool platform = control->fetch == WC_FETCH_PLATFORM_PART;
+
+  control->fetch = WC_FETCH_IDLE;
+  control->fetch_attempts++;
+  control->fetch_retry_us = now_us + wc_control_jitter (control, platform ? control->config.watch_retry_us : 50 * MS);
+}
--- /dev/null
+++ b/src/core/control_members.c
@@ -0,0 +1,459 @@
+#include "core/control_private.h"
+
+#include <assert.h>
+#include <string.h>
+
+enum
+{
+  MS = 1000,
+  /* Heartbeats between two that repeat an unchanged configuration id. */
+  CONFIG_EVERY = 8,
+  /* Links to other domains only spread configuration ids and need fewer heartbeats. */
+  CROSS_DOMAIN_FACTOR = 4,
+  FORGET_AFTER_US = 300 * 1000 * MS
+};
+
+static bool note_is_newer (const WcControlRecord *record, uint64_t incarnation, uint32_t version, uint32_t state);
+static void apply_note (WcControl *control, uint64_t now_us, const Wc__MemberNote *note);
+static void apply_own_note (WcControl *control, uint64_t now_us, const Wc__MemberNote *note);
+static void remember_incarnation (WcControlRecord *record);
+static void note_changed (WcControl *control, uint64_t id);
+static bool note_is_acceptable (const WcControl *control, const Wc__MemberNote *note);
+static void fill_note (const WcControl *control, const WcControlRecord *record, Wc__MemberNote *note);
+static void send_notes (WcControl *control, WcControlLink *link, const uint64_t *ids, size_t count);
+static void watch_neighbours (WcControl *control, uint64_t now_us, bool connected);
+static bool is_connected (const WcControl *control, uint64_t now_us);
+static void fill_heartbeat (const WcControl *control, Wc__PeerFrame *frame);
+static void own_config (const WcControl *control, WcConfigId *id);
+
+void
+wc_control_members_tick (WcControl *control, uint64_t now_us)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+
+  if (control->lifecycle == WC_LIFECYCLE_STOPPED)
+    return;
+  watch_neighbours (control, now_us, is_connected (control, now_us));
+  if (!control->reconfirming && now_us >= control->suspect_grace_us)
+    wc_membership_tick (control->membership, now_us);
+  wc_control_update_table (control);
+  if (now_us >= control->next_topology_us)
+    {
+      control->next_topology_us = now_us + control->config.heartbeat_us;
+      wc_control_update_topology (control, now_us);
+    }
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      if (now_us >= link->next_heartbeat_us)
+        wc_control_send_heartbeat (control, now_us, link, false);
+    }
+}
+
+void
+wc_control_set_own_state (WcControl *control, uint64_t now_us, WcMemberState state)
+{
+  if (control->own_state == state)
+    return;
+  control->own_state = state;
+  control->own_version++;
+  note_changed (control, control->config.self.id);
+  wc_control_announce (control, now_us);
+}
+
+void
+wc_control_update_table (WcControl *control)
+{
+  uint64_t generation = wc_membership_get_generation (control->membership);
+
+  if (control->table && generation == control->generation)
+    return;
+  if (control->table)
+    {
+      wc_member_table_unref (control->table);
+      wc_control_record (control, WC_EVENT_MEMBER_CHANGED, generation, NULL);
+    }
+  control->generation = generation;
+  control->table = wc_membership_snapshot (control->membership);
+  control->view_dirty = true;
+}
+
+void
+wc_control_send_heartbeat (WcControl *control, uint64_t now_us, WcControlLink *link, bool with_config)
+{
+  Wc__PeerFrame frame = WC__PEER_FRAME__INIT;
+  Wc__ConfigId  config = WC__CONFIG_ID__INIT;
+  WcConfigId    own;
+  uint64_t      interval_us = control->config.heartbeat_us;
+  bool          first = link->heartbeats == 0;
+
+  if (link->domain != control->config.self.domain)
+    interval_us *= CROSS_DOMAIN_FACTOR;
+  link->next_heartbeat_us = now_us + wc_control_jitter (control, interval_us);
+  own_config (control, &own);
+  fill_heartbeat (control, &frame);
+  if (with_config || link->heartbeats % CONFIG_EVERY == 0 || wc_config_id_compare (&own, &link->sent_config) != 0)
+    {
+      config.revision = own.revision;
+      config.digest.data = own.digest;
+      config.digest.len = sizeof own.digest;
+      frame.config = &config;
+      link->sent_config = own;
+    }
+  link->heartbeats++;
+  control->ops->send (control->user_data, link->id, &frame);
+
+  if (first)
+    {
+      GArray        *ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+      GHashTableIter iterator;
+      gpointer       value;
+
+      g_array_append_val (ids, control->config.self.id);
+      g_hash_table_iter_init (&iterator, control->records);
+      while (link->domain == control->config.self.domain && g_hash_table_iter_next (&iterator, NULL, &value))
+        {
+          WcControlRecord *record = value;
+
+          if (record->member.incarnation != 0)
+            g_array_append_val (ids, record->member.id);
+        }
+      send_notes (control, link, (const uint64_t *)(void *)ids->data, ids->len);
+      g_array_free (ids, TRUE);
+    }
+}
+
+void
+wc_control_announce (WcControl *control, uint64_t now_us)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    wc_control_send_heartbeat (control, now_us, value, true);
+}
+
+void
+wc_control_send_challenges (WcControl *control, uint64_t now_us)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+
+  (void)now_us;
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+      Wc__PeerFrame  frame = WC__PEER_FRAME__INIT;
+
+      fill_heartbeat (control, &frame);
+      frame.challenge.data = (uint8_t *)&control->challenge;
+      frame.challenge.len = sizeof control->challenge;
+      control->ops->send (control->user_data, link->id, &frame);
+    }
+}
+
+void
+wc_control_flush_notes (WcControl *control, uint64_t now_us, uint64_t source)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+
+  (void)now_us;
+  if (control->pending_notes->len == 0)
+    return;
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      if (link->id != source && link->domain == control->config.self.domain)
+        send_notes (control, link, (const uint64_t *)(void *)control->pending_notes->data, control->pending_notes->len);
+    }
+  g_array_set_size (control->pending_notes, 0);
+}
+
+void
+wc_control_heartbeat_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame)
+{
+  WcControlRecord *record;
+  WcConfigId       own;
+
+  link->heard_us = now_us;
+  if (frame->config && frame->config->digest.len == WC_DIGEST_BYTES)
+    {
+      link->config.revision = frame->config->revision;
+      memcpy (link->config.digest, frame->config->digest.data, WC_DIGEST_BYTES);
+      if (!link->heard && control->first_peer_us == 0)
+        control->first_peer_us = now_us;
+      link->heard = true;
+    }
+  wc_control_flush_notes (control, now_us, 0);
+  for (size_t i = 0; i < frame->n_members; i++)
+    if (note_is_acceptable (control, frame->members[i]))
+      apply_note (control, now_us, frame->members[i]);
+  wc_control_flush_notes (control, now_us, link->id);
+
+  record = g_hash_table_lookup (control->records, &link->id);
+  if (record && record->member.incarnation == link->incarnation)
+    {
+      record->direct_us = now_us;
+      if (frame->state == WC_MEMBER_LIVE || frame->state == WC_MEMBER_LEAVING)
+        {
+          WcMember member = record->member;
+
+          member.state = (WcMemberState)frame->state;
+          wc_membership_heard (control->membership, now_us, &member);
+        }
+      /* The member refutes the note as soon as it sees it. */
+      if (record->member.state == WC_MEMBER_SUSPECT)
+        send_notes (control, link, &record->member.id, 1);
+    }
+
+  if (frame->challenge.len > 0 && frame->challenge.len <= sizeof control->challenge)
+    {
+      Wc__PeerFrame echo = WC__PEER_FRAME__INIT;
+      Wc__ConfigId  config = WC__CONFIG_ID__INIT;
+
+      own_config (control, &own);
+      fill_heartbeat (control, &echo);
+      config.revision = own.revision;
+      config.digest.data = own.digest;
+      config.digest.len = sizeof own.digest;
+      echo.config = &config;
+      echo.echo = frame->challenge;
+      control->ops->send (control->user_data, link->id, &echo);
+    }
+  if (frame->echo.len == sizeof control->challenge
+      && memcmp (frame->echo.data, &control->challenge, sizeof control->challenge) == 0)
+    link->echoed = true;
+  /* A peer confirms the configuration when it is past joining and knows no newer one. */
+  if (!control->reconfirming && control->lifecycle != WC_LIFECYCLE_JOINING && link->config.revision > 0
+      && link->domain == control->config.self.domain && frame->state != WC_MEMBER_LISTED
+      && !wc_control_is_newer (control, &link->config))
+    wc_control_confirm (control, now_us);
+}
+
+/* local functions */
+
+static bool
+note_is_newer (const WcControlRecord *record, uint64_t incarnation, uint32_t version, uint32_t state)
+{
+  if (record->member.incarnation == incarnation)
+    return version > record->version || (version == record->version && state > (uint32_t)record->member.state);
+  /* A replaced incarnation is accepted again only if it has spoken since, which a dead one cannot do. */
+  for (size_t i = 0; i < WC_CONTROL_REPLACED_INCARNATIONS; i++)
+    if (record->replaced[i].incarnation == incarnation)
+      return version > record->replaced[i].version;
+  return true;
+}
+
+static void
+apply_note (WcControl *control, uint64_t now_us, const Wc__MemberNote *note)
+{
+  WcControlRecord *record;
+
+  if (note->instance == control->config.self.id)
+    {
+      apply_own_note (control, now_us, note);
+      return;
+    }
+  record = g_hash_table_lookup (control->records, &note->instance);
+  if (!record)
+    {
+      record = g_new0 (WcControlRecord, 1);
+      record->member.id = note->instance;
+      record->member.domain = note->domain;
+      record->first_us = now_us;
+      g_hash_table_insert (control->records, &record->member.id, record);
+    }
+  else if (record->member.incarnation != 0
+           && !note_is_newer (record, note->incarnation, note->version, note->state))
+    return;
+  if (record->member.incarnation != note->incarnation)
+    {
+      remember_incarnation (record);
+      record->direct_us = now_us;
+    }
+  record->member.incarnation = note->incarnation;
+  record->member.state = (WcMemberState)note->state;
+  record->member.workers = (uint16_t)note->workers;
+  record->member.address.family = note->ip.len == 16 ? 6 : 4;
+  memset (record->member.address.ip, 0, sizeof record->member.address.ip);
+  memcpy (record->member.address.ip, note->ip.data, note->ip.len);
+  record->member.address.port = (uint16_t)note->port;
+  record->version = note->version;
+  record->changed_us = now_us;
+  record->vouched_us = 0;
+  control->next_topology_us = now_us;
+  note_changed (control, record->member.id);
+}
+
+/* A peer that takes this instance for silent or for an older incarnation is corrected by a higher version. */
+static void
+apply_own_note (WcControl *control, uint64_t now_us, const Wc__MemberNote *note)
+{
+  if (note->incarnation == control->config.self.incarnation
+      && (note->version < control->own_version
+          || (note->version == control->own_version && note->state <= (uint32_t)control->own_state)))
+    return;
+  control->own_version = MAX (control->own_version, note->version) + 1;
+  note_changed (control, control->config.self.id);
+  wc_control_flush_notes (control, now_us, 0);
+}
+
+static void
+remember_incarnation (WcControlRecord *record)
+{
+  if (record->member.incarnation == 0)
+    return;
+  memmove (&record->replaced[1], &record->replaced[0],
+           sizeof record->replaced[0] * (WC_CONTROL_REPLACED_INCARNATIONS - 1));
+  record->replaced[0].incarnation = record->member.incarnation;
+  record->replaced[0].version = record->version;
+}
+
+static void
+note_changed (WcControl *control, uint64_t id)
+{
+  for (guint i = 0; i < control->pending_notes->len; i++)
+    if (g_array_index (control->pending_notes, uint64_t, i) == id)
+      return;
+  g_array_append_val (control->pending_notes, id);
+}
+
+static bool
+note_is_acceptable (const WcControl *control, const Wc__MemberNote *note)
+{
+  return note->instance != 0 && note->incarnation != 0 && note->domain == control->config.self.domain
+         && note->state < WC_MEMBER_COUNT && (note->ip.len == 4 || note->ip.len == 16) && note->port <= UINT16_MAX
+         && note->workers > 0 && note->workers <= UINT16_MAX;
+}
+
+static void
+fill_note (const WcControl *control, const WcControlRecord *record, Wc__MemberNote *note)
+{
+  const WcMember *member = record ? &record->member : &control->config.self;
+
+  wc__member_note__init (note);
+  note->instance = member->id;
+  note->incarnation = member->incarnation;
+  note->version = record ? record->version : control->own_version;
+  note->state = (uint32_t)(record ? member->state : control->own_state);
+  note->workers = member->workers;
+  note->domain = member->domain;
+  note->ip.data = (uint8_t *)member->address.ip;
+  note->ip.len = member->address.family == 6 ? 16 : 4;
+  note->port = member->address.port;
+}
+
+static void
+send_notes (WcControl *control, WcControlLink *link, const uint64_t *ids, size_t count)
+{
+  while (count > 0)
+    {
+      size_t           chunk = MIN (count, (size_t)WC_CONTROL_NOTES_PER_FRAME);
+      Wc__MemberNote  *notes = g_new (Wc__MemberNote, chunk);
+      Wc__MemberNote **pointers = g_new (Wc__MemberNote *, chunk);
+      Wc__PeerFrame    frame = WC__PEER_FRAME__INIT;
+
+      fill_heartbeat (control, &frame);
+      frame.members = pointers;
+      for (size_t i = 0; i < chunk; i++)
+        {
+          WcControlRecord *record = g_hash_table_lookup (control->records, &ids[i]);
+
+          if (!record && ids[i] != control->config.self.id)
+            continue;
+          fill_note (control, record, &notes[frame.n_members]);
+          pointers[frame.n_members] = &notes[frame.n_members];
+          frame.n_members++;
+        }
+      control->ops->send (control->user_data, link->id, &frame);
+      g_free (pointers);
+      g_free (notes);
+      ids += chunk;
+      count -= chunk;
+    }
+}
+
+/* Reports neighbours that are silent, and vouches for the members that others are neighbours of. A neighbour that this
+ * instance alone cannot reach refutes the report, and its note then counts for a while. */
+static void
+watch_neighbours (WcControl *control, uint64_t now_us, bool connected)
+{
+  uint64_t       silence_us = control->config.suspect_after_us;
+  GHashTableIter iterator;
+  gpointer       value;
+
+  g_hash_table_iter_init (&iterator, control->records);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlRecord *record = value;
+      bool             linked = g_hash_table_contains (control->links, &record->member.id);
+      bool             alive = record->member.state == WC_MEMBER_LIVE || record->member.state == WC_MEMBER_LEAVING;
+      bool fresh_note = record->changed_us > 0 && now_us < record->changed_us + 2 * silence_us;
+
+      if (linked)
+        record->monitored = true;
+      if (!alive)
+        {
+          uint64_t known_us = MAX (record->changed_us, MAX (record->first_us, record->direct_us));
+
+          if (!record->listed && !record->monitored && now_us >= known_us + FORGET_AFTER_US)
+            g_hash_table_iter_remove (&iterator);
+          continue;
+        }
+      if (record->monitored && !control->reconfirming && now_us >= control->suspect_grace_us
+          && now_us >= record->direct_us + silence_us && now_us >= record->changed_us + silence_us)
+        {
+          record->member.state = WC_MEMBER_SUSPECT;
+          record->changed_us = now_us;
+          control->next_topology_us = now_us;
+          note_changed (control, record->member.id);
+        }
+      else if (connected && now_us >= record->direct_us + silence_us / 2 && now_us >= record->vouched_us + silence_us / 2
+               && (!record->monitored || fresh_note))
+        {
+          record->vouched_us = now_us;
+          wc_membership_heard (control->membership, now_us, &record->member);
+        }
+    }
+}
+
+/* Whether any peer of the domain was heard lately, so that news of other members would have arrived. */
+static bool
+is_connected (const WcControl *control, uint64_t now_us)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const WcControlLink *link = value;
+
+      if (link->domain == control->config.self.domain && link->heard
+          && now_us < link->heard_us + control->config.suspect_after_us)
+        return true;
+    }
+  return false;
+}
+
+static void
+fill_heartbeat (const WcControl *control, Wc__PeerFrame *frame)
+{
+  frame->kind = WC__PEER_FRAME__KIND__HEARTBEAT;
+  frame->state = (uint32_t)control->own_state;
+}
+
+/* Without its parts a configuration is not announced, so a peer that hears of one can fetch all of it. */
+static void
+own_config (const WcControl *control, WcConfigId *id)
+{
+  *id = *wc_config_store_get_id (control->store);
+}
--- /dev/null
+++ b/src/core/control_private.h
@@ -0,0 +1,175 @@
+#ifndef WC_CORE_CONTROL_PRIVATE_H
+#define WC_CORE_CONTROL_PRIVATE_H
+
+#include <glib.h>
+
+#include "core/control.h"
+
+enum
+{
+  WC_CONTROL_REPLACED_INCARNATIONS = 4
+};
+
+/**
+ * struct WcControlRecord - what gossip says of a member of this domain.
+ * @member: as passed to the membership; its state is that of the newest note.
+ * @version: of the newest note; raised by the member only.
+ * @listed: in the platform's last list.
+ * @first_us: when it became known; @changed_us: when the newest note arrived.
+ * @direct_us: when it was last heard over a link, or when this instance started to monitor it.
+ * @monitored: a neighbour; this instance reports its silence.
+ * @replaced: earlier incarnations and their last versions, the newest first.
+ */
+typedef struct
+{
+  WcMember member;
+  uint32_t version;
+  bool     listed;
+  bool     monitored;
+  uint64_t first_us;
+  uint64_t changed_us;
+  uint64_t direct_us;
+  uint64_t vouched_us;
+  struct
+  {
+    uint64_t incarnation;
+    uint32_t version;
+  } replaced[WC_CONTROL_REPLACED_INCARNATIONS];
+} WcControlRecord;
+
+/**
+ * struct WcControlLink - an established link to a peer.
+ * @config: configuration that the peer announced last; revision 0 while it has none.
+ * @sent_config: configuration that was announced to the peer last.
+ * @tried_config: announced configuration whose head was fetched and not taken over.
+ * @heard: a heartbeat has arrived.
+ * @echoed: the peer has answered the challenge sent after the last pause.
+ */
+typedef struct
+{
+  uint64_t   id;
+  uint64_t   incarnation;
+  uint32_t   domain;
+  bool       heard;
+  bool       echoed;
+  uint64_t   heard_us;
+  uint64_t   next_heartbeat_us;
+  uint32_t   heartbeats;
+  WcConfigId config;
+  WcConfigId sent_config;
+  WcConfigId tried_config;
+} WcControlLink;
+
+/**
+ * struct WcControlDesired - a peer that a link is wanted to.
+ * @since_us: when the link was asked for.
+ */
+typedef struct
+{
+  WcMember member;
+  bool     cross_domain;
+  uint64_t since_us;
+} WcControlDesired;
+
+typedef enum
+{
+  WC_FETCH_IDLE = 0,
+  WC_FETCH_PEER_HEAD,
+  WC_FETCH_PEER_PARTS,
+  WC_FETCH_PLATFORM_PART
+} WcFetch;
+
+struct WcControl
+{
+  WcControlConfig     config;
+  const WcControlOps *ops;
+  void               *user_data;
+  WcCounters         *counters;
+  GRand              *random;
+
+  WcLifecycle lifecycle;
+  uint64_t    last_us;
+  uint64_t    confirmed_us;
+  uint64_t    join_started_us;
+  uint64_t    first_peer_us;
+  bool        platform_accepted;
+  bool        reconfirming;
+  uint64_t    reconfirm_started_us;
+  uint64_t    reconfirm_deadline_us;
+  uint64_t    challenge;
+  uint64_t    suspect_grace_us;
+  uint64_t    drain_started_us;
+  bool        stopped;
+
+  bool     view_dirty;
+  uint64_t published_confirmed_us;
+
+  WcMembership  *membership;
+  WcMemberTable *table;
+  uint64_t       generation;
+  GHashTable    *records;
+  GHashTable    *links;
+  GHashTable    *desired;
+  GHashTable    *avoided;
+  GArray        *pending_notes;
+  uint32_t       own_version;
+  WcMemberState  own_state;
+  uint64_t       next_topology_us;
+  uint64_t       next_list_us;
+  bool           list_pending;
+  bool           list_known;
+
+  WcConfigStore  *store;
+  WcKeyring      *keyring;
+  GBytes         *head_in_force;
+  GBytes         *held_head;
+  uint64_t        in_force_us;
+  uint64_t        head_version;
+  bool            head_pending;
+  bool            head_is_watch;
+  uint64_t        head_issued_us;
+  uint64_t        next_head_us;
+  uint32_t        watches;
+  uint32_t        platform_failures;
+  WcPlatformState platform_state;
+  WcFetch         fetch;
+  uint64_t        fetch_peer;
+  uint64_t        fetch_deadline_us;
+  uint64_t        fetch_retry_us;
+  uint32_t        fetch_attempts;
+  uint32_t        fetch_outstanding;
+};
+
+/* control.c */
+void wc_control_record (WcControl *control, WcEventKind kind, uint64_t value, const char *reason);
+void wc_control_confirm (WcControl *control, uint64_t now_us);
+void wc_control_check_lifecycle (WcControl *control, uint64_t now_us);
+void wc_control_publish (WcControl *control, uint64_t now_us);
+/* wc_control_jitter() - @base_us times a random factor from 0.75 to 1.25. */
+uint64_t wc_control_jitter (WcControl *control, uint64_t base_us);
+
+/* control_config.c */
+void wc_control_config_tick (WcControl *control, uint64_t now_us);
+void wc_control_fetch (WcControl *control, uint64_t now_us);
+void wc_control_link_lost_fetch (WcControl *control, uint64_t peer);
+void wc_control_config_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
+void wc_control_offer_head (WcControl *control, uint64_t now_us, const char *text, size_t size_bytes);
+void wc_control_accept_platform (WcControl *control, uint64_t now_us);
+/* wc_control_is_newer() - whether @id is above the one in force and not known to be invalid. */
+bool wc_control_is_newer (const WcControl *control, const WcConfigId *id);
+
+/* control_members.c */
+void wc_control_members_tick (WcControl *control, uint64_t now_us);
+void wc_control_set_own_state (WcControl *control, uint64_t now_us, WcMemberState state);
+void wc_control_update_table (WcControl *control);
+void wc_control_send_heartbeat (WcControl *control, uint64_t now_us, WcControlLink *link, bool with_config);
+void wc_control_announce (WcControl *control, uint64_t now_us);
+void wc_control_send_challenges (WcControl *control, uint64_t now_us);
+void wc_control_flush_notes (WcControl *control, uint64_t now_us, uint64_t source);
+void wc_control_heartbeat_receive (WcControl *control, uint64_t now_us, WcControlLink *link,
+                                   const Wc__PeerFrame *frame);
+
+/* control_topology.c */
+void wc_control_update_topology (WcControl *control, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/core/control_topology.c
@@ -0,0 +1,217 @@
+#include "core/control_private.h"
+
+#include <math.h>
+#include <string.h>
+
+enum
+{
+  MS = 1000,
+  CROSS_TRY_US = 5000 * MS,
+  CROSS_AVOID_US = 30000 * MS
+};
+
+static bool     is_in_ring (const WcControl *control, uint64_t now_us, const WcControlRecord *record);
+static int      compare_members (gconstpointer a, gconstpointer b);
+static void     want (GHashTable *wanted, const WcMember *member, bool cross_domain);
+static void     want_neighbours (WcControl *control, uint64_t now_us, GHashTable *wanted);
+static void     want_absent (WcControl *control, uint64_t now_us, GArray *ring, GHashTable *wanted);
+static void     want_other_domains (WcControl *control, uint64_t now_us, GHashTable *wanted);
+static uint64_t mix (uint64_t a, uint64_t b);
+
+void
+wc_control_update_topology (WcControl *control, uint64_t now_us)
+{
+  GHashTable    *wanted = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  GHashTableIter iterator;
+  gpointer       value;
+
+  want_neighbours (control, now_us, wanted);
+  want_other_domains (control, now_us, wanted);
+
+  g_hash_table_iter_init (&iterator, control->desired);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlDesired *old = value;
+      WcControlDesired *kept = g_hash_table_lookup (wanted, &old->member.id);
+
+      if (kept && wc_address_equal (&kept->member.address, &old->member.address))
+        {
+          kept->since_us = old->since_us;
+          continue;
+        }
+      control->ops->disconnect (control->user_data, old->member.id);
+    }
+  g_hash_table_iter_init (&iterator, wanted);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlDesired *desired = value;
+
+      if (desired->since_us != 0)
+        continue;
+      desired->since_us = MAX (now_us, 1);
+      control->ops->connect (control->user_data, &desired->member);
+    }
+  g_hash_table_destroy (control->desired);
+  control->desired = wanted;
+
+  g_hash_table_iter_init (&iterator, control->records);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlRecord *record = value;
+      bool             monitored = g_hash_table_contains (wanted, &record->member.id)
+                       || g_hash_table_contains (control->links, &record->member.id);
+
+      if (monitored && !record->monitored)
+        record->direct_us = now_us;
+      record->monitored = monitored;
+    }
+}
+
+/* local functions */
+
+/* Silent members, and listed ones that never spoke, are not counted on to pass news on. */
+static bool
+is_in_ring (const WcControl *control, uint64_t now_us, const WcControlRecord *record)
+{
+  if (record->member.state == WC_MEMBER_LIVE || record->member.state == WC_MEMBER_LEAVING)
+    return true;
+  if (record->member.state == WC_MEMBER_SUSPECT)
+    return false;
+  return now_us < MAX (record->first_us, MAX (record->changed_us, record->direct_us))
+                      + 2 * control->config.suspect_after_us;
+}
+
+static int
+compare_members (gconstpointer a, gconstpointer b)
+{
+  const WcMember *left = a;
+  const WcMember *right = b;
+
+  return left->id < right->id ? -1 : left->id > right->id ? 1 : 0;
+}
+
+static void
+want (GHashTable *wanted, const WcMember *member, bool cross_domain)
+{
+  WcControlDesired *desired;
+
+  if (member->address.family == 0 || g_hash_table_contains (wanted, &member->id))
+    return;
+  desired = g_new0 (WcControlDesired, 1);
+  desired->member = *member;
+  desired->cross_domain = cross_domain;
+  g_hash_table_insert (wanted, &desired->member.id, desired);
+}
+
+static void
+want_neighbours (WcControl *control, uint64_t now_us, GHashTable *wanted)
+{
+  GArray        *ring = g_array_new (FALSE, FALSE, sizeof (WcMember));
+  guint          own = 0;
+  GHashTableIter iterator;
+  gpointer       value;
+
+  g_array_append_val (ring, control->config.self);
+  g_hash_table_iter_init (&iterator, control->records);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    if (is_in_ring (control, now_us, value))
+      g_array_append_val (ring, ((WcControlRecord *)value)->member);
+  g_array_sort (ring, compare_members);
+  while (g_array_index (ring, WcMember, own).id != control->config.self.id)
+    own++;
+
+  if (ring->len <= WC_CONTROL_MESH_MEMBERS)
+    for (guint i = 0; i < ring->len; i++)
+      {
+        if (i != own)
+          want (wanted, &g_array_index (ring, WcMember, i), false);
+      }
+  else
+    for (int i = 0; i < WC_CONTROL_RING_OFFSETS; i++)
+      {
+        guint offset = (guint)lround (pow (ring->len, (double)i / WC_CONTROL_RING_OFFSETS));
+
+        want (wanted, &g_array_index (ring, WcMember, (own + offset) % ring->len), false);
+      }
+  want_absent (control, now_us, ring, wanted);
+  g_array_free (ring, TRUE);
+}
+
+/* A member that restarts while the platform is down knows nobody, so its peers keep trying to reach it: all of a small
+ * domain, or its predecessor on the ring. */
+static void
+want_absent (WcControl *control, uint64_t now_us, GArray *ring, GHashTable *wanted)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+
+  g_hash_table_iter_init (&iterator, control->records);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlRecord *record = value;
+      guint            above = 0;
+
+      if (is_in_ring (control, now_us, record))
+        continue;
+      while (above < ring->len && g_array_index (ring, WcMember, above).id < record->member.id)
+        above++;
+      if (ring->len <= WC_CONTROL_MESH_MEMBERS
+          || g_array_index (ring, WcMember, (above + ring->len - 1) % ring->len).id == control->config.self.id)
+        want (wanted, &record->member, false);
+    }
+}
+
+/* One link to each other domain, to the member with the highest rendezvous weight that can be reached. */
+static void
+want_other_domains (WcControl *control, uint64_t now_us, GHashTable *wanted)
+{
+  GHashTable     *best = g_hash_table_new (g_direct_hash, g_direct_equal);
+  size_t          count;
+  const WcMember *members = wc_member_table_get (control->table, &count);
+  GHashTableIter  iterator;
+  gpointer        value;
+
+  g_hash_table_iter_init (&iterator, control->desired);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlDesired *desired = value;
+
+      if (desired->cross_domain && now_us >= desired->since_us + CROSS_TRY_US
+          && !g_hash_table_contains (control->links, &desired->member.id))
+        {
+          uint64_t *id = g_new (uint64_t, 1);
+          uint64_t *until = g_new (uint64_t, 1);
+
+          *id = desired->member.id;
+          *until = now_us + CROSS_AVOID_US;
+          g_hash_table_replace (control->avoided, id, until);
+        }
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      const WcMember *chosen;
+      const uint64_t *avoided = g_hash_table_lookup (control->avoided, &members[i].id);
+
+      if (members[i].domain == control->config.self.domain || members[i].state == WC_MEMBER_SUSPECT
+          || members[i].state == WC_MEMBER_LEAVING || (avoided && now_us < *avoided))
+        continue;
+      chosen = g_hash_table_lookup (best, GUINT_TO_POINTER (members[i].domain));
+      if (!chosen || mix (control->config.self.id, members[i].id) > mix (control->config.self.id, chosen->id))
+        g_hash_table_insert (best, GUINT_TO_POINTER (members[i].domain), (gpointer)&members[i]);
+    }
+  g_hash_table_iter_init (&iterator, best);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    want (wanted, value, true);
+  g_hash_table_destroy (best);
+}
+
+/* Finalizer of SplitMix64: ids are hashes already, the mix only makes each pair's weight independent. */
+static uint64_t
+mix (uint64_t a, uint64_t b)
+{
+  uint64_t x = a ^ (b * UINT64_C (0x9e3779b97f4a7c15));
+
+  x = (x ^ (x >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
+  x = (x ^ (x >> 27)) * UINT64_C (0x94d049bb133111eb);
+  return x ^ (x >> 31);
+}
