--- a/include/wigeoncart/dispatcher.h
+++ b/include/wigeoncart/dispatcher.h
@@ -36,9 +36,9 @@
 /**
  * struct WcDispatchTarget - a target of the dispatcher's shard.
  * @slots: requests that it runs at once.
- * @weight: percent of the normal share.
+ * @weight: percent of the normal share; 0 sends nothing.
+ * @cold_start_ms: length of the ramp-up when the target joins a dispatcher that already has targets.
  * @leaving: gets no new work; outstanding work is still counted.
- * @cold_until_us: end of the ramp-up; 0 when warm.
  */
 typedef struct
 {
@@ -74,6 +74,12 @@
   WcRefusal refusal;
 } WcDispatchDecision;
 
+/**
+ * struct WcDispatcherConfig - fixed limits.
+ * @retry_budget_percent: retries allowed per 100 first attempts, on top of a floor of one a second.
+ * @refusal_backoff_us: how long a refusal or failure closes a target's slots; doubles with each one in a row.
+ * @late_binding: requests wait here until a slot is free; false sends them at once to the policy's choice.
+ */
 typedef struct
 {
   uint32_t queue_max_requests;
@@ -85,6 +91,10 @@
 /** struct WcDispatcher - queue and outstanding counts of one shard of a service in a domain. */
 typedef struct WcDispatcher WcDispatcher;
 
+/**
+ * wc_dispatcher_new() - new dispatcher without targets.
+ * @random: used by the policy; remains the caller's and must outlive the dispatcher.
+ */
 WcDispatcher *wc_dispatcher_new (const WcDispatcherConfig *config, const WcPolicy *policy, GRand *random);
 void          wc_dispatcher_delete (WcDispatcher *dispatcher);
 
@@ -92,7 +102,12 @@
 void
 wc_dispatcher_set_targets (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchTarget *targets, size_t count);
 
-/** wc_dispatcher_submit() - queue a request, or refuse it at once. */
+/**
+ * wc_dispatcher_submit() - queue a request, or refuse it at once.
+ *
+ * A request refused here produces no decision. A queued request that has to make room for one of more worth is
+ * reported by wc_dispatcher_next() with WC_REFUSAL_LOW_WORTH.
+ */
 WcRefusal wc_dispatcher_submit (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
 
 /** wc_dispatcher_next() - next decision to carry out; call until it returns false, after each change and each tick. */
@@ -104,6 +119,13 @@
 /** wc_dispatcher_hint() - load told in an answer's header; informs estimates, never admits work. */
 void wc_dispatcher_hint (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, uint32_t running);
 
+/**
+ * wc_dispatcher_get_expected_wait_us() - expected wait of a request of @worth that is submitted now.
+ *
+ * Computed from the queue, the open slots and the measured run times; 0 while these are unknown.
+ */
+uint64_t wc_dispatcher_get_expected_wait_us (const WcDispatcher *dispatcher, uint64_t now_us, uint32_t worth);
+
 /** wc_dispatcher_remove() - drop a queued request (cancelled); false when it is not queued. */
 bool wc_dispatcher_remove (WcDispatcher *dispatcher, uint64_t request);
 
--- a/include/wigeoncart/membership.h
+++ b/include/wigeoncart/membership.h
@@ -46,6 +46,9 @@
 const WcMember *wc_member_table_find (const WcMemberTable *table, uint64_t id);
 const WcMember *wc_member_table_get (const WcMemberTable *table, size_t *count);
 
+/** wc_member_table_get_live() - the live members of a domain, sorted by id. */
+const WcMember *wc_member_table_get_live (const WcMemberTable *table, uint32_t domain, size_t *count);
+
 /** struct WcMembership - live view, built from the lagging list and from heartbeats. */
 typedef struct WcMembership WcMembership;
 
@@ -61,7 +64,8 @@
  * @listed: id, domain, address, workers and state (LISTED or LEAVING) of each.
  *
  * Members of other domains count as live while listed as live. A member of this domain counts as live only while its
- * heartbeats arrive. A member that the list dropped stays while its heartbeats arrive.
+ * heartbeats arrive. A member that the list dropped stays while its heartbeats arrive. The list lags, so the state in
+ * a recent heartbeat takes precedence over the listed one.
  */
 void wc_membership_apply_list (WcMembership *membership, uint64_t now_us, const WcMember *listed, size_t count);
 
--- a/include/wigeoncart/policy.h
+++ b/include/wigeoncart/policy.h
@@ -12,6 +12,7 @@
  * targets with @outstanding < @limit.
  * @run_us: moving average of run times, 0 when unknown.
  * @dispatched: attempts sent so far.
+ * @work_us: recent run time given to the target, divided by its weight; older work counts less.
  */
 typedef struct
 {
@@ -22,6 +23,7 @@
   uint32_t weight;
   uint64_t run_us;
   uint64_t dispatched;
+  uint64_t work_us;
 } WcPolicyTarget;
 
 /**
--- /dev/null
+++ b/src/core/dispatcher.c
@@ -0,0 +1,337 @@
+#include <wigeoncart/dispatcher.h>
+
+#include <assert.h>
+
+#include "core/request_queue.h"
+#include "core/retry_budget.h"
+#include "core/target_set.h"
+
+enum
+{
+  /* Requests that were evicted and not yet reported; the caller is expected to call wc_dispatcher_next() after each
+   * submit. */
+  MAX_EVICTED = 16,
+  /* A preferred target may have 1/8 more recent work than the mean of the free ones. */
+  PREFERENCE_EXCESS_DIVISOR = 8
+};
+
+const char *const WC_REFUSAL_STRINGS[WC_REFUSAL_COUNT] = {
+  [WC_REFUSAL_NONE] = "none",           [WC_REFUSAL_QUEUE_FULL] = "queue full",
+  [WC_REFUSAL_LOW_WORTH] = "low worth", [WC_REFUSAL_TOO_LATE] = "too late",
+  [WC_REFUSAL_NO_TARGET] = "no target", [WC_REFUSAL_RETRY_BUDGET] = "retry budget",
+};
+
+struct WcDispatcher
+{
+  WcDispatcherConfig config;
+  const WcPolicy    *policy;
+  GRand             *random;
+  uint64_t           policy_state;
+  uint64_t           now_us;
+  WcTargetSet        targets;
+  WcRetryBudget      budget;
+  WcRequestQueue    *queue;
+  uint64_t           evicted[MAX_EVICTED];
+  uint32_t           evicted_count;
+  /* Arguments of the policy: candidates and their places in the target set. */
+  GArray *candidates;
+  GArray *candidate_states;
+};
+
+static bool has_target (const WcDispatcher *dispatcher);
+static bool is_too_late (const WcDispatcher *dispatcher, uint64_t now_us, uint64_t wait_us, uint64_t deadline_us);
+static bool refuse_one (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision);
+static void collect_candidates (WcDispatcher *dispatcher, uint64_t now_us, bool open_only);
+static WcTargetState *choose_target (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
+
+WcDispatcher *
+wc_dispatcher_new (const WcDispatcherConfig *config, const WcPolicy *policy, GRand *random)
+{
+  WcDispatcher *dispatcher = g_new0 (WcDispatcher, 1);
+
+  assert (config != NULL);
+  assert (config->queue_max_requests > 0);
+  assert (policy != NULL);
+  assert (random != NULL);
+
+  dispatcher->config = *config;
+  dispatcher->policy = policy;
+  dispatcher->random = random;
+  wc_target_set_init (&dispatcher->targets);
+  wc_retry_budget_init (&dispatcher->budget, config->retry_budget_percent);
+  dispatcher->queue = wc_request_queue_new (config->queue_max_requests);
+  dispatcher->candidates = g_array_sized_new (FALSE, FALSE, sizeof (WcPolicyTarget), 32);
+  dispatcher->candidate_states = g_array_sized_new (FALSE, FALSE, sizeof (WcTargetState *), 32);
+  return dispatcher;
+}
+
+void
+wc_dispatcher_delete (WcDispatcher *dispatcher)
+{
+  if (!dispatcher)
+    return;
+  g_array_unref (dispatcher->candidate_states);
+  g_array_unref (dispatcher->candidates);
+  wc_request_queue_delete (dispatcher->queue);
+  wc_target_set_finish (&dispatcher->targets);
+  g_free (dispatcher);
+}
+
+void
+wc_dispatcher_set_targets (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchTarget *targets, size_t count)
+{
+  assert (dispatcher != NULL);
+
+  dispatcher->now_us = now_us;
+  wc_target_set_replace (&dispatcher->targets, now_us, targets, count);
+}
+
+WcRefusal
+wc_dispatcher_submit (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request)
+{
+  const WcDispatchRequest *worst;
+
+  assert (dispatcher != NULL);
+  assert (request != NULL);
+
+  if (request->attempts == 0)
+    wc_retry_budget_earn (&dispatcher->budget);
+  if (!has_target (dispatcher))
+    return WC_REFUSAL_NO_TARGET;
+  if (is_too_late (dispatcher, now_us, wc_dispatcher_get_expected_wait_us (dispatcher, now_us, request->worth),
+                   request->deadline_us))
+    return WC_REFUSAL_TOO_LATE;
+  if (request->attempts > 0 && !wc_retry_budget_spend (&dispatcher->budget, now_us))
+    return WC_REFUSAL_RETRY_BUDGET;
+  if (wc_request_queue_push (dispatcher->queue, request))
+    return WC_REFUSAL_NONE;
+
+  worst = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_WORST);
+  if (dispatcher->evicted_count == MAX_EVICTED || !wc_request_queue_precedes (request, worst))
+    return WC_REFUSAL_QUEUE_FULL;
+  dispatcher->evicted[dispatcher->evicted_count++] = worst->request;
+  wc_request_queue_pop (dispatcher->queue, WC_QUEUE_WORST);
+  wc_request_queue_push (dispatcher->queue, request);
+  return WC_REFUSAL_NONE;
+}
+
+bool
+wc_dispatcher_next (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision)
+{
+  const WcDispatchRequest *best;
+  WcTargetState           *state;
+
+  assert (dispatcher != NULL);
+  assert (decision != NULL);
+
+  dispatcher->now_us = now_us;
+  wc_target_set_tick (&dispatcher->targets, now_us);
+  if (refuse_one (dispatcher, now_us, decision))
+    return true;
+  best = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_BEST);
+  if (!best)
+    return false;
+  state = choose_target (dispatcher, now_us, best);
+  if (!state)
+    return false;
+  *decision = (WcDispatchDecision){ .request = best->request, .target = state->target.id };
+  wc_target_set_start (&dispatcher->targets, state);
+  wc_request_queue_pop (dispatcher->queue, WC_QUEUE_BEST);
+  return true;
+}
+
+void
+wc_dispatcher_end (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, WcOutcome outcome, uint64_t run_us)
+{
+  assert (dispatcher != NULL);
+  assert (outcome < WC_OUTCOME_COUNT);
+
+  dispatcher->now_us = now_us;
+  wc_target_set_end (&dispatcher->targets, now_us, target, outcome, run_us, dispatcher->config.refusal_backoff_us);
+}
+
+void
+wc_dispatcher_hint (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, uint32_t running)
+{
+  assert (dispatcher != NULL);
+
+  /* Load figures of targets may be stale or wrong; the counts kept here are exact, so nothing depends on them. */
+  (void)now_us;
+  (void)target;
+  (void)running;
+}
+
+uint64_t
+wc_dispatcher_get_expected_wait_us (const WcDispatcher *dispatcher, uint64_t now_us, uint32_t worth)
+{
+  uint32_t open = 0;
+  uint32_t busy = 0;
+  uint32_t ahead;
+
+  assert (dispatcher != NULL);
+
+  for (guint i = 0; i < dispatcher->targets.states->len; i++)
+    {
+      const WcTargetState *state = &g_array_index (dispatcher->targets.states, WcTargetState, i);
+      uint32_t             limit = wc_target_state_get_limit (state, now_us);
+
+      open += limit;
+      busy += MIN (limit, state->outstanding);
+    }
+  ahead = wc_request_queue_count_ahead (dispatcher->queue, worth);
+  if (open == 0 || ahead < open - busy)
+    return 0;
+  return (ahead - (open - busy) + 1) * dispatcher->targets.run_us / open;
+}
+
+bool
+wc_dispatcher_remove (WcDispatcher *dispatcher, uint64_t request)
+{
+  assert (dispatcher != NULL);
+
+  return wc_request_queue_remove (dispatcher->queue, request);
+}
+
+size_t
+wc_dispatcher_get_queue_length (const WcDispatcher *dispatcher)
+{
+  assert (dispatcher != NULL);
+
+  return wc_request_queue_get_length (dispatcher->queue);
+}
+
+uint32_t
+wc_dispatcher_get_outstanding (const WcDispatcher *dispatcher, uint32_t target)
+{
+  const WcTargetState *state;
+
+  assert (dispatcher != NULL);
+
+  state = wc_target_set_find (&dispatcher->targets, target);
+  return state ? state->outstanding : 0;
+}
+
+uint64_t
+wc_dispatcher_get_wake_us (const WcDispatcher *dispatcher)
+{
+  const WcDispatchRequest *first;
+  uint64_t                 wake_us;
+
+  assert (dispatcher != NULL);
+
+  if (dispatcher->evicted_count > 0)
+    return 0;
+  first = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_DEADLINE);
+  if (!first)
+    return UINT64_MAX;
+  wake_us = first->deadline_us - MIN (first->deadline_us, dispatcher->targets.run_us);
+  for (guint i = 0; i < dispatcher->targets.states->len; i++)
+    {
+      const WcTargetState *state = &g_array_index (dispatcher->targets.states, WcTargetState, i);
+
+      wake_us = MIN (wake_us, wc_target_state_get_change_us (state, dispatcher->now_us));
+    }
+  return wake_us;
+}
+
+/* local functions */
+
+static bool
+has_target (const WcDispatcher *dispatcher)
+{
+  for (guint i = 0; i < dispatcher->targets.states->len; i++)
+    if (wc_target_state_in_service (&g_array_index (dispatcher->targets.states, WcTargetState, i)))
+      return true;
+  return false;
+}
+
+static bool
+is_too_late (const WcDispatcher *dispatcher, uint64_t now_us, uint64_t wait_us, uint64_t deadline_us)
+{
+  return now_us + wait_us + dispatcher->targets.run_us >= deadline_us;
+}
+
+/* Reports evicted requests and queued ones that can no longer be run in time. */
+static bool
+refuse_one (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision)
+{
+  const WcDispatchRequest *first;
+  WcRefusal                refusal = WC_REFUSAL_NONE;
+
+  if (dispatcher->evicted_count > 0)
+    {
+      *decision = (WcDispatchDecision){ .request = dispatcher->evicted[--dispatcher->evicted_count],
+                                        .refusal = WC_REFUSAL_LOW_WORTH };
+      return true;
+    }
+  first = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_DEADLINE);
+  if (!first)
+    return false;
+  if (!has_target (dispatcher))
+    refusal = WC_REFUSAL_NO_TARGET;
+  else if (is_too_late (dispatcher, now_us, 0, first->deadline_us))
+    refusal = WC_REFUSAL_TOO_LATE;
+  if (refusal == WC_REFUSAL_NONE)
+    return false;
+  *decision = (WcDispatchDecision){ .request = first->request, .refusal = refusal };
+  wc_request_queue_pop (dispatcher->queue, WC_QUEUE_DEADLINE);
+  return true;
+}
+
+/* Gathers the targets in service, or only those with a free slot. */
+static void
+collect_candidates (WcDispatcher *dispatcher, uint64_t now_us, bool open_only)
+{
+  g_array_set_size (dispatcher->candidates, 0);
+  g_array_set_size (dispatcher->candidate_states, 0);
+  for (guint i = 0; i < dispatcher->targets.states->len; i++)
+    {
+      WcTargetState *state = &g_array_index (dispatcher->targets.states, WcTargetState, i);
+      uint32_t       limit = wc_target_state_get_limit (state, now_us);
+      WcPolicyTarget candidate;
+
+      if (!wc_target_state_in_service (state))
+        continue;
+      if (open_only && (limit == 0 || (dispatcher->config.late_binding && state->outstanding >= limit)))
+        continue;
+      candidate = (WcPolicyTarget){ .id = state->target.id,
+                                    .outstanding = state->outstanding,
+                                    .limit = limit,
+                                    .slots = state->target.slots,
+                                    .weight = state->target.weight,
+                                    .run_us = state->run_us,
+                                    .dispatched = state->dispatched,
+                                    .work_us = wc_target_state_get_work (state, now_us) };
+      g_array_append_val (dispatcher->candidates, candidate);
+      g_array_append_val (dispatcher->candidate_states, state);
+    }
+}
+
+static WcTargetState *
+choose_target (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request)
+{
+  const WcPolicyTarget *candidates;
+  uint64_t              work_us = 0;
+  size_t                count;
+  size_t                chosen;
+
+  collect_candidates (dispatcher, now_us, true);
+  /* Without late binding nothing waits here, even if every target has refused. */
+  if (dispatcher->candidates->len == 0 && !dispatcher->config.late_binding)
+    collect_candidates (dispatcher, now_us, false);
+  count = dispatcher->candidates->len;
+  if (count == 0)
+    return NULL;
+  candidates = (const WcPolicyTarget *)(const void *)dispatcher->candidates->data;
+  for (size_t i = 0; i < count; i++)
+    work_us += candidates[i].work_us;
+  /* A flow keeps its target unless that target has had clearly more than its share of the work. */
+  for (size_t i = 0; i < count && request->preferred_target != 0; i++)
+    if (candidates[i].id == request->preferred_target &&
+        candidates[i].work_us * count <= work_us + work_us / PREFERENCE_EXCESS_DIVISOR)
+      return g_array_index (dispatcher->candidate_states, WcTargetState *, i);
+  chosen =
+      dispatcher->policy->choose (candidates, count, request->flow_hash, &dispatcher->policy_state, dispatcher->random);
+  assert (chosen < count);
+  return g_array_index (dispatcher->candidate_states, WcTargetState *, chosen);
+}
--- /dev/null
+++ b/src/core/domain_shares.c
@@ -0,0 +1,91 @@
+#include <wigeoncart/ownership.h>
+
+#include <assert.h>
+
+static const WcDomainShare *find_share (const WcDomainShares *shares, uint32_t domain);
+static uint32_t             pick_by_slots (const WcDomainShares *shares, uint32_t domain, uint64_t point);
+static uint64_t             surplus (const WcDomainShare *share, uint64_t slots, uint64_t instances);
+
+uint32_t
+wc_ownership_shares_pick (const WcDomainShares *shares, uint32_t domain, uint32_t random)
+{
+  const WcDomainShare *local;
+  uint64_t             slots = 0;
+  uint64_t             instances = 0;
+  uint64_t             total_surplus = 0;
+  uint64_t             kept;
+  uint64_t             arriving;
+  uint64_t             point;
+
+  assert (shares != NULL);
+
+  local = find_share (shares, domain);
+  for (size_t i = 0; i < shares->count; i++)
+    {
+      instances += shares->shares[i].instances;
+      /* Slots of a domain without a live instance have no owner that could use them. */
+      if (shares->shares[i].instances > 0)
+        slots += shares->shares[i].slots;
+    }
+  if (slots == 0 || instances == 0)
+    return domain;
+  for (size_t i = 0; i < shares->count; i++)
+    total_surplus += surplus (&shares->shares[i], slots, instances);
+
+  /* Shares are compared over the common denominator slots x instances. The fabric spreads requests evenly over the
+   * instances, so the domain receives instances out of all of them. */
+  if (!local || local->instances == 0)
+    return pick_by_slots (shares, domain, (uint64_t)(((unsigned __int128)random * slots) >> 32));
+  kept = local->slots * instances;
+  arriving = local->instances * slots;
+  if (kept >= arriving || total_surplus == 0)
+    return domain;
+  point = (uint64_t)(((unsigned __int128)random * arriving) >> 32);
+  if (point < kept)
+    return domain;
+  /* The same random number, stretched over the excess, places the request among the domains with a surplus. */
+  point = (uint64_t)((unsigned __int128)(point - kept) * total_surplus / (arriving - kept));
+  for (size_t i = 0; i < shares->count; i++)
+    {
+      uint64_t part = surplus (&shares->shares[i], slots, instances);
+
+      if (point < part)
+        return shares->shares[i].domain;
+      point -= part;
+    }
+  return domain;
+}
+
+/* local functions */
+
+static const WcDomainShare *
+find_share (const WcDomainShares *shares, uint32_t domain)
+{
+  for (size_t i = 0; i < shares->count; i++)
+    if (shares->shares[i].domain == domain)
+      return &shares->shares[i];
+  return NULL;
+}
+
+static uint64_t
+surplus (const WcDomainShare *share, uint64_t slots, uint64_t instances)
+{
+  if (share->instances == 0 || share->slots * instances <= share->instances * slots)
+    return 0;
+  return share->slots * instances - share->instances * slots;
+}
+
+/* For an instance whose own domain has no live owner. */
+static uint32_t
+pick_by_slots (const WcDomainShares *shares, uint32_t domain, uint64_t point)
+{
+  for (size_t i = 0; i < shares->count; i++)
+    {
+      if (shares->shares[i].instances == 0)
+        continue;
+      if (point < shares->shares[i].slots)
+        return shares->shares[i].domain;
+      point -= shares->shares[i].slots;
+    }
+  return domain;
+}
--- /dev/null
+++ b/src/core/membership.c
@@ -0,0 +1,283 @@
+#include <wigeoncart/membership.h>
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  /* A paused process may send heartbeats of an incarnation that was replaced several restarts ago. */
+  MAX_REPLACED = 8
+};
+
+/*
+ * @listed: the last list named the member; @listed_state is what it said.
+ * @heard: a heartbeat has arrived within the time limit; @heard_state is what it said.
+ * @replaced: earlier incarnations, newest first, 0 where unused.
+ */
+typedef struct
+{
+  WcMember      member;
+  bool          listed;
+  WcMemberState listed_state;
+  bool          heard;
+  WcMemberState heard_state;
+  uint64_t      replaced[MAX_REPLACED];
+} Entry;
+
+struct WcMembership
+{
+  WcMember    self;
+  uint64_t    suspect_after_us;
+  uint64_t    generation;
+  GHashTable *entries;
+};
+
+static Entry *get_entry (WcMembership *membership, uint64_t id);
+static bool   is_replaced (const Entry *entry, uint64_t incarnation);
+static void   adopt_incarnation (Entry *entry, uint64_t incarnation);
+static bool   refresh (WcMembership *membership);
+static void   expire (WcMembership *membership, uint64_t now_us);
+static bool   derive_state (const WcMembership *membership, const Entry *entry, WcMemberState *state);
+
+WcMembership *
+wc_membership_new (const WcMember *self, uint64_t suspect_after_us)
+{
+  WcMembership *membership = g_new0 (WcMembership, 1);
+
+  assert (self != NULL);
+
+  membership->self = *self;
+  membership->self.heard_deadline_us = UINT64_MAX;
+  membership->suspect_after_us = suspect_after_us;
+  membership->generation = 1;
+  membership->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  return membership;
+}
+
+void
+wc_membership_delete (WcMembership *membership)
+{
+  if (!membership)
+    return;
+  g_hash_table_unref (membership->entries);
+  g_free (membership);
+}
+
+void
+wc_membership_apply_list (WcMembership *membership, uint64_t now_us, const WcMember *listed, size_t count)
+{
+  GHashTableIter iter;
+  gpointer       value;
+  bool           changed = false;
+
+  assert (membership != NULL);
+  assert (listed != NULL || count == 0);
+
+  expire (membership, now_us);
+  g_hash_table_iter_init (&iter, membership->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((Entry *)value)->listed = false;
+  for (size_t i = 0; i < count; i++)
+    {
+      Entry *entry;
+
+      if (listed[i].id == membership->self.id)
+        continue;
+      entry = get_entry (membership, listed[i].id);
+      entry->listed = true;
+      entry->listed_state = listed[i].state;
+      /* A heartbeat comes from the instance itself and knows its address better than a list that lags. */
+      if (!entry->heard && (entry->member.domain != listed[i].domain || entry->member.workers != listed[i].workers ||
+                            !wc_address_equal (&entry->member.address, &listed[i].address)))
+        {
+          entry->member.domain = listed[i].domain;
+          entry->member.workers = listed[i].workers;
+          entry->member.address = listed[i].address;
+          changed = true;
+        }
+    }
+  changed |= refresh (membership);
+  membership->generation += changed;
+}
+
+void
+wc_membership_heard (WcMembership *membership, uint64_t now_us, const WcMember *sender)
+{
+  Entry *entry;
+  bool   changed = false;
+
+  assert (membership != NULL);
+  assert (sender != NULL);
+
+  if (sender->id == membership->self.id || sender->incarnation == 0)
+    return;
+  expire (membership, now_us);
+  entry = get_entry (membership, sender->id);
+  if (!is_replaced (entry, sender->incarnation))
+    {
+      WcMember *member = &entry->member;
+
+      changed |= member->incarnation != sender->incarnation || member->domain != sender->domain ||
+                 member->workers != sender->workers || !wc_address_equal (&member->address, &sender->address);
+      adopt_incarnation (entry, sender->incarnation);
+      member->domain = sender->domain;
+      member->workers = sender->workers;
+      member->address = sender->address;
+      member->heard_deadline_us = now_us + membership->suspect_after_us;
+      entry->heard = true;
+      entry->heard_state = sender->state == WC_MEMBER_LEAVING ? WC_MEMBER_LEAVING : WC_MEMBER_LIVE;
+    }
+  changed |= refresh (membership);
+  membership->generation += changed;
+}
+
+bool
+wc_membership_tick (WcMembership *membership, uint64_t now_us)
+{
+  bool changed;
+
+  assert (membership != NULL);
+
+  expire (membership, now_us);
+  changed = refresh (membership);
+  membership->generation += changed;
+  return changed;
+}
+
+void
+wc_membership_set_self_state (WcMembership *membership, WcMemberState state)
+{
+  assert (membership != NULL);
+
+  if (membership->self.state == state)
+    return;
+  membership->self.state = state;
+  membership->generation++;
+}
+
+uint64_t
+wc_membership_get_generation (const WcMembership *membership)
+{
+  assert (membership != NULL);
+
+  return membership->generation;
+}
+
+WcMemberTable *
+wc_membership_snapshot (const WcMembership *membership)
+{
+  GHashTableIter iter;
+  gpointer       value;
+  GArray        *members;
+  WcMemberTable *table;
+
+  assert (membership != NULL);
+
+  members = g_array_new (FALSE, FALSE, sizeof (WcMember));
+  g_array_append_val (members, membership->self);
+  g_hash_table_iter_init (&iter, membership->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_val (members, ((Entry *)value)->member);
+  table = wc_member_table_new ((const WcMember *)(const void *)members->data, members->len);
+  g_array_unref (members);
+  return table;
+}
+
+/* local functions */
+
+static Entry *
+get_entry (WcMembership *membership, uint64_t id)
+{
+  Entry *entry = g_hash_table_lookup (membership->entries, &id);
+
+  if (entry)
+    return entry;
+  entry = g_new0 (Entry, 1);
+  entry->member.id = id;
+  /* No derived state has this value, so refresh() counts the new member as a change. */
+  entry->member.state = WC_MEMBER_COUNT;
+  g_hash_table_insert (membership->entries, &entry->member.id, entry);
+  return entry;
+}
+
+static bool
+is_replaced (const Entry *entry, uint64_t incarnation)
+{
+  for (size_t i = 0; i < MAX_REPLACED; i++)
+    if (entry->replaced[i] == incarnation)
+      return true;
+  return false;
+}
+
+static void
+adopt_incarnation (Entry *entry, uint64_t incarnation)
+{
+  if (entry->member.incarnation == incarnation)
+    return;
+  if (entry->member.incarnation != 0)
+    {
+      memmove (entry->replaced + 1, entry->replaced, sizeof entry->replaced - sizeof entry->replaced[0]);
+      entry->replaced[0] = entry->member.incarnation;
+    }
+  entry->member.incarnation = incarnation;
+}
+
+/* Recomputes the states; drops members that are neither listed nor heard. */
+static bool
+refresh (WcMembership *membership)
+{
+  GHashTableIter iter;
+  gpointer       value;
+  bool           changed = false;
+
+  g_hash_table_iter_init (&iter, membership->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Entry        *entry = value;
+      WcMemberState state;
+
+      if (!derive_state (membership, entry, &state))
+        {
+          g_hash_table_iter_remove (&iter);
+          changed = true;
+          continue;
+        }
+      changed |= entry->member.state != state;
+      entry->member.state = state;
+    }
+  return changed;
+}
+
+static void
+expire (WcMembership *membership, uint64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer       value;
+
+  g_hash_table_iter_init (&iter, membership->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Entry *entry = value;
+
+      if (entry->heard && now_us >= entry->member.heard_deadline_us)
+        entry->heard = false;
+    }
+}
+
+/* Return: false when nothing speaks for the member any more. */
+static bool
+derive_state (const WcMembership *membership, const Entry *entry, WcMemberState *state)
+{
+  if (entry->heard)
+    *state = entry->heard_state;
+  else if (!entry->listed)
+    return false;
+  else if (entry->listed_state == WC_MEMBER_LEAVING)
+    *state = WC_MEMBER_LEAVING;
+  else if (entry->member.domain != membership->self.domain)
+    *state = WC_MEMBER_LIVE;
+  else
+    *state = entry->member.incarnation != 0 ? WC_MEMBER_SUSPECT : WC_MEMBER_LISTED;
+  return true;
+}
--- /dev/null
+++ b/src/core/retry_budget.c
@@ -0,0 +1,57 @@
+#include "core/retry_budget.h"
+
+#include <assert.h>
+#include <stddef.h>
+
+enum
+{
+  RETRY_COST = 100,
+  /* A dispatcher with little traffic may still retry: one retry a second, at most this many at once. */
+  FLOOR_RETRIES = 3,
+  FLOOR_INTERVAL_US = 1000000,
+  /* Bounds the burst after a long time without failures. */
+  MAX_RETRIES = 50
+};
+
+void
+wc_retry_budget_init (WcRetryBudget *budget, uint32_t percent)
+{
+  assert (budget != NULL);
+
+  budget->percent = percent;
+  budget->balance = FLOOR_RETRIES * RETRY_COST;
+  budget->refill_us = 0;
+}
+
+void
+wc_retry_budget_earn (WcRetryBudget *budget)
+{
+  assert (budget != NULL);
+
+  budget->balance += budget->percent;
+  if (budget->balance > MAX_RETRIES * RETRY_COST)
+    budget->balance = MAX_RETRIES * RETRY_COST;
+}
+
+bool
+wc_retry_budget_spend (WcRetryBudget *budget, uint64_t now_us)
+{
+  assert (budget != NULL);
+
+  if (now_us >= budget->refill_us)
+    {
+      if (budget->refill_us > 0 && budget->balance < FLOOR_RETRIES * RETRY_COST)
+        {
+          uint64_t refills = 1 + (now_us - budget->refill_us) / FLOOR_INTERVAL_US;
+
+          budget->balance += RETRY_COST * (uint32_t)(refills < FLOOR_RETRIES ? refills : FLOOR_RETRIES);
+          if (budget->balance > FLOOR_RETRIES * RETRY_COST)
+            budget->balance = FLOOR_RETRIES * RETRY_COST;
+        }
+      budget->refill_us = now_us + FLOOR_INTERVAL_US;
+    }
+  if (budget->balance < RETRY_COST)
+    return false;
+  budget->balance -= RETRY_COST;
+  return true;
+}
--- /dev/null
+++ b/src/core/target_set.c
@@ -0,0 +1,273 @@
+#include "core/target_set.h"
+
+#include <assert.h>
+
+enum
+{
+  /* Share of a new run time in the moving averages: 1/16 of a target's, 1/64 of the whole set's. */
+  TARGET_AVERAGE_SHIFT = 4,
+  SET_AVERAGE_SHIFT = 6,
+  /* Work loses 1/8 every 250 ms, so that a target that was closed for a while is not flooded afterwards. */
+  DECAY_INTERVAL_US = 250000,
+  DECAY_SHIFT = 3,
+  MAX_DECAY_STEPS = 64,
+  /* The backoff doubles at most 5 times. */
+  MAX_BACKOFF_SHIFT = 5,
+  RAMP_MIN_PERCENT = 10
+};
+
+static void     add_target (WcTargetSet *set, uint64_t now_us, const WcDispatchTarget *target, bool ramp);
+static void     drop_unused (WcTargetSet *set);
+static uint64_t average (uint64_t mean, uint64_t sample, int shift);
+static uint64_t mean_work (const WcTargetSet *set, uint64_t now_us, uint32_t weight);
+static uint32_t ramp_percent (const WcTargetState *state, uint64_t now_us);
+static uint32_t full_limit (const WcTargetState *state);
+
+void
+wc_target_set_init (WcTargetSet *set)
+{
+  assert (set != NULL);
+
+  set->states = g_array_sized_new (FALSE, TRUE, sizeof (WcTargetState), 32);
+  set->run_us = 0;
+  set->decay_us = 0;
+}
+
+void
+wc_target_set_finish (WcTargetSet *set)
+{
+  assert (set != NULL);
+
+  g_array_unref (set->states);
+}
+
+void
+wc_target_set_replace (WcTargetSet *set, uint64_t now_us, const WcDispatchTarget *targets, size_t count)
+{
+  bool ramp;
+
+  assert (set != NULL);
+  assert (targets != NULL || count == 0);
+
+  /* A dispatcher that has just become the owner does not know how long its first targets have run, and halving the
+   * capacity of the whole shard would hurt more than a cold target does. */
+  ramp = set->states->len > 0;
+  for (guint i = 0; i < set->states->len; i++)
+    g_array_index (set->states, WcTargetState, i).present = false;
+  for (size_t i = 0; i < count; i++)
+    {
+      WcTargetState *state = wc_target_set_find (set, targets[i].id);
+
+      if (state)
+        {
+          state->target = targets[i];
+          state->present = true;
+        }
+      else
+        add_target (set, now_us, &targets[i], ramp);
+    }
+  drop_unused (set);
+}
+
+WcTargetState *
+wc_target_set_find (const WcTargetSet *set, uint32_t id)
+{
+  assert (set != NULL);
+
+  for (guint i = 0; i < set->states->len; i++)
+    if (g_array_index (set->states, WcTargetState, i).target.id == id)
+      return &g_array_index (set->states, WcTargetState, i);
+  return NULL;
+}
+
+void
+wc_target_set_start (WcTargetSet *set, WcTargetState *state)
+{
+  assert (set != NULL);
+  assert (state != NULL);
+
+  state->outstanding++;
+  state->dispatched++;
+  state->charged_us += set->run_us;
+}
+
+void
+wc_target_set_end (WcTargetSet *set, uint64_t now_us, uint32_t target, WcOutcome outcome, uint64_t run_us,
+                   uint64_t backoff_us)
+{
+  WcTargetState *state;
+  uint64_t       charge;
+
+  assert (set != NULL);
+
+  state = wc_target_set_find (set, target);
+  if (!state || state->outstanding == 0)
+    return;
+  charge = state->charged_us / state->outstanding;
+  state->charged_us -= charge;
+  state->outstanding--;
+  switch (outcome)
+    {
+    case WC_OUTCOME_DONE:
+      state->failures = 0;
+      state->done_us += run_us != 0 ? run_us : charge;
+      if (run_us != 0)
+        {
+          state->run_us = average (state->run_us, run_us, TARGET_AVERAGE_SHIFT);
+          set->run_us = average (set->run_us, run_us, SET_AVERAGE_SHIFT);
+        }
+      break;
+    /* A failure closes the slots too: a dead target fails fast and would otherwise attract all requests. */
+    case WC_OUTCOME_REFUSED:
+    case WC_OUTCOME_FAILED:
+      state->closed_until_us = now_us + (backoff_us << state->failures);
+      if (state->failures < MAX_BACKOFF_SHIFT)
+        state->failures++;
+      state->done_us += run_us;
+      break;
+    default:
+      state->done_us += run_us;
+      break;
+    }
+  if (!state->present)
+    drop_unused (set);
+}
+
+void
+wc_target_set_tick (WcTargetSet *set, uint64_t now_us)
+{
+  uint64_t steps;
+
+  assert (set != NULL);
+
+  if (now_us < set->decay_us)
+    return;
+  steps = 1 + (now_us - set->decay_us) / DECAY_INTERVAL_US;
+  set->decay_us = now_us + DECAY_INTERVAL_US;
+  if (steps > MAX_DECAY_STEPS)
+    steps = MAX_DECAY_STEPS;
+  for (guint i = 0; i < set->states->len; i++)
+    {
+      WcTargetState *state = &g_array_index (set->states, WcTargetState, i);
+
+      for (uint64_t step = 0; step < steps; step++)
+        state->done_us -= state->done_us >> DECAY_SHIFT;
+    }
+}
+
+bool
+wc_target_state_in_service (const WcTargetState *state)
+{
+  assert (state != NULL);
+
+  return state->present && !state->target.leaving && state->target.weight > 0 && state->target.slots > 0;
+}
+
+uint32_t
+wc_target_state_get_limit (const WcTargetState *state, uint64_t now_us)
+{
+  uint32_t limit;
+
+  if (!wc_target_state_in_service (state) || now_us < state->closed_until_us)
+    return 0;
+  limit = full_limit (state) * ramp_percent (state, now_us) / 100;
+  return limit > 0 ? limit : 1;
+}
+
+uint64_t
+wc_target_state_get_work (const WcTargetState *state, uint64_t now_us)
+{
+  uint64_t share;
+
+  assert (state != NULL);
+
+  share = (uint64_t)state->target.weight * ramp_percent (state, now_us);
+  return (state->done_us + state->charged_us) * 10000 / (share > 0 ? share : 1);
+}
+
+uint64_t
+wc_target_state_get_change_us (const WcTargetState *state, uint64_t now_us)
+{
+  if (!wc_target_state_in_service (state))
+    return UINT64_MAX;
+  if (now_us < state->closed_until_us)
+    return state->closed_until_us;
+  if (now_us < state->ramp_end_us)
+    return now_us + 1 + (state->ramp_end_us - state->ramp_start_us) / full_limit (state);
+  return UINT64_MAX;
+}
+
+/* local functions */
+
+static void
+add_target (WcTargetSet *set, uint64_t now_us, const WcDispatchTarget *target, bool ramp)
+{
+  WcTargetState state = { .target = *target, .present = true };
+
+  if (ramp && target->cold_start_ms > 0)
+    {
+      state.ramp_start_us = now_us;
+      state.ramp_end_us = now_us + (uint64_t)target->cold_start_ms * 1000;
+    }
+  /* Starting at zero would send the new target everything until it has caught up with the others. */
+  state.done_us = mean_work (set, now_us, target->weight);
+  g_array_append_val (set->states, state);
+}
+
+static void
+drop_unused (WcTargetSet *set)
+{
+  for (guint i = set->states->len; i-- > 0;)
+    {
+      const WcTargetState *state = &g_array_index (set->states, WcTargetState, i);
+
+      if (!state->present && state->outstanding == 0)
+        g_array_remove_index (set->states, i);
+    }
+}
+
+static uint64_t
+average (uint64_t mean, uint64_t sample, int shift)
+{
+  if (mean == 0)
+    return sample;
+  return mean + (sample >> shift) - (mean >> shift);
+}
+
+static uint64_t
+mean_work (const WcTargetSet *set, uint64_t now_us, uint32_t weight)
+{
+  uint64_t sum = 0;
+  uint32_t count = 0;
+
+  for (guint i = 0; i < set->states->len; i++)
+    {
+      const WcTargetState *state = &g_array_index (set->states, WcTargetState, i);
+
+      if (!wc_target_state_in_service (state))
+        continue;
+      sum += wc_target_state_get_work (state, now_us);
+      count++;
+    }
+  return count > 0 ? sum / count * weight / 100 : 0;
+}
+
+static uint32_t
+ramp_percent (const WcTargetState *state, uint64_t now_us)
+{
+  uint64_t percent;
+
+  if (now_us >= state->ramp_end_us)
+    return 100;
+  percent = (now_us - state->ramp_start_us) * 100 / (state->ramp_end_us - state->ramp_start_us);
+  return percent > RAMP_MIN_PERCENT ? (uint32_t)percent : RAMP_MIN_PERCENT;
+}
+
+/* A weight below 100 closes slots, because with all slots busy only the number of slots decides the shares. */
+static uint32_t
+full_limit (const WcTargetState *state)
+{
+  uint32_t weight = state->target.weight < 100 ? state->target.weight : 100;
+
+  return (state->target.slots * weight + 99) / 100;
+}
--- /dev/null
+++ b/src/core/target_set.h
@@ -0,0 +1,69 @@
+#ifndef WC_CORE_TARGET_SET_H
+#define WC_CORE_TARGET_SET_H
+
+#include <wigeoncart/dispatcher.h>
+
+/**
+ * struct WcTargetState - a target with its counts.
+ * @present: part of the current set; an absent target stays until its outstanding attempts have ended.
+ * @ramp_start_us: when its ramp-up began; @ramp_end_us is 0 for a warm target.
+ * @closed_until_us: end of the backoff after a refusal or failure.
+ * @failures: refusals and failures in a row.
+ * @charged_us: estimated run time of the outstanding attempts.
+ * @done_us: run time of the ended attempts; decays.
+ */
+typedef struct
+{
+  WcDispatchTarget target;
+  bool             present;
+  uint32_t         outstanding;
+  uint64_t         dispatched;
+  uint64_t         run_us;
+  uint64_t         ramp_start_us;
+  uint64_t         ramp_end_us;
+  uint64_t         closed_until_us;
+  uint32_t         failures;
+  uint64_t         charged_us;
+  uint64_t         done_us;
+} WcTargetState;
+
+/** struct WcTargetSet - targets of a dispatcher. */
+typedef struct
+{
+  GArray  *states;
+  uint64_t run_us;
+  uint64_t decay_us;
+} WcTargetSet;
+
+void wc_target_set_init (WcTargetSet *set);
+void wc_target_set_finish (WcTargetSet *set);
+
+/** wc_target_set_replace() - new set; known targets keep their counts. */
+void wc_target_set_replace (WcTargetSet *set, uint64_t now_us, const WcDispatchTarget *targets, size_t count);
+
+/** wc_target_set_find() - NULL when unknown; valid until the set is replaced or an attempt ends. */
+WcTargetState *wc_target_set_find (const WcTargetSet *set, uint32_t id);
+
+/** wc_target_set_start() - an attempt is sent to the target. */
+void wc_target_set_start (WcTargetSet *set, WcTargetState *state);
+
+/** wc_target_set_end() - an attempt has ended; unknown targets are ignored. */
+void wc_target_set_end (WcTargetSet *set, uint64_t now_us, uint32_t target, WcOutcome outcome, uint64_t run_us,
+                        uint64_t backoff_us);
+
+/** wc_target_set_tick() - age the work figures. */
+void wc_target_set_tick (WcTargetSet *set, uint64_t now_us);
+
+/** wc_target_state_in_service() - may get new work, now or after a backoff. */
+bool wc_target_state_in_service (const WcTargetState *state);
+
+/** wc_target_state_get_limit() - slots open at @now_us, after weight, ramp-up and backoff. */
+uint32_t wc_target_state_get_limit (const WcTargetState *state, uint64_t now_us);
+
+/** wc_target_state_get_work() - recent work per weight. */
+uint64_t wc_target_state_get_work (const WcTargetState *state, uint64_t now_us);
+
+/** wc_target_state_get_change_us() - when the limit may rise by itself; UINT64_MAX for never. */
+uint64_t wc_target_state_get_change_us (const WcTargetState *state, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/tests/test_dispatcher.c
@@ -0,0 +1,451 @@
+#include <wigeoncart/dispatcher.h>
+
+#include "check_main.h"
+
+enum
+{
+  FAR_US = 1000000000,
+  BACKOFF_US = 1000
+};
+
+static GRand        *random_source;
+static WcDispatcher *dispatcher;
+
+static void
+setup (void)
+{
+  WcDispatcherConfig config = {
+    .queue_max_requests = 8, .retry_budget_percent = 10, .refusal_backoff_us = BACKOFF_US, .late_binding = true
+  };
+
+  random_source = g_rand_new_with_seed (1);
+  dispatcher = wc_dispatcher_new (&config, wc_policy_find ("product"), random_source);
+}
+
+static void
+teardown (void)
+{
+  wc_dispatcher_delete (dispatcher);
+  g_rand_free (random_source);
+}
+
+static WcDispatchTarget
+target (uint32_t id)
+{
+  return (WcDispatchTarget){ .id = id, .slots = 2, .weight = 100 };
+}
+
+static void
+set_targets (uint64_t now_us, uint32_t count)
+{
+  WcDispatchTarget targets[16];
+
+  for (uint32_t i = 0; i < count; i++)
+    targets[i] = target (i + 1);
+  wc_dispatcher_set_targets (dispatcher, now_us, targets, count);
+}
+
+static WcRefusal
+submit (uint64_t now_us, uint64_t request, uint32_t worth, uint64_t deadline_us, uint32_t attempts)
+{
+  WcDispatchRequest entry = { .request = request, .worth = worth, .deadline_us = deadline_us, .attempts = attempts };
+
+  return wc_dispatcher_submit (dispatcher, now_us, &entry);
+}
+
+/* Next decision, which has to be a dispatch. Return: its target. */
+static uint32_t
+expect_dispatch (uint64_t now_us, uint64_t request)
+{
+  WcDispatchDecision decision;
+
+  ck_assert (wc_dispatcher_next (dispatcher, now_us, &decision));
+  ck_assert_int_eq (decision.refusal, WC_REFUSAL_NONE);
+  if (request != 0)
+    ck_assert_uint_eq (decision.request, request);
+  return decision.target;
+}
+
+static void
+expect_refusal (uint64_t now_us, uint64_t request, WcRefusal refusal)
+{
+  WcDispatchDecision decision;
+
+  ck_assert (wc_dispatcher_next (dispatcher, now_us, &decision));
+  ck_assert_int_eq (decision.refusal, refusal);
+  ck_assert_uint_eq (decision.request, request);
+}
+
+static void
+expect_nothing (uint64_t now_us)
+{
+  WcDispatchDecision decision;
+
+  ck_assert (!wc_dispatcher_next (dispatcher, now_us, &decision));
+}
+
+/* Fills both slots of target 1, so that further requests wait. */
+static void
+occupy_one_target (uint64_t now_us)
+{
+  set_targets (now_us, 1);
+  for (uint64_t request = 101; request <= 102; request++)
+    {
+      ck_assert_int_eq (submit (now_us, request, 1, FAR_US, 0), WC_REFUSAL_NONE);
+      expect_dispatch (now_us, request);
+    }
+}
+
+/* Guards against more attempts on a target than it has slots. */
+START_TEST (test_late_binding)
+{
+  uint32_t counts[4] = { 0 };
+
+  set_targets (0, 3);
+  for (uint64_t request = 1; request <= 7; request++)
+    ck_assert_int_eq (submit (0, request, 1, FAR_US, 0), WC_REFUSAL_NONE);
+  for (uint64_t request = 1; request <= 6; request++)
+    counts[expect_dispatch (0, request)]++;
+  expect_nothing (0);
+  for (uint32_t id = 1; id <= 3; id++)
+    {
+      ck_assert_uint_eq (counts[id], 2);
+      ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, id), 2);
+    }
+  ck_assert_uint_eq (wc_dispatcher_get_queue_length (dispatcher), 1);
+  wc_dispatcher_end (dispatcher, 10, 2, WC_OUTCOME_DONE, 10);
+  ck_assert_uint_eq (expect_dispatch (10, 7), 2);
+}
+END_TEST
+
+/* Guards against a leaving target that gets new work, or whose outstanding work is forgotten. */
+START_TEST (test_leaving)
+{
+  WcDispatchTarget targets[] = { target (1), target (2) };
+
+  set_targets (0, 2);
+  for (uint64_t request = 1; request <= 4; request++)
+    {
+      submit (0, request, 1, FAR_US, 0);
+      expect_dispatch (0, request);
+    }
+  targets[0].leaving = true;
+  wc_dispatcher_set_targets (dispatcher, 1, targets, 2);
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 1), 2);
+  submit (1, 5, 1, FAR_US, 0);
+  wc_dispatcher_end (dispatcher, 2, 1, WC_OUTCOME_DONE, 2);
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 1), 1);
+  expect_nothing (2);
+  wc_dispatcher_end (dispatcher, 3, 2, WC_OUTCOME_DONE, 2);
+  ck_assert_uint_eq (expect_dispatch (3, 5), 2);
+}
+END_TEST
+
+/* Guards against counts that are lost when a revision changes the set: a full target would be sent more. */
+START_TEST (test_counts_survive_replacement)
+{
+  set_targets (0, 1);
+  submit (0, 1, 1, FAR_US, 0);
+  expect_dispatch (0, 1);
+  set_targets (1, 2);
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 1), 1);
+  set_targets (2, 1);
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 1), 1);
+}
+END_TEST
+
+/* Guards against a removed target whose attempts are forgotten before it is added again. */
+START_TEST (test_removed_and_added_again)
+{
+  WcDispatchTarget other = target (2);
+
+  occupy_one_target (0);
+  wc_dispatcher_set_targets (dispatcher, 1, &other, 1);
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 1), 2);
+  wc_dispatcher_end (dispatcher, 2, 1, WC_OUTCOME_DONE, 2);
+  set_targets (3, 2);
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 1), 1);
+  for (uint64_t request = 1; request <= 3; request++)
+    {
+      submit (3, request, 1, FAR_US, 0);
+      expect_dispatch (3, request);
+    }
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 1), 2);
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 2), 2);
+}
+END_TEST
+
+/* Guards against a count that wraps when an end is reported for a target that is unknown or has no attempts. */
+START_TEST (test_end_of_unknown_target)
+{
+  set_targets (0, 1);
+  wc_dispatcher_end (dispatcher, 1, 99, WC_OUTCOME_DONE, 5);
+  wc_dispatcher_end (dispatcher, 1, 1, WC_OUTCOME_REFUSED, 0);
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 1), 0);
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 99), 0);
+  submit (1, 1, 1, FAR_US, 0);
+  ck_assert_uint_eq (expect_dispatch (1, 1), 1);
+}
+END_TEST
+
+/* Guards against requests that wait although they cannot be run in time, and against refusing those that can. */
+START_TEST (test_refused_early)
+{
+  occupy_one_target (0);
+  wc_dispatcher_end (dispatcher, 1000, 1, WC_OUTCOME_DONE, 1000);
+  submit (1000, 103, 1, FAR_US, 0);
+  expect_dispatch (1000, 103);
+  /* Run time 1,000 us and 2 slots: the first one waits about 500 us and ends 1,500 us from now. */
+  ck_assert_uint_eq (wc_dispatcher_get_expected_wait_us (dispatcher, 1000, 1), 500);
+  ck_assert_int_eq (submit (1000, 1, 1, 1000 + 1500, 0), WC_REFUSAL_TOO_LATE);
+  ck_assert_int_eq (submit (1000, 2, 1, 1000 + 1501, 0), WC_REFUSAL_NONE);
+  ck_assert_int_eq (submit (1000, 3, 1, 1000 + 1501, 0), WC_REFUSAL_TOO_LATE);
+  /* Requests of little worth are no obstacle to one of more. */
+  ck_assert_int_eq (submit (1000, 4, 64, 1000 + 1501, 0), WC_REFUSAL_NONE);
+  expect_nothing (1000);
+  /* Those that have waited too long are refused rather than sent. */
+  ck_assert_uint_eq (wc_dispatcher_get_wake_us (dispatcher), 1501);
+  expect_refusal (1501, 2, WC_REFUSAL_TOO_LATE);
+  expect_refusal (1501, 4, WC_REFUSAL_TOO_LATE);
+  expect_nothing (1501);
+}
+END_TEST
+
+/* Guards against urgent requests that wait behind those of less worth. */
+START_TEST (test_worth_order)
+{
+  occupy_one_target (0);
+  submit (0, 1, 1, FAR_US, 0);
+  submit (0, 2, 5, FAR_US, 0);
+  submit (0, 3, 5, FAR_US - 1, 0);
+  submit (0, 4, 2, FAR_US, 0);
+  submit (0, 5, 5, FAR_US, 0);
+  ck_assert (wc_dispatcher_remove (dispatcher, 4));
+  ck_assert (!wc_dispatcher_remove (dispatcher, 4));
+  for (int i = 0; i < 4; i++)
+    {
+      static const uint64_t ORDER[] = { 3, 2, 5, 1 };
+
+      wc_dispatcher_end (dispatcher, 1, 1, WC_OUTCOME_DONE, 0);
+      expect_dispatch (1, ORDER[i]);
+    }
+}
+END_TEST
+
+/* Guards against a full queue that refuses valuable requests and keeps cheap ones. */
+START_TEST (test_full_queue)
+{
+  occupy_one_target (0);
+  for (uint64_t request = 1; request <= 8; request++)
+    ck_assert_int_eq (submit (0, request, 2, FAR_US + request, 0), WC_REFUSAL_NONE);
+  ck_assert_int_eq (submit (0, 9, 1, FAR_US, 0), WC_REFUSAL_QUEUE_FULL);
+  ck_assert_int_eq (submit (0, 10, 2, FAR_US + 10, 0), WC_REFUSAL_QUEUE_FULL);
+  /* Same worth, latest deadline leaves first. */
+  ck_assert_int_eq (submit (0, 11, 2, FAR_US, 0), WC_REFUSAL_NONE);
+  expect_refusal (0, 8, WC_REFUSAL_LOW_WORTH);
+  ck_assert_int_eq (submit (0, 12, 3, FAR_US + 20, 0), WC_REFUSAL_NONE);
+  expect_refusal (0, 7, WC_REFUSAL_LOW_WORTH);
+  expect_nothing (0);
+  ck_assert_uint_eq (wc_dispatcher_get_queue_length (dispatcher), 8);
+}
+END_TEST
+
+/* Guards against retries that multiply the load of failing targets, and against none at all with little traffic. */
+START_TEST (test_retry_budget)
+{
+  uint32_t granted = 0;
+
+  occupy_one_target (0);
+  /* A floor of three retries and 10% of the 2 + 50 first attempts make 8. */
+  for (uint64_t request = 1; request <= 50; request++)
+    {
+      ck_assert_int_eq (submit (0, request, 1, FAR_US, 0), WC_REFUSAL_NONE);
+      ck_assert (wc_dispatcher_remove (dispatcher, request));
+    }
+  for (uint64_t request = 1; request <= 20; request++)
+    if (submit (0, request, 1, FAR_US, 1) == WC_REFUSAL_NONE)
+      {
+        granted++;
+        wc_dispatcher_remove (dispatcher, request);
+      }
+  ck_assert_uint_eq (granted, 8);
+  ck_assert_int_eq (submit (0, 1, 1, FAR_US, 1), WC_REFUSAL_RETRY_BUDGET);
+  ck_assert_int_eq (submit (1000000, 1, 1, FAR_US, 1), WC_REFUSAL_NONE);
+  ck_assert_int_eq (submit (1000000, 2, 1, FAR_US, 1), WC_REFUSAL_RETRY_BUDGET);
+}
+END_TEST
+
+/* Guards against a target that refuses or fails at once and so attracts all requests. */
+START_TEST (test_backoff)
+{
+  WcOutcome outcome = _i == 0 ? WC_OUTCOME_REFUSED : WC_OUTCOME_FAILED;
+
+  set_targets (0, 1);
+  submit (0, 1, 1, FAR_US, 0);
+  expect_dispatch (0, 1);
+  wc_dispatcher_end (dispatcher, 10, 1, outcome, 0);
+  submit (10, 2, 1, FAR_US, 0);
+  expect_nothing (10);
+  ck_assert_uint_eq (wc_dispatcher_get_wake_us (dispatcher), 10 + BACKOFF_US);
+  expect_nothing (10 + BACKOFF_US - 1);
+  expect_dispatch (10 + BACKOFF_US, 2);
+  /* The second one in a row closes it for twice as long. */
+  wc_dispatcher_end (dispatcher, 5000, 1, outcome, 0);
+  submit (5000, 3, 1, FAR_US, 0);
+  expect_nothing (5000 + 2 * BACKOFF_US - 1);
+  expect_dispatch (5000 + 2 * BACKOFF_US, 3);
+  wc_dispatcher_end (dispatcher, 9000, 1, WC_OUTCOME_DONE, 100);
+  submit (9000, 4, 1, FAR_US, 0);
+  expect_dispatch (9000, 4);
+}
+END_TEST
+
+/* Guards against a cold target that gets its full share at once. */
+START_TEST (test_ramp_up)
+{
+  WcDispatchTarget targets[] = { target (1), target (2) };
+
+  occupy_one_target (0);
+  targets[1].cold_start_ms = 1000;
+  wc_dispatcher_set_targets (dispatcher, 0, targets, 2);
+  submit (0, 1, 1, FAR_US, 0);
+  submit (0, 2, 1, FAR_US, 0);
+  ck_assert_uint_eq (expect_dispatch (0, 1), 2);
+  expect_nothing (0);
+  expect_nothing (999999);
+  ck_assert_uint_eq (expect_dispatch (1000000, 2), 2);
+}
+END_TEST
+
+/* Guards against a weight that has no effect while all slots are busy, and against work for weight 0. */
+START_TEST (test_weights)
+{
+  WcDispatchTarget targets[] = { target (1), target (2), target (3) };
+  uint32_t         counts[4] = { 0 };
+
+  targets[1].weight = 50;
+  targets[2].weight = 0;
+  wc_dispatcher_set_targets (dispatcher, 0, targets, 3);
+  for (uint64_t request = 1; request <= 5; request++)
+    submit (0, request, 1, FAR_US, 0);
+  for (uint64_t request = 1; request <= 3; request++)
+    counts[expect_dispatch (0, request)]++;
+  expect_nothing (0);
+  ck_assert_uint_eq (counts[1], 2);
+  ck_assert_uint_eq (counts[2], 1);
+}
+END_TEST
+
+/* Guards against requests that wait for ever when no target is left. */
+START_TEST (test_no_target)
+{
+  ck_assert_int_eq (submit (0, 1, 1, FAR_US, 0), WC_REFUSAL_NO_TARGET);
+  occupy_one_target (0);
+  submit (0, 2, 1, FAR_US, 0);
+  set_targets (1, 0);
+  expect_refusal (1, 2, WC_REFUSAL_NO_TARGET);
+  expect_nothing (1);
+}
+END_TEST
+
+/* Guards against a session that loses its target without need, or that keeps it at the cost of the balance. */
+START_TEST (test_preferred_target)
+{
+  WcDispatchRequest request = { .request = 1, .worth = 1, .deadline_us = FAR_US, .preferred_target = 2 };
+
+  set_targets (0, 3);
+  wc_dispatcher_submit (dispatcher, 0, &request);
+  ck_assert_uint_eq (expect_dispatch (0, 1), 2);
+  wc_dispatcher_end (dispatcher, 1000, 2, WC_OUTCOME_DONE, 1000);
+  request.request = 2;
+  wc_dispatcher_submit (dispatcher, 1000, &request);
+  ck_assert_uint_ne (expect_dispatch (1000, 2), 2);
+}
+END_TEST
+
+/* Guards against a baseline that waits: without late binding every request is sent at once. */
+START_TEST (test_early_binding)
+{
+  WcDispatcherConfig config = { .queue_max_requests = 8, .retry_budget_percent = 10, .refusal_backoff_us = BACKOFF_US };
+
+  wc_dispatcher_delete (dispatcher);
+  dispatcher = wc_dispatcher_new (&config, wc_policy_find ("round-robin"), random_source);
+  set_targets (0, 2);
+  for (uint64_t request = 1; request <= 20; request++)
+    {
+      ck_assert_int_eq (submit (0, request, 1, FAR_US, 0), WC_REFUSAL_NONE);
+      expect_dispatch (0, request);
+    }
+  ck_assert_uint_eq (wc_dispatcher_get_outstanding (dispatcher, 1), 10);
+  wc_dispatcher_end (dispatcher, 1, 1, WC_OUTCOME_REFUSED, 0);
+  wc_dispatcher_end (dispatcher, 1, 2, WC_OUTCOME_REFUSED, 0);
+  submit (2, 21, 1, FAR_US, 0);
+  expect_dispatch (2, 21);
+}
+END_TEST
+
+/* Guards against heaps that lose track of entries: random pushes, removals and ends against the expected order. */
+START_TEST (test_random_operations)
+{
+  GRand   *random = g_rand_new_with_seed ((guint32)_i + 1);
+  uint64_t next_request = 1;
+  uint32_t queued[8] = { 0 };
+  uint64_t handles[8] = { 0 };
+
+  occupy_one_target (0);
+  for (int step = 0; step < 2000; step++)
+    {
+      int place = g_rand_int_range (random, 0, 8);
+
+      if (handles[place] == 0)
+        {
+          queued[place] = (uint32_t)g_rand_int_range (random, 1, 5);
+          handles[place] = next_request++;
+          ck_assert_int_eq (submit (0, handles[place], queued[place], FAR_US, 0), WC_REFUSAL_NONE);
+        }
+      else if (g_rand_boolean (random))
+        {
+          ck_assert (wc_dispatcher_remove (dispatcher, handles[place]));
+          handles[place] = 0;
+        }
+      else
+        {
+          int best = place;
+
+          for (int i = 0; i < 8; i++)
+            if (handles[i] != 0 &&
+                (queued[i] > queued[best] || (queued[i] == queued[best] && handles[i] < handles[best])))
+              best = i;
+          wc_dispatcher_end (dispatcher, 0, 1, WC_OUTCOME_DONE, 0);
+          expect_dispatch (0, handles[best]);
+          handles[best] = 0;
+        }
+    }
+  g_rand_free (random);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *cases = tcase_create ("dispatcher");
+
+  tcase_add_checked_fixture (cases, setup, teardown);
+  tcase_add_test (cases, test_late_binding);
+  tcase_add_test (cases, test_leaving);
+  tcase_add_test (cases, test_counts_survive_replacement);
+  tcase_add_test (cases, test_removed_and_added_again);
+  tcase_add_test (cases, test_end_of_unknown_target);
+  tcase_add_test (cases, test_refused_early);
+  tcase_add_test (cases, test_worth_order);
+  tcase_add_test (cases, test_full_queue);
+  tcase_add_test (cases, test_retry_budget);
+  tcase_add_loop_test (cases, test_backoff, 0, 2);
+  tcase_add_test (cases, test_ramp_up);
+  tcase_add_test (cases, test_weights);
+  tcase_add_test (cases, test_no_target);
+  tcase_add_test (cases, test_preferred_target);
+  tcase_add_test (cases, test_early_binding);
+  tcase_add_loop_test (cases, test_random_operations, 0, 5);
+  return run_cases ("dispatcher", cases);
+}
