--- a/include/wigeoncart/event_ring.h
+++ b/include/wigeoncart/event_ring.h
@@ -16,10 +16,10 @@
 WcEventRing *wc_event_ring_new (uint32_t capacity);
 void         wc_event_ring_delete (WcEventRing *ring);
 
-/** wc_event_ring_add() - store an event; sets its @logical to one more than the last. */
+/** wc_event_ring_add() - store a copy of an event; its @logical is one more than the last. Writer thread only. */
 void wc_event_ring_add (WcEventRing *ring, const WcEvent *event);
 
-/** wc_event_ring_observe() - raise the logical clock to at least @logical. */
+/** wc_event_ring_observe() - raise the logical clock to at least @logical; from any thread. */
 void wc_event_ring_observe (WcEventRing *ring, uint64_t logical);
 
 /** wc_event_ring_get_logical() - logical clock now. */
--- a/include/wigeoncart/keyring.h
+++ b/include/wigeoncart/keyring.h
@@ -19,12 +19,20 @@
 /** struct WcKeyring - immutable keys by epoch, reference-counted (atomic). */
 typedef struct WcKeyring WcKeyring;
 
-/** wc_keyring_new() - derive the keys of all uses from @keys; the highest epoch seals. */
+/**
+ * wc_keyring_new() - derive the keys of all uses from @keys; the highest epoch seals.
+ *
+ * Of several keys with one epoch, the first is kept.
+ */
 WcKeyring *wc_keyring_new (const WcKey *keys, size_t count);
 WcKeyring *wc_keyring_ref (WcKeyring *keyring);
 void       wc_keyring_unref (WcKeyring *keyring);
 
-/** wc_keyring_get_newest_epoch() - epoch that seals; 0 when the ring is empty. */
+/**
+ * wc_keyring_get_newest_epoch() - epoch that seals; 0 when the ring is empty.
+ *
+ * Epoch 0 is also a valid epoch (the fleet key); wc_keyring_find() tells the two cases apart.
+ */
 uint32_t wc_keyring_get_newest_epoch (const WcKeyring *keyring);
 
 /** wc_keyring_find() - derived key of WC_KEY_BYTES bytes; NULL when the epoch is not in the ring. */
--- a/include/wigeoncart/ledger.h
+++ b/include/wigeoncart/ledger.h
@@ -41,16 +41,25 @@
 WcLedger *wc_ledger_new (uint32_t max_entries);
 void      wc_ledger_delete (WcLedger *ledger);
 
-/** wc_ledger_find() - entry of a serial; NULL when unused. Valid until the next insert or expire. */
+/** wc_ledger_find() - entry of a serial; NULL when unused. Valid until the next expire that drops it. */
 WcLedgerEntry *wc_ledger_find (WcLedger *ledger, uint64_t serial);
 
 /** wc_ledger_insert() - mark a serial as used, in state QUEUED. Return: NULL when full or already used. */
 WcLedgerEntry *wc_ledger_insert (WcLedger *ledger, uint64_t serial, uint64_t expiry_us);
 
-/** wc_ledger_expire() - drop entries past their expiry that are neither queued nor dispatched. Return: how many. */
+/**
+ * wc_ledger_expire() - drop entries past their expiry that are neither queued nor dispatched.
+ *
+ * An entry is dropped only after the time @expiry_us itself, so that a ticket that is still valid at that time is
+ * found. The cost is proportional to the entries past their expiry, not to the size of the ledger.
+ *
+ * Return: how many.
+ */
 uint32_t wc_ledger_expire (WcLedger *ledger, uint64_t now_us);
 
 uint32_t wc_ledger_get_count (const WcLedger *ledger);
-size_t   wc_ledger_get_bytes (const WcLedger *ledger);
+
+/** wc_ledger_get_bytes() - memory of the ledger, constant over its life. */
+size_t wc_ledger_get_bytes (const WcLedger *ledger);
 
 #endif
--- a/include/wigeoncart/seal.h
+++ b/include/wigeoncart/seal.h
@@ -14,7 +14,7 @@
 
 /**
  * struct WcSealer - source of nonces of one worker.
- * @prefix: random, drawn at start and again when @counter wraps, so that no two workers share a nonce.
+ * @prefix: random, drawn at start, so that no two workers share a nonce; replaced by its hash when @counter wraps.
  */
 typedef struct
 {
@@ -35,7 +35,12 @@
 size_t wc_seal (WcSealer *sealer, const WcKeyring *keyring, WcKeyUse use, const uint8_t *plain, size_t plain_bytes,
                 uint8_t *sealed, size_t capacity);
 
-/** wc_seal_open() - check and decrypt. Return: OK, UNKNOWN_KEY, FORGED, or TOO_LARGE when @capacity is too small. */
+/**
+ * wc_seal_open() - check and decrypt; does not allocate.
+ * @sealed: may be NULL when @sealed_bytes is 0.
+ *
+ * Return: OK, UNKNOWN_KEY, FORGED, or TOO_LARGE when @capacity is too small.
+ */
 WcStatus wc_seal_open (const WcKeyring *keyring, WcKeyUse use, const uint8_t *sealed, size_t sealed_bytes,
                        uint8_t *plain, size_t capacity, size_t *plain_bytes);
 
--- a/include/wigeoncart/stream_table.h
+++ b/include/wigeoncart/stream_table.h
@@ -31,10 +31,11 @@
 /** wc_stream_table_add() - add, or replace the waiter of the same caller and request id. Return: OK or NO_SPACE. */
 WcStatus wc_stream_table_add (WcStreamTable *table, const WcStreamWaiter *waiter);
 
-/** wc_stream_table_take_ready() - remove and return a waiter of @service whose cursor is below @cursor. */
+/** wc_stream_table_take_ready() - remove and return a waiter of @service whose cursor is below @cursor, lowest first.
+ */
 bool wc_stream_table_take_ready (WcStreamTable *table, uint32_t service, uint64_t cursor, WcStreamWaiter *waiter);
 
-/** wc_stream_table_take_expired() - remove and return a waiter whose deadline has passed. */
+/** wc_stream_table_take_expired() - remove and return a waiter whose deadline has been reached, earliest first. */
 bool wc_stream_table_take_expired (WcStreamTable *table, uint64_t now_us, WcStreamWaiter *waiter);
 
 /** wc_stream_table_has_service() - whether any waiter of @service is left; @lowest_cursor gets the lowest cursor. */
--- a/include/wigeoncart/ticket.h
+++ b/include/wigeoncart/ticket.h
@@ -29,7 +29,14 @@
 size_t wc_ticket_seal (WcSealer *sealer, const WcKeyring *keyring, const WcTicket *ticket,
                        uint8_t sealed[WC_TICKET_MAX_BYTES]);
 
-/** wc_ticket_open() - Return: OK, FORGED, UNKNOWN_KEY, or PARSE; expiry is the owner's to check. */
+/**
+ * wc_ticket_open() - check and decrypt; does not allocate.
+ * @ticket: filled on OK, unchanged otherwise.
+ *
+ * The owner checks the expiry.
+ *
+ * Return: OK, FORGED, UNKNOWN_KEY, or PARSE.
+ */
 WcStatus wc_ticket_open (const WcKeyring *keyring, const uint8_t *sealed, size_t sealed_bytes, WcTicket *ticket);
 
 #endif
--- a/include/wigeoncart/token.h
+++ b/include/wigeoncart/token.h
@@ -32,7 +32,14 @@
 size_t
 wc_token_seal (WcSealer *sealer, const WcKeyring *keyring, const WcToken *token, uint8_t sealed[WC_TOKEN_MAX_BYTES]);
 
-/** wc_token_open() - Return: OK, FORGED, UNKNOWN_KEY, EXPIRED, or PARSE. */
+/**
+ * wc_token_open() - check and decrypt; does not allocate.
+ * @token: filled on OK and EXPIRED, unchanged otherwise.
+ *
+ * A token is expired when @wall_s has reached its @expiry_wall_s.
+ *
+ * Return: OK, FORGED, UNKNOWN_KEY, EXPIRED, or PARSE.
+ */
 WcStatus
 wc_token_open (const WcKeyring *keyring, uint64_t wall_s, const uint8_t *sealed, size_t sealed_bytes, WcToken *token);
 
--- a/tests/test_address.c
+++ b/tests/test_address.c
@@ -1,8 +1,7 @@
-#include <check.h>
-#include <stdlib.h>
-
 #include <wigeoncart/address.h>
 
+#include "test_main.h"
+
 /* Guards against addresses that lose their port or family on the way through text. */
 START_TEST (test_round_trip)
 {
@@ -27,20 +26,15 @@
 }
 END_TEST
 
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_loop_test (tests, test_round_trip, 0, 3);
+  tcase_add_loop_test (tests, test_malformed, 0, 7);
+}
+
 int
 main (void)
 {
-  Suite   *suite = suite_create ("address");
-  TCase   *cases = tcase_create ("address");
-  SRunner *runner;
-  int      failed;
-
-  tcase_add_loop_test (cases, test_round_trip, 0, 3);
-  tcase_add_loop_test (cases, test_malformed, 0, 7);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return wc_test_run ("address", add_tests);
 }
--- /dev/null
+++ b/tests/test_counters.c
@@ -0,0 +1,64 @@
+#include <wigeoncart/counters.h>
+
+#include <ctype.h>
+#include <string.h>
+
+#include "test_main.h"
+
+/* Guards against names that the Prometheus text format rejects, and against counters without help. */
+START_TEST (test_names)
+{
+  const char *name = wc_counters_get_name (_i);
+
+  ck_assert_ptr_nonnull (name);
+  ck_assert_uint_gt (strlen (wc_counters_get_help (_i)), 0);
+  for (size_t i = 0; name[i] != '\0'; i++)
+    ck_assert (islower ((unsigned char)name[i]) || name[i] == '_');
+  ck_assert_uint_gt (strlen (name), strlen ("_total"));
+  ck_assert_str_eq (name + strlen (name) - strlen ("_total"), "_total");
+}
+END_TEST
+
+/* Guards against two counters that report under one name. */
+START_TEST (test_names_differ)
+{
+  for (int other = 0; other < _i; other++)
+    ck_assert_str_ne (wc_counters_get_name (_i), wc_counters_get_name (other));
+}
+END_TEST
+
+/* Guards against tables that are out of step with the enum. */
+START_TEST (test_order)
+{
+  ck_assert_str_eq (wc_counters_get_name (WC_COUNTER_PACKETS_RECEIVED), "packets_received_total");
+  ck_assert_str_eq (wc_counters_get_name (WC_COUNTER_EVENTS_RECORDED), "events_recorded_total");
+  ck_assert_str_eq (wc_counters_get_help (WC_COUNTER_OUTCOME_UNKNOWN), "Orders with unknown outcome.");
+}
+END_TEST
+
+/* Guards against an increment that changes another counter. */
+START_TEST (test_add)
+{
+  static WcCounters counters;
+
+  wc_counters_add (&counters, _i, 2);
+  wc_counters_add (&counters, _i, 3);
+  for (int counter = 0; counter < WC_COUNTER_COUNT; counter++)
+    ck_assert_uint_eq (wc_counters_get (&counters, counter), counter == _i ? 5 : 0);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_loop_test (tests, test_names, 0, WC_COUNTER_COUNT);
+  tcase_add_loop_test (tests, test_names_differ, 0, WC_COUNTER_COUNT);
+  tcase_add_test (tests, test_order);
+  tcase_add_loop_test (tests, test_add, 0, WC_COUNTER_COUNT);
+}
+
+int
+main (void)
+{
+  return wc_test_run ("counters", add_tests);
+}
--- /dev/null
+++ b/tests/test_main.h
@@ -0,0 +1,34 @@
+#ifndef WIGEONCART_TEST_MAIN_H
+#define WIGEONCART_TEST_MAIN_H
+
+#include <check.h>
+#include <sodium.h>
+#include <stdlib.h>
+
+/**
+ * wc_test_run() - run one suite with one test case.
+ * @name: name of the suite.
+ * @add_tests: adds the tests to the test case.
+ *
+ * Return: exit status for main().
+ */
+static inline int
+wc_test_run (const char *name, void (*add_tests) (TCase *tests))
+{
+  Suite   *suite = suite_create (name);
+  TCase   *tests = tcase_create (name);
+  SRunner *runner;
+  int      failed;
+
+  if (sodium_init () < 0)
+    return EXIT_FAILURE;
+  add_tests (tests);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+#endif
