--- /dev/null
+++ b/src/core/ledger.c
@@ -0,0 +1,229 @@
+#include <wigeoncart/ledger.h>
+
+#include <assert.h>
+#include <glib.h>
+#include <stdbool.h>
+
+enum
+{
+  /*
+   * A tick of 4.1 ms holds about 20 entries at 5,000 orders per second, and the wheel turns in 16.8 s, which is longer
+   * than the life of a ticket. Entries that expire later stay in their place for another turn.
+   */
+  TICK_SHIFT = 12,
+  WHEEL_SLOTS = 4096,
+  MAX_ENTRIES = 1 << 30
+};
+
+static const uint32_t NONE = UINT32_MAX;
+
+const char *const WC_LEDGER_STATE_STRINGS[WC_LEDGER_COUNT] = {
+  [WC_LEDGER_QUEUED] = "queued",   [WC_LEDGER_DISPATCHED] = "dispatched", [WC_LEDGER_DONE] = "done",
+  [WC_LEDGER_NOT_RUN] = "not run", [WC_LEDGER_UNKNOWN] = "unknown",
+};
+
+/* Entry with its links: in the chain of its hash bucket, and in one of wheel slot, overdue list and free list. */
+typedef struct
+{
+  WcLedgerEntry entry;
+  uint32_t      next_in_bucket;
+  uint32_t      next_in_list;
+} Record;
+
+/*
+ * Hash table with chains and a timing wheel by expiry.
+ *
+ * @overdue: entries past their expiry that were in progress when last seen; as many as there are requests in progress
+ * at most.
+ * @tick: all wheel slots before it are done.
+ */
+struct WcLedger
+{
+  Record   *records;
+  uint32_t *buckets;
+  uint32_t  max_entries;
+  uint32_t  bucket_count;
+  uint32_t  bucket_bits;
+  uint32_t  count;
+  uint32_t  free;
+  uint32_t  overdue;
+  uint64_t  tick;
+  uint32_t  wheel[WHEEL_SLOTS];
+};
+
+static uint32_t *find_bucket (const WcLedger *ledger, uint64_t serial);
+static void      push (WcLedger *ledger, uint32_t *list, uint32_t index);
+static bool      is_in_progress (const WcLedgerEntry *entry);
+static void      drop (WcLedger *ledger, uint32_t index);
+static uint32_t  sweep (WcLedger *ledger, uint32_t *list, uint64_t now_us);
+
+WcLedger *
+wc_ledger_new (uint32_t max_entries)
+{
+  WcLedger *ledger = g_new0 (WcLedger, 1);
+
+  assert (max_entries <= MAX_ENTRIES);
+
+  ledger->max_entries = max_entries;
+  ledger->bucket_bits = 1;
+  while ((UINT32_C (1) << ledger->bucket_bits) < max_entries)
+    ledger->bucket_bits++;
+  ledger->bucket_count = UINT32_C (1) << ledger->bucket_bits;
+  ledger->records = g_new0 (Record, max_entries);
+  ledger->buckets = g_new (uint32_t, ledger->bucket_count);
+  for (uint32_t i = 0; i < ledger->bucket_count; i++)
+    ledger->buckets[i] = NONE;
+  for (uint32_t i = 0; i < WHEEL_SLOTS; i++)
+    ledger->wheel[i] = NONE;
+  ledger->overdue = NONE;
+  ledger->free = NONE;
+  for (uint32_t i = max_entries; i > 0; i--)
+    push (ledger, &ledger->free, i - 1);
+  return ledger;
+}
+
+void
+wc_ledger_delete (WcLedger *ledger)
+{
+  if (!ledger)
+    return;
+  g_free (ledger->records);
+  g_free (ledger->buckets);
+  g_free (ledger);
+}
+
+WcLedgerEntry *
+wc_ledger_find (WcLedger *ledger, uint64_t serial)
+{
+  assert (ledger != NULL);
+
+  for (uint32_t i = *find_bucket (ledger, serial); i != NONE; i = ledger->records[i].next_in_bucket)
+    if (ledger->records[i].entry.serial == serial)
+      return &ledger->records[i].entry;
+  return NULL;
+}
+
+WcLedgerEntry *
+wc_ledger_insert (WcLedger *ledger, uint64_t serial, uint64_t expiry_us)
+{
+  uint32_t *bucket;
+  uint32_t  index;
+  Record   *record;
+  uint64_t  tick;
+
+  assert (ledger != NULL);
+
+  index = ledger->free;
+  if (index == NONE || wc_ledger_find (ledger, serial))
+    return NULL;
+  record = &ledger->records[index];
+  ledger->free = record->next_in_list;
+  ledger->count++;
+  record->entry = (WcLedgerEntry){ .serial = serial, .expiry_us = expiry_us, .state = WC_LEDGER_QUEUED };
+
+  bucket = find_bucket (ledger, serial);
+  record->next_in_bucket = *bucket;
+  *bucket = index;
+  /* Slots before the current tick are visited only a turn later. */
+  tick = MAX (expiry_us >> TICK_SHIFT, ledger->tick);
+  push (ledger, &ledger->wheel[tick % WHEEL_SLOTS], index);
+  return &record->entry;
+}
+
+uint32_t
+wc_ledger_expire (WcLedger *ledger, uint64_t now_us)
+{
+  uint64_t now_tick = now_us >> TICK_SHIFT;
+  uint32_t dropped;
+
+  assert (ledger != NULL);
+
+  dropped = sweep (ledger, &ledger->overdue, now_us);
+  /* After a gap of a whole turn, each slot is visited once. */
+  if (now_tick >= ledger->tick + WHEEL_SLOTS)
+    ledger->tick = now_tick - WHEEL_SLOTS + 1;
+  for (uint64_t tick = ledger->tick; tick <= now_tick; tick++)
+    dropped += sweep (ledger, &ledger->wheel[tick % WHEEL_SLOTS], now_us);
+  /* The current slot is visited again: it may hold entries that expire later in this tick. */
+  ledger->tick = MAX (ledger->tick, now_tick);
+  return dropped;
+}
+
+uint32_t
+wc_ledger_get_count (const WcLedger *ledger)
+{
+  assert (ledger != NULL);
+
+  return ledger->count;
+}
+
+size_t
+wc_ledger_get_bytes (const WcLedger *ledger)
+{
+  assert (ledger != NULL);
+
+  return sizeof *ledger + (size_t)ledger->max_entries * sizeof (Record) +
+         (size_t)ledger->bucket_count * sizeof (uint32_t);
+}
+
+/* local functions */
+
+static uint32_t *
+find_bucket (const WcLedger *ledger, uint64_t serial)
+{
+  /* Serials are often consecutive. Multiplication by 2^64 / golden ratio spreads them over the high bits. */
+  uint64_t hash = serial * UINT64_C (0x9e3779b97f4a7c15);
+
+  return &ledger->buckets[hash >> (64 - ledger->bucket_bits)];
+}
+
+static void
+push (WcLedger *ledger, uint32_t *list, uint32_t index)
+{
+  ledger->records[index].next_in_list = *list;
+  *list = index;
+}
+
+static bool
+is_in_progress (const WcLedgerEntry *entry)
+{
+  return entry->state == WC_LEDGER_QUEUED || entry->state == WC_LEDGER_DISPATCHED;
+}
+
+static void
+drop (WcLedger *ledger, uint32_t index)
+{
+  uint32_t *link = find_bucket (ledger, ledger->records[index].entry.serial);
+
+  while (*link != index)
+    link = &ledger->records[*link].next_in_bucket;
+  *link = ledger->records[index].next_in_bucket;
+  push (ledger, &ledger->free, index);
+  ledger->count--;
+}
+
+static uint32_t
+sweep (WcLedger *ledger, uint32_t *list, uint64_t now_us)
+{
+  uint32_t dropped = 0;
+  uint32_t index = *list;
+
+  *list = NONE;
+  while (index != NONE)
+    {
+      Record  *record = &ledger->records[index];
+      uint32_t next = record->next_in_list;
+
+      if (record->entry.expiry_us >= now_us)
+        push (ledger, list, index);
+      else if (is_in_progress (&record->entry))
+        push (ledger, &ledger->overdue, index);
+      else
+        {
+          drop (ledger, index);
+          dropped++;
+        }
+      index = next;
+    }
+  return dropped;
+}
