--- a/src/core/control.c
+++ b/src/core/control.c
@@ -69,6 +69,7 @@
   control->avoided = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   control->pending_notes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   control->own_version = 1;
+  control->pace = 1;
   control->own_state = WC_MEMBER_LISTED;
   wc_control_update_table (control);
   return control;
@@ -429,8 +430,10 @@
 static void
 pause_detected (WcControl *control, uint64_t now_us, uint64_t gap_us)
 {
-  GHashTableIter iterator;
-  gpointer       value;
+  GHashTableIter  iterator;
+  gpointer        value;
+  size_t          count;
+  const WcMember *members = wc_member_table_get (control->table, &count);
 
   wc_counters_add (control->counters, WC_COUNTER_PAUSES_DETECTED, 1);
   wc_control_record (control, WC_EVENT_PAUSE_DETECTED, gap_us, "gap in the clock of the control thread");
@@ -442,6 +445,11 @@
 
       record->direct_us = MAX (record->direct_us, now_us);
     }
+  /* The silence of the others was this instance's own. */
+  for (size_t i = 0; i < count; i++)
+    if (members[i].domain == control->config.self.domain
+        && (members[i].state == WC_MEMBER_LIVE || members[i].state == WC_MEMBER_LEAVING))
+      wc_membership_heard (control->membership, now_us, &members[i]);
   control->challenge = ((uint64_t)g_rand_int (control->random) << 32) | g_rand_int (control->random) | 1;
   g_hash_table_iter_init (&iterator, control->links);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -19,6 +19,9 @@
    * n^(2/3), 6 in total, and news of a member is passed on by its neighbours. */
   WC_CONTROL_MESH_MEMBERS = 9,
   WC_CONTROL_RING_OFFSETS = 3,
+  /* Heartbeats and the limits on silence are stretched by this factor in a domain that is not a full mesh, to keep the
+   * control traffic of 240 members per domain below 2 KB/s a node. */
+  WC_CONTROL_LARGE_PACE = 4,
   /* Members in one heartbeat: about 45 bytes each. */
   WC_CONTROL_NOTES_PER_FRAME = 256,
   /* Parts asked for in one CONFIG_ASK; bounds the answer to 8 MB. */
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -87,7 +87,7 @@
   Wc__PeerFrame frame = WC__PEER_FRAME__INIT;
   Wc__ConfigId  config = WC__CONFIG_ID__INIT;
   WcConfigId    own;
-  uint64_t      interval_us = control->config.heartbeat_us;
+  uint64_t      interval_us = control->config.heartbeat_us * control->pace;
   bool          first = link->heartbeats == 0;
 
   if (link->domain != control->config.self.domain)
@@ -386,7 +386,8 @@
 static void
 watch_neighbours (WcControl *control, uint64_t now_us, bool connected)
 {
-  uint64_t       silence_us = control->config.suspect_after_us;
+  uint64_t       silence_us = control->config.suspect_after_us * control->pace;
+  uint64_t       vouch_us = control->config.suspect_after_us / 2;
   GHashTableIter iterator;
   gpointer       value;
 
@@ -416,8 +417,8 @@
           control->next_topology_us = now_us;
           note_changed (control, record->member.id);
         }
-      else if (connected && now_us >= record->direct_us + silence_us / 2 && now_us >= record->vouched_us + silence_us / 2
-               && (!record->monitored || fresh_note))
+      else if (connected && now_us >= record->direct_us + vouch_us && now_us >= record->vouched_us + vouch_us
+               && (!record->monitored || fresh_note || now_us < record->direct_us + silence_us))
         {
           record->vouched_us = now_us;
           wc_membership_heard (control->membership, now_us, &record->member);
@@ -438,7 +439,7 @@
       const WcControlLink *link = value;
 
       if (link->domain == control->config.self.domain && link->heard
-          && now_us < link->heard_us + control->config.suspect_after_us)
+          && now_us < link->heard_us + control->config.suspect_after_us * control->pace)
         return true;
     }
   return false;
--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -115,6 +115,7 @@
   uint32_t       own_version;
   WcMemberState  own_state;
   uint64_t       next_topology_us;
+  uint32_t       pace;
   uint64_t       next_list_us;
   bool           list_pending;
   bool           list_known;
--- a/src/core/control_topology.c
+++ b/src/core/control_topology.c
@@ -1,8 +1,10 @@
 #include "core/control_private.h"
+#include "core/mix.h"
 
 #include <math.h>
 #include <string.h>
 
+/* Waits for a link to another domain before another member is tried. */
 enum
 {
   MS = 1000,
@@ -16,7 +18,7 @@
 static void     want_neighbours (WcControl *control, uint64_t now_us, GHashTable *wanted);
 static void     want_absent (WcControl *control, uint64_t now_us, GArray *ring, GHashTable *wanted);
 static void     want_other_domains (WcControl *control, uint64_t now_us, GHashTable *wanted);
-static uint64_t mix (uint64_t a, uint64_t b);
+static uint64_t weight (const WcControl *control, const WcMember *member);
 
 void
 wc_control_update_topology (WcControl *control, uint64_t now_us)
@@ -120,6 +122,7 @@
   while (g_array_index (ring, WcMember, own).id != control->config.self.id)
     own++;
 
+  control->pace = ring->len <= WC_CONTROL_MESH_MEMBERS ? 1 : WC_CONTROL_LARGE_PACE;
   if (ring->len <= WC_CONTROL_MESH_MEMBERS)
     for (guint i = 0; i < ring->len; i++)
       {
@@ -196,7 +199,7 @@
           || members[i].state == WC_MEMBER_LEAVING || (avoided && now_us < *avoided))
         continue;
       chosen = g_hash_table_lookup (best, GUINT_TO_POINTER (members[i].domain));
-      if (!chosen || mix (control->config.self.id, members[i].id) > mix (control->config.self.id, chosen->id))
+      if (!chosen || weight (control, &members[i]) > weight (control, chosen))
         g_hash_table_insert (best, GUINT_TO_POINTER (members[i].domain), (gpointer)&members[i]);
     }
   g_hash_table_iter_init (&iterator, best);
@@ -205,13 +208,8 @@
   g_hash_table_destroy (best);
 }
 
-/* Finalizer of SplitMix64: ids are hashes already, the mix only makes each pair's weight independent. */
 static uint64_t
-mix (uint64_t a, uint64_t b)
+weight (const WcControl *control, const WcMember *member)
 {
-  uint64_t x = a ^ (b * UINT64_C (0x9e3779b97f4a7c15));
-
-  x = (x ^ (x >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
-  x = (x ^ (x >> 27)) * UINT64_C (0x94d049bb133111eb);
-  return x ^ (x >> 31);
+  return wc_mix64 (wc_mix64 (control->config.self.id) ^ member->id);
 }
--- /dev/null
+++ b/src/edge/platform_client.c
@@ -0,0 +1,442 @@
+#include "edge/platform_client.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <strings.h>
+#include <unistd.h>
+
+#include <http_parser.h>
+
+#include <wigeoncart/register.h>
+
+#include "edge/log.h"
+#include "edge/socket.h"
+
+enum
+{
+  BUFFER_BYTES = 16384,
+  HEADER_BYTES = 64
+};
+
+/* Time for one platform to answer, on top of the time that a watch may take. */
+static const double ANSWER_LIMIT_S = 2.0;
+static const double BLOCKED_DELAY_S = 0.05;
+
+typedef struct
+{
+  WcPlatformClient *client;
+  WcPlatformRead    kind;
+  bool              active;
+  char             *path;
+  uint32_t          wait_ms;
+  size_t            tried;
+  size_t            address;
+  int               descriptor;
+  bool              connecting;
+  bool              complete;
+  bool              too_large;
+  char             *request;
+  size_t            request_sent;
+  GByteArray       *body;
+  uint64_t          version;
+  char              field[HEADER_BYTES];
+  char              value[HEADER_BYTES];
+  bool              in_value;
+  http_parser       parser;
+  ev_io             io;
+  ev_timer          timer;
+} Read;
+
+struct WcPlatformClient
+{
+  struct ev_loop    *loop;
+  WcAddress         *addresses;
+  size_t             count;
+  size_t             preferred;
+  bool               blocked;
+  WcPlatformCallback callback;
+  void              *user_data;
+  Read               reads[WC_PLATFORM_READ_COUNT];
+};
+
+static void start_attempt (Read *read);
+static void attempt_failed (Read *read, const char *reason);
+static void finish (Read *read, WcPlatformResult result);
+static void close_socket (Read *read);
+static void io_ready (struct ev_loop *loop, ev_io *watcher, int events);
+static void timer_passed (struct ev_loop *loop, ev_timer *watcher, int events);
+static void wait_for (Read *read, int events);
+static bool send_request (Read *read);
+static void receive (Read *read);
+static void header_complete (Read *read);
+static int  on_header_field (http_parser *parser, const char *data, size_t size_bytes);
+static int  on_header_value (http_parser *parser, const char *data, size_t size_bytes);
+static int  on_headers_complete (http_parser *parser);
+static int  on_body (http_parser *parser, const char *data, size_t size_bytes);
+static int  on_message_complete (http_parser *parser);
+
+static const http_parser_settings PARSER_SETTINGS = {
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+WcPlatformClient *
+wc_platform_client_new (struct ev_loop *loop, const WcAddress *addresses, size_t count, WcPlatformCallback callback,
+                        void *user_data)
+{
+  WcPlatformClient *client;
+
+  assert (loop != NULL);
+  assert (count > 0);
+  assert (callback != NULL);
+
+  client = g_new0 (WcPlatformClient, 1);
+  client->loop = loop;
+  client->addresses = g_memdup2 (addresses, count * sizeof *addresses);
+  client->count = count;
+  client->callback = callback;
+  client->user_data = user_data;
+  for (int i = 0; i < WC_PLATFORM_READ_COUNT; i++)
+    {
+      Read *read = &client->reads[i];
+
+      read->client = client;
+      read->kind = (WcPlatformRead)i;
+      read->descriptor = -1;
+      read->body = g_byte_array_new ();
+      ev_init (&read->io, io_ready);
+      ev_init (&read->timer, timer_passed);
+      read->io.data = read;
+      read->timer.data = read;
+    }
+  return client;
+}
+
+void
+wc_platform_client_delete (WcPlatformClient *client)
+{
+  if (!client)
+    return;
+  for (int i = 0; i < WC_PLATFORM_READ_COUNT; i++)
+    {
+      wc_platform_client_cancel (client, (WcPlatformRead)i);
+      g_byte_array_free (client->reads[i].body, TRUE);
+      g_free (client->reads[i].path);
+      g_free (client->reads[i].request);
+    }
+  g_free (client->addresses);
+  g_free (client);
+}
+
+void
+wc_platform_client_get (WcPlatformClient *client, WcPlatformRead kind, const char *path, uint32_t wait_ms)
+{
+  Read *read;
+
+  assert (client != NULL);
+  assert (kind < WC_PLATFORM_READ_COUNT);
+  assert (path != NULL);
+
+  wc_platform_client_cancel (client, kind);
+  read = &client->reads[kind];
+  g_free (read->path);
+  read->path = g_strdup (path);
+  read->wait_ms = wait_ms;
+  read->tried = 0;
+  read->active = true;
+  ev_timer_set (&read->timer, client->blocked ? BLOCKED_DELAY_S : 0.0, 0.0);
+  ev_timer_start (client->loop, &read->timer);
+}
+
+void
+wc_platform_client_cancel (WcPlatformClient *client, WcPlatformRead kind)
+{
+  Read *read;
+
+  assert (client != NULL);
+
+  read = &client->reads[kind];
+  close_socket (read);
+  ev_timer_stop (client->loop, &read->timer);
+  read->active = false;
+}
+
+void
+wc_platform_client_set_blocked (WcPlatformClient *client, bool blocked)
+{
+  assert (client != NULL);
+
+  client->blocked = blocked;
+  if (!blocked)
+    return;
+  for (int i = 0; i < WC_PLATFORM_READ_COUNT; i++)
+    if (client->reads[i].active)
+      {
+        close_socket (&client->reads[i]);
+        ev_timer_stop (client->loop, &client->reads[i].timer);
+        ev_timer_set (&client->reads[i].timer, BLOCKED_DELAY_S, 0.0);
+        ev_timer_start (client->loop, &client->reads[i].timer);
+      }
+}
+
+/* local functions */
+
+static void
+start_attempt (Read *read)
+{
+  WcPlatformClient *client = read->client;
+  char              host[WC_ADDRESS_TEXT_BYTES];
+
+  if (client->blocked)
+    {
+      finish (read, WC_PLATFORM_READ_FAILED);
+      return;
+    }
+  read->address = (client->preferred + read->tried) % client->count;
+  read->tried++;
+  read->descriptor = wc_socket_connect (&client->addresses[read->address]);
+  if (read->descriptor < 0)
+    {
+      attempt_failed (read, g_strerror (errno));
+      return;
+    }
+  g_free (read->request);
+  read->request = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", read->path,
+                                   wc_address_format (&client->addresses[read->address], host));
+  read->request_sent = 0;
+  read->connecting = true;
+  read->complete = false;
+  read->too_large = false;
+  read->version = 0;
+  read->field[0] = '\0';
+  read->value[0] = '\0';
+  read->in_value = false;
+  g_byte_array_set_size (read->body, 0);
+  http_parser_init (&read->parser, HTTP_RESPONSE);
+  read->parser.data = read;
+  wait_for (read, EV_WRITE);
+  ev_timer_set (&read->timer, ANSWER_LIMIT_S + (double)read->wait_ms / 1000.0, 0.0);
+  ev_timer_start (client->loop, &read->timer);
+}
+
+/* Tries the next platform, or reports the failure when all were tried. */
+static void
+attempt_failed (Read *read, const char *reason)
+{
+  WcPlatformClient *client = read->client;
+  char              text[WC_ADDRESS_TEXT_BYTES];
+
+  wc_log_limited (WC_LOG_NOTICE, "platform", "Read of %s from %s failed: %s.", read->path,
+                  wc_address_format (&client->addresses[read->address], text), reason);
+  close_socket (read);
+  ev_timer_stop (client->loop, &read->timer);
+  if (read->tried >= client->count)
+    {
+      finish (read, WC_PLATFORM_READ_FAILED);
+      return;
+    }
+  ev_timer_set (&read->timer, 0.0, 0.0);
+  ev_timer_start (client->loop, &read->timer);
+}
+
+/* The callback may start the next read of this kind, so the body is handed over first. */
+static void
+finish (Read *read, WcPlatformResult result)
+{
+  WcPlatformClient *client = read->client;
+  GByteArray       *body = read->body;
+
+  close_socket (read);
+  ev_timer_stop (client->loop, &read->timer);
+  read->active = false;
+  if (result != WC_PLATFORM_READ_FAILED)
+    client->preferred = read->address;
+  read->body = g_byte_array_new ();
+  client->callback (client->user_data, read->kind, result, read->version, (const char *)body->data,
+                    result == WC_PLATFORM_READ_OK ? body->len : 0);
+  g_byte_array_free (body, TRUE);
+}
+
+static void
+close_socket (Read *read)
+{
+  ev_io_stop (read->client->loop, &read->io);
+  if (read->descriptor >= 0)
+    close (read->descriptor);
+  read->descriptor = -1;
+}
+
+static void
+timer_passed (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  Read *read = watcher->data;
+
+  (void)loop;
+  (void)events;
+  if (read->descriptor >= 0)
+    attempt_failed (read, "no answer in time");
+  else
+    start_attempt (read);
+}
+
+static void
+io_ready (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  Read *read = watcher->data;
+
+  (void)loop;
+  if (events & EV_WRITE)
+    {
+      if (!send_request (read))
+        return;
+    }
+  if (events & EV_READ)
+    receive (read);
+}
+
+static void
+wait_for (Read *read, int events)
+{
+  ev_io_stop (read->client->loop, &read->io);
+  ev_io_set (&read->io, read->descriptor, events);
+  ev_io_start (read->client->loop, &read->io);
+}
+
+/* Return: false when the attempt has failed. */
+static bool
+send_request (Read *read)
+{
+  size_t  left;
+  ssize_t sent;
+
+  if (read->connecting)
+    {
+      int       error = 0;
+      socklen_t length = sizeof error;
+
+      getsockopt (read->descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+      if (error != 0)
+        {
+          attempt_failed (read, g_strerror (error));
+          return false;
+        }
+      read->connecting = false;
+    }
+  left = strlen (read->request) - read->request_sent;
+  sent = send (read->descriptor, read->request + read->request_sent, left, MSG_NOSIGNAL);
+  if (sent < 0 && errno != EAGAIN && errno != EINTR)
+    {
+      attempt_failed (read, g_strerror (errno));
+      return false;
+    }
+  if (sent > 0)
+    read->request_sent += (size_t)sent;
+  if (read->request_sent == strlen (read->request))
+    wait_for (read, EV_READ);
+  return true;
+}
+
+static void
+receive (Read *read)
+{
+  char    buffer[BUFFER_BYTES];
+  ssize_t got = recv (read->descriptor, buffer, sizeof buffer, 0);
+  size_t  parsed;
+
+  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (got < 0)
+    {
+      attempt_failed (read, g_strerror (errno));
+      return;
+    }
+  /* A size of 0 tells the parser that the connection was closed. */
+  parsed = http_parser_execute (&read->parser, &PARSER_SETTINGS, buffer, (size_t)got);
+  if (read->too_large)
+    attempt_failed (read, "the answer is longer than 1 MB");
+  else if (read->complete && read->parser.status_code == 200)
+    finish (read, WC_PLATFORM_READ_OK);
+  else if (read->complete && read->parser.status_code == 304)
+    finish (read, WC_PLATFORM_READ_UNCHANGED);
+  else if (read->complete)
+    attempt_failed (read, "the answer is neither 200 nor 304");
+  else if (parsed != (size_t)got || got == 0)
+    attempt_failed (read, "the answer is malformed or incomplete");
+}
+
+static void
+header_complete (Read *read)
+{
+  if (strcasecmp (read->field, "X-Version") == 0)
+    read->version = g_ascii_strtoull (read->value, NULL, 10);
+  read->field[0] = '\0';
+  read->value[0] = '\0';
+}
+
+static int
+on_header_field (http_parser *parser, const char *data, size_t size_bytes)
+{
+  Read *read = parser->data;
+
+  if (read->in_value)
+    header_complete (read);
+  read->in_value = false;
+  for (size_t used = strlen (read->field); size_bytes > 0 && used + 1 < sizeof read->field; used++, size_bytes--)
+    {
+      read->field[used] = *data++;
+      read->field[used + 1] = '\0';
+    }
+  return 0;
+}
+
+static int
+on_header_value (http_parser *parser, const char *data, size_t size_bytes)
+{
+  Read *read = parser->data;
+
+  read->in_value = true;
+  for (size_t used = strlen (read->value); size_bytes > 0 && used + 1 < sizeof read->value; used++, size_bytes--)
+    {
+      read->value[used] = *data++;
+      read->value[used + 1] = '\0';
+    }
+  return 0;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  Read *read = parser->data;
+
+  if (read->in_value)
+    header_complete (read);
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *data, size_t size_bytes)
+{
+  Read *read = parser->data;
+
+  if (read->body->len + size_bytes > WC_REGISTER_PART_MAX_BYTES)
+    {
+      read->too_large = true;
+      return 1;
+    }
+  g_byte_array_append (read->body, (const guint8 *)data, (guint)size_bytes);
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  Read *read = parser->data;
+
+  read->complete = true;
+  return 0;
+}
