--- a/include/wigeoncart/register.h
+++ b/include/wigeoncart/register.h
@@ -11,7 +11,11 @@
 enum
 {
   WC_KEY_BYTES = 32,
-  WC_REGISTER_PART_MAX_BYTES = 1000000
+  /* The platform's limit for one value. */
+  WC_REGISTER_PART_MAX_BYTES = 1000000,
+  /* All parts together; three times a register of 7,400 hosts, so that the memory of the control thread stays bounded.
+   */
+  WC_REGISTER_MAX_BYTES = 4000000
 };
 
 /** enum WcAffinity - whether a flow's requests prefer the target of its token. */
@@ -84,7 +88,18 @@
 typedef struct WcRegister WcRegister;
 
 /**
- * wc_register_parse() - parse and validate the sections of a register.
+ * struct WcRegisterPart - text of some sections of a register.
+ * @name: what messages call the text (a file name or a key).
+ */
+typedef struct
+{
+  const char *name;
+  const char *text;
+  size_t      size_bytes;
+} WcRegisterPart;
+
+/**
+ * wc_register_parse() - parse and validate a whole register.
  * @name: what messages call the text (a file name or a key).
  *
  * Validation depends on the text alone, so that all instances reach the same verdict. On failure the message names
@@ -94,6 +109,17 @@
  */
 WcRegister *wc_register_parse (const char *name, const char *text, size_t size_bytes, WcError *error);
 
+/**
+ * wc_register_parse_parts() - parse and validate the parts of a register together.
+ * @revision: revision of the head, from 1; the parts hold none.
+ *
+ * The arrays of a section are joined over all parts. One part at a time is held as a tree, so that small parts need
+ * little memory.
+ *
+ * Return: a new register with one reference, or NULL with PARSE, INVALID or TOO_LARGE in @error.
+ */
+WcRegister *wc_register_parse_parts (uint64_t revision, const WcRegisterPart *parts, size_t count, WcError *error);
+
 WcRegister *wc_register_ref (WcRegister *reg);
 void        wc_register_unref (WcRegister *reg);
 
--- /dev/null
+++ b/src/core/json_doc.h
@@ -0,0 +1,97 @@
+#ifndef WC_CORE_JSON_DOC_H
+#define WC_CORE_JSON_DOC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <json-c/json.h>
+
+#include <wigeoncart/address.h>
+#include <wigeoncart/register.h>
+#include <wigeoncart/status.h>
+
+enum
+{
+  WC_JSON_NAME_MAX_BYTES = 63
+};
+
+/** enum WcJsonType - types of values that the registers, heads and settings use. */
+typedef enum
+{
+  /* Whole number in a range. */
+  WC_JSON_UINT = 0,
+  WC_JSON_BOOL,
+  /* 1 to WC_JSON_NAME_MAX_BYTES letters, digits, '.', '_' and '-', starting with a letter or digit. */
+  WC_JSON_NAME,
+  /* IP address and port of one host. */
+  WC_JSON_ADDRESS,
+  /* Address to listen on; the IP address may be unspecified. */
+  WC_JSON_LISTEN_ADDRESS,
+  /* Base64 of WC_KEY_BYTES bytes. */
+  WC_JSON_SECRET,
+  /* Lower-case hexadecimal digits of a 32-byte digest. */
+  WC_JSON_DIGEST,
+  /* One of a list of strings. */
+  WC_JSON_CHOICE,
+  WC_JSON_ARRAY,
+  WC_JSON_OBJECT,
+  WC_JSON_TYPE_COUNT
+} WcJsonType;
+
+/**
+ * struct WcJsonField - a key that an object may have.
+ * @min, @max: range of a WC_JSON_UINT; least and largest number of elements of a WC_JSON_ARRAY or WC_JSON_OBJECT.
+ * @choices: strings of a WC_JSON_CHOICE, ended by NULL.
+ */
+typedef struct
+{
+  const char        *key;
+  WcJsonType         type;
+  bool               required;
+  uint64_t           min;
+  uint64_t           max;
+  const char *const *choices;
+} WcJsonField;
+
+/** struct WcJsonDoc - parsed JSON text that knows the line of each value. */
+typedef struct WcJsonDoc WcJsonDoc;
+
+/**
+ * wc_json_doc_new() - parse strict JSON with comments, the root being an object.
+ * @name: what messages call the text.
+ *
+ * Duplicate keys, null values and keys with escapes are errors.
+ *
+ * Return: a new document, or NULL with PARSE or INVALID in @error.
+ */
+WcJsonDoc *wc_json_doc_new (const char *name, const char *text, size_t size_bytes, WcError *error);
+void       wc_json_doc_delete (WcJsonDoc *doc);
+
+struct json_object *wc_json_doc_get_root (const WcJsonDoc *doc);
+
+/** wc_json_doc_check() - check the keys of an object and their values. Return: false with INVALID in @error. */
+bool wc_json_doc_check (const WcJsonDoc *doc, struct json_object *object, const WcJsonField *fields, size_t count,
+                        WcError *error);
+
+/** wc_json_doc_check_value() - check one value, such as an element of an array, against @field. */
+bool
+wc_json_doc_check_value (const WcJsonDoc *doc, struct json_object *value, const WcJsonField *field, WcError *error);
+
+/** wc_json_get_line() - line of a value, from 1. */
+uint32_t wc_json_get_line (struct json_object *value);
+
+/* Values of checked objects; @fallback when the key is absent. */
+uint64_t    wc_json_get_uint (struct json_object *object, const char *key, uint64_t fallback);
+bool        wc_json_get_bool (struct json_object *object, const char *key, bool fallback);
+const char *wc_json_get_string (struct json_object *object, const char *key, const char *fallback);
+void        wc_json_get_address (struct json_object *object, const char *key, WcAddress *address);
+
+/** wc_json_decode_secret() - decode base64; false unless it is exactly WC_KEY_BYTES bytes long. */
+bool wc_json_decode_secret (const char *text, uint8_t secret[WC_KEY_BYTES]);
+
+/** wc_json_fail() - store "name:line: key: reason" as INVALID. Return: false. */
+bool wc_json_fail (WcError *error, const char *name, uint32_t line, const char *key, const char *format, ...)
+    __attribute__ ((format (printf, 5, 6)));
+
+#endif
--- /dev/null
+++ b/src/core/register_private.h
@@ -0,0 +1,34 @@
+#ifndef WC_CORE_REGISTER_PRIVATE_H
+#define WC_CORE_REGISTER_PRIVATE_H
+
+#include <glib.h>
+
+#include <wigeoncart/register.h>
+
+/* Revisions stay exact in tools that hold numbers as doubles. */
+#define WC_REVISION_MAX ((UINT64_C (1) << 53) - 1)
+
+/**
+ * struct WcRegister - see register.h.
+ * @strings: all names.
+ * @domains, @services, @customers: sorted by id; @keys: sorted by epoch.
+ * @targets: sorted by service, domain and id.
+ * @target_index: positions in @targets, sorted by the target's id.
+ */
+struct WcRegister
+{
+  gint          references;
+  uint64_t      revision;
+  GStringChunk *strings;
+  GArray       *domains;
+  GArray       *services;
+  GArray       *customers;
+  GArray       *keys;
+  GArray       *targets;
+  GArray       *target_index;
+};
+
+/** wc_register_new() - empty register with one reference. */
+WcRegister *wc_register_new (uint64_t revision);
+
+#endif
--- /dev/null
+++ b/src/core/register_rules.c
@@ -0,0 +1,128 @@
+#include "core/register_draft.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <wigeoncart/name_id.h>
+
+static bool check_names (const WcDraft *draft, const GArray *rules, GHashTable *names, const char *key,
+                         const char *kind, WcError *error);
+static bool check_group (const WcDraft *draft, guint first, guint last, WcError *error);
+static bool check_member (const WcDraft *draft, GHashTable *hosts, const char *service, WcError *error);
+
+bool
+wc_draft_check_rules (WcDraft *draft, GHashTable *services, GHashTable *hosts, WcError *error)
+{
+  guint last;
+
+  assert (draft != NULL);
+
+  if (!check_names (draft, draft->separate, services, "separate", "service", error) ||
+      !check_names (draft, draft->leaving, hosts, "leaving", "host", error) ||
+      !check_names (draft, draft->weights, hosts, "weights", "host", error))
+    return false;
+
+  for (guint first = 0; first < draft->separate->len; first = last)
+    {
+      uint32_t group = g_array_index (draft->separate, WcDraftRule, first).group;
+
+      for (last = first; last < draft->separate->len; last++)
+        if (g_array_index (draft->separate, WcDraftRule, last).group != group)
+          break;
+      if (!check_group (draft, first, last, error))
+        return false;
+    }
+  for (guint i = 0; i < draft->leaving->len; i++)
+    {
+      const WcDraftRule *rule = &g_array_index (draft->leaving, WcDraftRule, i);
+      WcDraftHost       *host = g_hash_table_lookup (hosts, rule->name);
+
+      if (host->leaving)
+        return wc_draft_fail (draft, error, rule->place, "leaving", "host '%s' is listed twice", rule->name);
+      host->leaving = true;
+    }
+  for (guint i = 0; i < draft->weights->len; i++)
+    {
+      const WcDraftRule *rule = &g_array_index (draft->weights, WcDraftRule, i);
+      WcDraftHost       *host = g_hash_table_lookup (hosts, rule->name);
+
+      /* Within one part the parser finds duplicate keys; this finds them over parts. */
+      if (host->weighted)
+        return wc_draft_fail (draft, error, rule->place, "weights", "host '%s' is listed twice", rule->name);
+      host->weighted = true;
+      host->weight = rule->weight;
+    }
+  return true;
+}
+
+/* local functions */
+
+static bool
+check_names (const WcDraft *draft, const GArray *rules, GHashTable *names, const char *key, const char *kind,
+             WcError *error)
+{
+  for (guint i = 0; i < rules->len; i++)
+    {
+      const WcDraftRule *rule = &g_array_index (rules, WcDraftRule, i);
+
+      if (!g_hash_table_contains (names, rule->name))
+        return wc_draft_fail (draft, error, rule->place, key, "unknown %s '%.63s'", kind, rule->name);
+    }
+  return true;
+}
+
+/* No two services of a group may have targets on one host. No two targets at all have one address. */
+static bool
+check_group (const WcDraft *draft, guint first, guint last, WcError *error)
+{
+  GHashTable *members = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTable *hosts = g_hash_table_new (NULL, NULL);
+  bool        valid = true;
+
+  for (guint i = first; valid && i < last; i++)
+    {
+      WcDraftRule *rule = &g_array_index (draft->separate, WcDraftRule, i);
+
+      if (!g_hash_table_insert (members, rule->name, rule))
+        valid = wc_draft_fail (draft, error, rule->place, "separate", "service '%s' is listed twice", rule->name);
+    }
+  for (guint i = first; valid && i < last; i++)
+    valid = check_member (draft, hosts, g_array_index (draft->separate, WcDraftRule, i).name, error);
+  g_hash_table_destroy (members);
+  g_hash_table_destroy (hosts);
+  return valid;
+}
+
+/* @hosts maps hosts to the service of the group that they run; the targets are sorted by service. */
+static bool
+check_member (const WcDraft *draft, GHashTable *hosts, const char *service, WcError *error)
+{
+  uint32_t id = wc_name_id32 (service);
+  guint    low = 0;
+  guint    high = draft->targets->len;
+
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+
+      if (g_array_index (draft->targets, WcDraftTarget, middle).target.service < id)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  for (; low < draft->targets->len; low++)
+    {
+      const WcDraftTarget *target = &g_array_index (draft->targets, WcDraftTarget, low);
+      gpointer             host = GUINT_TO_POINTER (target->host + 1);
+      const char          *other = g_hash_table_lookup (hosts, host);
+
+      if (target->target.service != id)
+        break;
+      if (other && strcmp (other, service) != 0)
+        return wc_draft_fail (draft, error, target->place, "service",
+                              "'%s' and '%s' are kept separate but share host '%s'", other, service,
+                              target->target.host);
+      g_hash_table_insert (hosts, host, (gpointer)service);
+    }
+  return true;
+}
