--- /dev/null
+++ b/tests/test_client.c
@@ -0,0 +1,423 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "fake_fleet.h"
+
+enum
+{
+  SECOND_US = 1000000
+};
+
+static uint64_t
+start (FakeFleet *fleet, bool is_order, uint64_t deadline_us)
+{
+  WcClientRequest request = { .method = "GET", .path = "/x", .deadline_us = deadline_us };
+  uint64_t        flow = wc_client_open (fleet->client, fleet->now_us, "order-desk", "dealer-7");
+  uint64_t        call;
+
+  call = is_order ? wc_client_order (fleet->client, fleet->now_us, flow, &request, NULL)
+                  : wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
+  ck_assert_uint_ne (call, 0);
+  return call;
+}
+
+static uint32_t
+count_order_runs (FakeFleet *fleet)
+{
+  GHashTableIter iter;
+  void          *value;
+  uint32_t       runs = 0;
+
+  g_hash_table_iter_init (&iter, fleet->orders);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    runs += ((FakeOrder *)value)->runs;
+  return runs;
+}
+
+/* Guards against answers that arrive damaged or never on a network that loses, repeats and reorders datagrams. */
+START_TEST (test_whole_answer_on_bad_network)
+{
+  static const uint32_t SIZES[] = { 0, 1, 1100, 1101, 17 * 1100, 200000 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (SIZES); i++)
+    {
+      FakeFleet *fleet = fake_fleet_new ((uint32_t)_i * 10 + (uint32_t)i, NULL);
+
+      fleet->loss = 0.1;
+      fleet->duplicate = 0.2;
+      fleet->jitter_us = 30000;
+      fleet->answer_bytes = SIZES[i];
+      start (fleet, false, fleet->now_us + 60 * (uint64_t)SECOND_US);
+      fake_run (fleet, UINT64_MAX - 1, 1);
+      ck_assert_uint_eq (fleet->finished, 1);
+      ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+      ck_assert_uint_eq (fleet->http_status, 200);
+      ck_assert (fake_answer_is_whole (fleet));
+      ck_assert_uint_le (fleet->max_datagram_bytes, WC_DATAGRAM_MAX_BYTES);
+      ck_assert_uint_le (fleet->max_fetch_parts, 64);
+      fake_fleet_delete (fleet);
+    }
+}
+END_TEST
+
+/* Guards against a long answer that is never released, which would fill the holder's memory. */
+START_TEST (test_releases_long_answer)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+
+  fleet->answer_bytes = 150000;
+  start (fleet, false, fleet->now_us + 10 * (uint64_t)SECOND_US);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  fake_run (fleet, fleet->now_us + SECOND_US, 2);
+  ck_assert_uint_eq (fleet->releases, 1);
+  ck_assert_uint_eq (fleet->requests, 1);
+  ck_assert_uint_eq (wc_client_get_call_count (fleet->client), 0);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against unbounded memory for an answer that exceeds the caller's limit. */
+START_TEST (test_answer_over_limit)
+{
+  FakeFleet     *fleet;
+  WcClientConfig config;
+
+  wc_client_config_init (&config);
+  config.answer_max_bytes = 5000;
+  fleet = fake_fleet_new (1, &config);
+  fleet->answer_bytes = 5001;
+  start (fleet, false, fleet->now_us + SECOND_US);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE_INCOMPLETE);
+  fake_run (fleet, fleet->now_us + SECOND_US, 2);
+  ck_assert_uint_ge (fleet->releases, 1);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a download that ends when the holder of its answer stops answering. */
+START_TEST (test_lost_holder_runs_again)
+{
+  FakeFleet *fleet = fake_fleet_new ((uint32_t)_i, NULL);
+  uint64_t   call;
+  uint64_t   first_id;
+
+  fleet->answer_bytes = 100000;
+  fleet->lost_answer = 1;
+  call = start (fleet, false, fleet->now_us + 20 * (uint64_t)SECOND_US);
+  first_id = wc_client_get_request_id (fleet->client, call);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  ck_assert (fake_answer_is_whole (fleet));
+  ck_assert_uint_ne (fleet->result_request_id, first_id);
+  ck_assert_uint_eq (g_hash_table_size (fleet->request_runs), 2);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against an order that runs again, or is called unknown, when only its answer was lost. */
+START_TEST (test_lost_holder_of_order)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+
+  fleet->answer_bytes = 100000;
+  fleet->holder_is_lost = true;
+  start (fleet, true, fleet->now_us + 4 * (uint64_t)SECOND_US);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE_INCOMPLETE);
+  ck_assert_uint_eq (fleet->http_status, 200);
+  ck_assert_uint_eq (g_hash_table_size (fleet->orders), 1);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against orders that run twice, under two tickets, when tickets and orders are resent. */
+START_TEST (test_order_runs_once)
+{
+  FakeFleet *fleet = fake_fleet_new ((uint32_t)_i, NULL);
+
+  fleet->loss = 0.3;
+  fleet->duplicate = 0.3;
+  fleet->jitter_us = 200000;
+  fleet->order_run_us = 400000;
+  start (fleet, true, fleet->now_us + 60 * (uint64_t)SECOND_US);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  fake_run (fleet, fleet->now_us + 5 * (uint64_t)SECOND_US, 2);
+  ck_assert_uint_eq (fleet->finished, 1);
+  ck_assert_uint_eq (count_order_runs (fleet), 1);
+  ck_assert_uint_eq (g_hash_table_size (fleet->orders), 1);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against "not run" for an order that may have reached the fleet. */
+START_TEST (test_silent_order_is_unknown)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+
+  fleet->drops_orders = true;
+  start (fleet, true, fleet->now_us + 3 * (uint64_t)SECOND_US);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_UNKNOWN);
+  ck_assert_uint_gt (fleet->order_packets, 1);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against "unknown" where the caller knows that nothing was sent. */
+START_TEST (test_unsent_order_did_not_run)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+
+  fleet->drops_tickets = _i == 0;
+  fleet->drops_opens = _i == 1;
+  start (fleet, true, fleet->now_us + 3 * (uint64_t)SECOND_US);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_NOT_RUN);
+  ck_assert_uint_eq (fleet->order_packets, 0);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a result of an order other than the one that the fleet gave. BUSY and INVALID make no statement about
+ * an order that was sent, so it must not become "not run". */
+START_TEST (test_order_results)
+{
+  static const struct
+  {
+    Wc__InstancePacket__Result told;
+    WcClientResult             expected;
+  } CASES[] = {
+    { WC__INSTANCE_PACKET__RESULT__NOT_RUN, WC_CLIENT_NOT_RUN },
+    { WC__INSTANCE_PACKET__RESULT__UNKNOWN, WC_CLIENT_UNKNOWN },
+    { WC__INSTANCE_PACKET__RESULT__BUSY, WC_CLIENT_UNKNOWN },
+    { WC__INSTANCE_PACKET__RESULT__INVALID, WC_CLIENT_UNKNOWN },
+  };
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+
+  fleet->order_result = CASES[_i].told;
+  start (fleet, true, fleet->now_us + 5 * (uint64_t)SECOND_US);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, CASES[_i].expected);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against an endless loop of refused requests, and against a refusal that ends a request too early. */
+START_TEST (test_busy_request)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+
+  fleet->request_result = WC__INSTANCE_PACKET__RESULT__BUSY;
+  start (fleet, false, fleet->now_us + 60 * (uint64_t)SECOND_US);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_BUSY);
+  ck_assert_uint_eq (fleet->requests, 4);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a refused request that stays refused after the fleet has recovered. */
+START_TEST (test_busy_request_recovers)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+
+  fleet->request_result = WC__INSTANCE_PACKET__RESULT__BUSY;
+  start (fleet, false, fleet->now_us + 60 * (uint64_t)SECOND_US);
+  fake_run (fleet, fleet->now_us + 50000, 1);
+  fleet->request_result = WC__INSTANCE_PACKET__RESULT__DONE;
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a request without an answer that never ends, and against resends without a growing attempt number. */
+START_TEST (test_request_times_out)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+
+  start (fleet, false, fleet->now_us + 3 * (uint64_t)SECOND_US);
+  fake_run (fleet, fleet->now_us + 5000, 1);
+  fleet->loss = 0;
+  fleet->request_result = WC__INSTANCE_PACKET__RESULT__NO_RESULT;
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_TIMED_OUT);
+  ck_assert_uint_ge (fleet->max_attempt, 3);
+  ck_assert_uint_eq (wc_client_get_due_us (fleet->client), UINT64_MAX);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against use of an old token after the fleet has moved the flow. */
+START_TEST (test_takes_over_token)
+{
+  WcClientRequest request = { .method = "GET", .path = "/x" };
+  FakeFleet      *fleet = fake_fleet_new (1, NULL);
+  uint64_t        flow = wc_client_open (fleet->client, fleet->now_us, "catalogue", "dealer-7");
+
+  fleet->refresh_tokens = true;
+  for (uint32_t i = 1; i <= 3; i++)
+    {
+      request.deadline_us = fleet->now_us + SECOND_US;
+      ck_assert_uint_ne (wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL), 0);
+      fake_run (fleet, UINT64_MAX - 1, i);
+      ck_assert_uint_eq (fleet->last_token, i);
+    }
+  ck_assert_uint_eq (fleet->opens, 1);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a session or an order that is stuck with an expired token. */
+START_TEST (test_reopens_on_expired_token)
+{
+  WcClientRequest request = { .method = "POST", .path = "/orders" };
+  FakeFleet      *fleet = fake_fleet_new (1, NULL);
+  uint64_t        flow = wc_client_open (fleet->client, fleet->now_us, "order-desk", "dealer-7");
+
+  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  fleet->valid_token = 2;
+  request.deadline_us = fleet->now_us + 10 * (uint64_t)SECOND_US;
+  wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
+  wc_client_order (fleet->client, fleet->now_us, flow, &request, NULL);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  fake_run (fleet, UINT64_MAX - 1, 2);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  ck_assert_uint_eq (fleet->opens, 2);
+  ck_assert_uint_eq (count_order_runs (fleet), 1);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a stream that loses, repeats or reorders events, or that ends when nothing happens for a while. */
+START_TEST (test_stream_resumes)
+{
+  FakeFleet *fleet = fake_fleet_new ((uint32_t)_i, NULL);
+  uint64_t   flow = wc_client_open (fleet->client, fleet->now_us, "dispatch", "crew-1");
+  uint64_t   call;
+
+  fleet->loss = 0.1;
+  fleet->duplicate = 0.2;
+  fleet->jitter_us = 50000;
+  call = wc_client_poll (fleet->client, fleet->now_us, flow, 0, NULL);
+  ck_assert_uint_ne (call, 0);
+  for (uint32_t i = 0; i < 200; i++)
+    {
+      fleet->last_event += i % 3;
+      if (i == 100)
+        fleet->valid_token = fleet->token_number + 1;
+      fake_run (fleet, fleet->now_us + 100000, 1);
+    }
+  fake_run (fleet, fleet->now_us + 20 * (uint64_t)SECOND_US, 1);
+  ck_assert_uint_eq (fleet->finished, 0);
+  ck_assert_uint_eq (fleet->events_cursor, fleet->last_event);
+  ck_assert_uint_eq (fleet->events_seen, fleet->last_event);
+  ck_assert_uint_eq (fleet->event_gaps, 0);
+  ck_assert_uint_eq (fleet->event_repeats, 0);
+  ck_assert_uint_gt (fleet->empty_polls, 0);
+  wc_client_cancel (fleet->client, fleet->now_us, call);
+  ck_assert_uint_eq (wc_client_get_due_us (fleet->client), UINT64_MAX);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against datagrams over the limit: a request that does not fit must be refused with a message. */
+START_TEST (test_request_too_large)
+{
+  FakeFleet      *fleet = fake_fleet_new (1, NULL);
+  uint8_t         body[WC_DATAGRAM_MAX_BYTES] = { 1 };
+  WcClientRequest request = { .method = "POST", .path = "/x", .body = body, .deadline_us = UINT64_MAX / 2 };
+  WcError         error = { 0 };
+  uint64_t        flow = wc_client_open (fleet->client, fleet->now_us, "catalogue", "dealer-7");
+
+  for (request.body_bytes = 0; request.body_bytes < sizeof body; request.body_bytes++)
+    if (wc_client_order (fleet->client, fleet->now_us, flow, &request, &error) == 0)
+      break;
+  ck_assert_int_eq (error.status, WC_STATUS_TOO_LARGE);
+  ck_assert_uint_gt (request.body_bytes, 1000);
+  fake_run (fleet, fleet->now_us + SECOND_US / 2, (uint32_t)request.body_bytes);
+  ck_assert_uint_eq (fleet->finished, request.body_bytes);
+  ck_assert_uint_le (fleet->max_datagram_bytes, WC_DATAGRAM_MAX_BYTES);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a cancelled order that is called "not run" although it may have run. */
+START_TEST (test_cancel)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  uint64_t   unsent;
+  uint64_t   sent;
+
+  fleet->drops_orders = true;
+  sent = start (fleet, true, fleet->now_us + 30 * (uint64_t)SECOND_US);
+  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  fleet->drops_tickets = true;
+  unsent = start (fleet, true, fleet->now_us + 30 * (uint64_t)SECOND_US);
+  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  ck_assert_int_eq (wc_client_cancel (fleet->client, fleet->now_us, unsent), WC_CLIENT_NOT_RUN);
+  ck_assert_int_eq (wc_client_cancel (fleet->client, fleet->now_us, sent), WC_CLIENT_UNKNOWN);
+  fake_run (fleet, fleet->now_us + 60 * (uint64_t)SECOND_US, 1);
+  ck_assert_uint_eq (fleet->finished, 0);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a crash or a false result on random bytes from the network. */
+START_TEST (test_random_datagrams)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  uint8_t    data[64];
+
+  fleet->drops_orders = true;
+  start (fleet, true, fleet->now_us + 30 * (uint64_t)SECOND_US);
+  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  for (int i = 0; i < 20000; i++)
+    {
+      size_t size = (size_t)g_rand_int_range (fleet->random, 0, sizeof data);
+
+      for (size_t j = 0; j < size; j++)
+        data[j] = (uint8_t)g_rand_int (fleet->random);
+      wc_client_receive (fleet->client, fleet->now_us, data, size);
+    }
+  ck_assert_uint_eq (fleet->finished, 0);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite   *suite = suite_create ("client");
+  TCase   *cases = tcase_create ("client");
+  SRunner *runner;
+  int      failed;
+
+  tcase_add_loop_test (cases, test_whole_answer_on_bad_network, 0, 10);
+  tcase_add_test (cases, test_releases_long_answer);
+  tcase_add_test (cases, test_answer_over_limit);
+  tcase_add_loop_test (cases, test_lost_holder_runs_again, 0, 5);
+  tcase_add_test (cases, test_lost_holder_of_order);
+  tcase_add_loop_test (cases, test_order_runs_once, 0, 50);
+  tcase_add_test (cases, test_silent_order_is_unknown);
+  tcase_add_loop_test (cases, test_unsent_order_did_not_run, 0, 2);
+  tcase_add_loop_test (cases, test_order_results, 0, 4);
+  tcase_add_test (cases, test_busy_request);
+  tcase_add_test (cases, test_busy_request_recovers);
+  tcase_add_test (cases, test_request_times_out);
+  tcase_add_test (cases, test_takes_over_token);
+  tcase_add_test (cases, test_reopens_on_expired_token);
+  tcase_add_loop_test (cases, test_stream_resumes, 0, 20);
+  tcase_add_test (cases, test_request_too_large);
+  tcase_add_test (cases, test_cancel);
+  tcase_add_test (cases, test_random_datagrams);
+  suite_add_tcase (suite, cases);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
