--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -4,11 +4,12 @@
 #include <sodium.h>
 
 #include "cli/command.h"
-
-#define WC_VERSION "0.1.0"
+#include "cli/options.h"
+#include "cli/serve.h"
 
 /* Ended by an entry without a name. */
 static const WcCommand COMMANDS[] = {
+  { "serve", "run an instance", wc_serve_run },
   { NULL, NULL, NULL },
 };
 
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -447,8 +447,8 @@
     }
   /* The silence of the others was this instance's own. */
   for (size_t i = 0; i < count; i++)
-    if (members[i].domain == control->config.self.domain
-        && (members[i].state == WC_MEMBER_LIVE || members[i].state == WC_MEMBER_LEAVING))
+    if (members[i].domain == control->config.self.domain &&
+        (members[i].state == WC_MEMBER_LIVE || members[i].state == WC_MEMBER_LEAVING))
       wc_membership_heard (control->membership, now_us, &members[i]);
   control->challenge = ((uint64_t)g_rand_int (control->random) << 32) | g_rand_int (control->random) | 1;
   g_hash_table_iter_init (&iterator, control->links);
@@ -512,8 +512,8 @@
                  peer_has_config ? "configuration confirmed by a peer" : "no peer heard; platform's configuration");
 }
 
-/* Whether every wanted link has been heard. Two heartbeats after the first peer is enough if a peer has a configuration;
- * peers that have none may all have just started, so the others are waited for. */
+/* Whether every wanted link has been heard. Two heartbeats after the first peer is enough if a peer has a
+ * configuration; peers that have none may all have just started, so the others are waited for. */
 static bool
 peers_settled (const WcControl *control, uint64_t now_us, bool peer_has_config)
 {
@@ -574,7 +574,7 @@
 {
   if (now_us >= control->drain_started_us + control->config.drain_limit_us)
     set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drain limit reached");
-  else if (now_us >= control->drain_started_us + 2 * control->config.heartbeat_us
-           && control->ops->workers_idle (control->user_data))
+  else if (now_us >= control->drain_started_us + 2 * control->config.heartbeat_us &&
+           control->ops->workers_idle (control->user_data))
     set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drained");
 }
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -103,7 +103,7 @@
  */
 typedef struct WcControl WcControl;
 
-WcControl *
+WcControl      *
 wc_control_new (const WcControlConfig *config, const WcControlOps *ops, void *user_data, WcCounters *counters);
 void wc_control_delete (WcControl *control);
 
--- a/src/core/control_config.c
+++ b/src/core/control_config.c
@@ -68,9 +68,9 @@
   if (!joining && !reader && !silent && !control->reconfirming)
     {
       /* Spreads the reads of a domain whose peers fall silent at the same time. */
-      control->next_head_us
-          = now_us + control->config.silence_us
-            + (uint64_t)g_rand_int_range (control->random, 0, (gint32)MAX (control->config.silence_us, 1));
+      control->next_head_us =
+          now_us + control->config.silence_us +
+          (uint64_t)g_rand_int_range (control->random, 0, (gint32)MAX (control->config.silence_us, 1));
       return;
     }
   if (now_us < control->next_head_us)
@@ -260,7 +260,8 @@
   control->head_pending = false;
   control->platform_failures = 0;
   set_next_read (control, now_us);
-  if (control->platform_state == WC_PLATFORM_UP && !get_missing (control, 0, digest) && control->head_issued_us >= control->reconfirm_started_us)
+  if (control->platform_state == WC_PLATFORM_UP && !get_missing (control, 0, digest) &&
+      control->head_issued_us >= control->reconfirm_started_us)
     wc_control_confirm (control, now_us);
   wc_control_tick (control, now_us);
 }
@@ -361,20 +362,21 @@
 activate (WcControl *control, uint64_t now_us)
 {
   WcError     error;
+  WcConfigId  before = { 0 };
+  WcConfigId  after = { 0 };
   const char *head;
   size_t      head_bytes;
-  WcStatus    status = wc_config_store_activate (control->store, &error);
+  WcStatus    status;
 
-  if (status == WC_STATUS_NOT_FOUND)
-    return;
-  control->fetch = WC_FETCH_IDLE;
-  if (status != WC_STATUS_OK)
+  wc_config_store_get_rejection (control->store, &before);
+  status = wc_config_store_activate (control->store, &error);
+  if (wc_config_store_get_rejection (control->store, &after) && wc_config_id_compare (&before, &after) != 0)
     {
       wc_counters_add (control->counters, WC_COUNTER_CONFIG_REJECTED, 1);
-      wc_control_record (control, WC_EVENT_CONFIG_REJECTED, wc_config_store_get_newest_id (control->store)->revision,
-                         "invalid register");
-      return;
+      wc_control_record (control, WC_EVENT_CONFIG_REJECTED, after.revision, "invalid register");
     }
+  if (status != WC_STATUS_OK)
+    return;
   head = wc_config_store_get_head (control->store, &head_bytes);
   if (control->head_in_force)
     g_bytes_unref (control->head_in_force);
@@ -407,7 +409,8 @@
   return wc_config_store_get_missing (control->store, index, &key, digest);
 }
 
-/* A link whose peer has a newer configuration in force than any seen here. */
+/* A link whose peer has a newer configuration in force, unless that one is being collected. Older ones than the newest
+ * are asked for as well: the newest may turn out to be invalid or incomplete. */
 static WcControlLink *
 choose_head_source (WcControl *control)
 {
@@ -423,9 +426,9 @@
     {
       WcControlLink *link = value;
 
-      if (!wc_control_is_newer (control, &link->config)
-          || (collecting && wc_config_id_compare (&link->config, newest) <= 0)
-          || wc_config_id_compare (&link->config, &link->tried_config) == 0)
+      if (!wc_control_is_newer (control, &link->config) ||
+          (collecting && wc_config_id_compare (&link->config, newest) == 0) ||
+          wc_config_id_compare (&link->config, &link->tried_config) == 0)
         continue;
       if (!best || wc_config_id_compare (&link->config, &best->config) > 0)
         best = link;
@@ -433,15 +436,14 @@
   return best;
 }
 
-/* A link whose peer has the collected configuration in force. Every third attempt goes to the platform. */
+/* A link whose peer has a newer configuration in force. Every third attempt goes to the platform. */
 static WcControlLink *
 choose_part_source (WcControl *control)
 {
-  const WcConfigId *newest = wc_config_store_get_newest_id (control->store);
-  GPtrArray        *sources;
-  WcControlLink    *source = NULL;
-  GHashTableIter    iterator;
-  gpointer          value;
+  GPtrArray     *sources;
+  WcControlLink *source = NULL;
+  GHashTableIter iterator;
+  gpointer       value;
 
   if (control->fetch_attempts % 3 == 2)
     return NULL;
@@ -451,7 +453,7 @@
     {
       WcControlLink *link = value;
 
-      if (wc_config_id_compare (&link->config, newest) >= 0)
+      if (wc_control_is_newer (control, &link->config))
         g_ptr_array_add (sources, link);
     }
   if (sources->len > 0)
@@ -505,8 +507,8 @@
       digest = frame->digests[i];
       answer.digests = &digest;
       answer.n_digests = 1;
-      answer.content.data
-          = (uint8_t *)wc_config_store_find_part (control->store, frame->digests[i].data, &answer.content.len);
+      answer.content.data =
+          (uint8_t *)wc_config_store_find_part (control->store, frame->digests[i].data, &answer.content.len);
       if (!answer.content.data)
         answer.content.len = 0;
       control->ops->send (control->user_data, link->id, &answer);
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -228,13 +228,13 @@
       echo.echo = frame->challenge;
       control->ops->send (control->user_data, link->id, &echo);
     }
-  if (frame->echo.len == sizeof control->challenge
-      && memcmp (frame->echo.data, &control->challenge, sizeof control->challenge) == 0)
+  if (frame->echo.len == sizeof control->challenge &&
+      memcmp (frame->echo.data, &control->challenge, sizeof control->challenge) == 0)
     link->echoed = true;
   /* A peer confirms the configuration when it is past joining and knows no newer one. */
-  if (!control->reconfirming && control->lifecycle != WC_LIFECYCLE_JOINING && link->config.revision > 0
-      && link->domain == control->config.self.domain && frame->state != WC_MEMBER_LISTED
-      && !wc_control_is_newer (control, &link->config))
+  if (!control->reconfirming && control->lifecycle != WC_LIFECYCLE_JOINING && link->config.revision > 0 &&
+      link->domain == control->config.self.domain && frame->state != WC_MEMBER_LISTED &&
+      !wc_control_is_newer (control, &link->config))
     wc_control_confirm (control, now_us);
 }
 
@@ -271,8 +271,7 @@
       record->first_us = now_us;
       g_hash_table_insert (control->records, &record->member.id, record);
     }
-  else if (record->member.incarnation != 0
-           && !note_is_newer (record, note->incarnation, note->version, note->state))
+  else if (record->member.incarnation != 0 && !note_is_newer (record, note->incarnation, note->version, note->state))
     return;
   if (record->member.incarnation != note->incarnation)
     {
@@ -297,9 +296,9 @@
 static void
 apply_own_note (WcControl *control, uint64_t now_us, const Wc__MemberNote *note)
 {
-  if (note->incarnation == control->config.self.incarnation
-      && (note->version < control->own_version
-          || (note->version == control->own_version && note->state <= (uint32_t)control->own_state)))
+  if (note->incarnation == control->config.self.incarnation &&
+      (note->version < control->own_version ||
+       (note->version == control->own_version && note->state <= (uint32_t)control->own_state)))
     return;
   control->own_version = MAX (control->own_version, note->version) + 1;
   note_changed (control, control->config.self.id);
@@ -329,9 +328,9 @@
 static bool
 note_is_acceptable (const WcControl *control, const Wc__MemberNote *note)
 {
-  return note->instance != 0 && note->incarnation != 0 && note->domain == control->config.self.domain
-         && note->state < WC_MEMBER_COUNT && (note->ip.len == 4 || note->ip.len == 16) && note->port <= UINT16_MAX
-         && note->workers > 0 && note->workers <= UINT16_MAX;
+  return note->instance != 0 && note->incarnation != 0 && note->domain == control->config.self.domain &&
+         note->state < WC_MEMBER_COUNT && (note->ip.len == 4 || note->ip.len == 16) && note->port <= UINT16_MAX &&
+         note->workers > 0 && note->workers <= UINT16_MAX;
 }
 
 static void
@@ -397,7 +396,7 @@
       WcControlRecord *record = value;
       bool             linked = g_hash_table_contains (control->links, &record->member.id);
       bool             alive = record->member.state == WC_MEMBER_LIVE || record->member.state == WC_MEMBER_LEAVING;
-      bool fresh_note = record->changed_us > 0 && now_us < record->changed_us + 2 * silence_us;
+      bool             fresh_note = record->changed_us > 0 && now_us < record->changed_us + 2 * silence_us;
 
       if (linked)
         record->monitored = true;
@@ -409,16 +408,16 @@
             g_hash_table_iter_remove (&iterator);
           continue;
         }
-      if (record->monitored && !control->reconfirming && now_us >= control->suspect_grace_us
-          && now_us >= record->direct_us + silence_us && now_us >= record->changed_us + silence_us)
+      if (record->monitored && !control->reconfirming && now_us >= control->suspect_grace_us &&
+          now_us >= record->direct_us + silence_us && now_us >= record->changed_us + silence_us)
         {
           record->member.state = WC_MEMBER_SUSPECT;
           record->changed_us = now_us;
           control->next_topology_us = now_us;
           note_changed (control, record->member.id);
         }
-      else if (connected && now_us >= record->direct_us + vouch_us && now_us >= record->vouched_us + vouch_us
-               && (!record->monitored || fresh_note || now_us < record->direct_us + silence_us))
+      else if (connected && now_us >= record->direct_us + vouch_us && now_us >= record->vouched_us + vouch_us &&
+               (!record->monitored || fresh_note || now_us < record->direct_us + silence_us))
         {
           record->vouched_us = now_us;
           wc_membership_heard (control->membership, now_us, &record->member);
@@ -438,8 +437,8 @@
     {
       const WcControlLink *link = value;
 
-      if (link->domain == control->config.self.domain && link->heard
-          && now_us < link->heard_us + control->config.suspect_after_us * control->pace)
+      if (link->domain == control->config.self.domain && link->heard &&
+          now_us < link->heard_us + control->config.suspect_after_us * control->pace)
         return true;
     }
   return false;
--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -167,8 +167,8 @@
 void wc_control_announce (WcControl *control, uint64_t now_us);
 void wc_control_send_challenges (WcControl *control, uint64_t now_us);
 void wc_control_flush_notes (WcControl *control, uint64_t now_us, uint64_t source);
-void wc_control_heartbeat_receive (WcControl *control, uint64_t now_us, WcControlLink *link,
-                                   const Wc__PeerFrame *frame);
+void
+wc_control_heartbeat_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
 
 /* control_topology.c */
 void wc_control_update_topology (WcControl *control, uint64_t now_us);
--- a/src/core/control_topology.c
+++ b/src/core/control_topology.c
@@ -60,8 +60,8 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       WcControlRecord *record = value;
-      bool             monitored = g_hash_table_contains (wanted, &record->member.id)
-                       || g_hash_table_contains (control->links, &record->member.id);
+      bool             monitored = g_hash_table_contains (wanted, &record->member.id) ||
+                       g_hash_table_contains (control->links, &record->member.id);
 
       if (monitored && !record->monitored)
         record->direct_us = now_us;
@@ -79,8 +79,8 @@
     return true;
   if (record->member.state == WC_MEMBER_SUSPECT)
     return false;
-  return now_us < MAX (record->first_us, MAX (record->changed_us, record->direct_us))
-                      + 2 * control->config.suspect_after_us;
+  return now_us <
+         MAX (record->first_us, MAX (record->changed_us, record->direct_us)) + 2 * control->config.suspect_after_us;
 }
 
 static int
@@ -158,8 +158,8 @@
         continue;
       while (above < ring->len && g_array_index (ring, WcMember, above).id < record->member.id)
         above++;
-      if (ring->len <= WC_CONTROL_MESH_MEMBERS
-          || g_array_index (ring, WcMember, (above + ring->len - 1) % ring->len).id == control->config.self.id)
+      if (ring->len <= WC_CONTROL_MESH_MEMBERS ||
+          g_array_index (ring, WcMember, (above + ring->len - 1) % ring->len).id == control->config.self.id)
         want (wanted, &record->member, false);
     }
 }
@@ -179,8 +179,8 @@
     {
       WcControlDesired *desired = value;
 
-      if (desired->cross_domain && now_us >= desired->since_us + CROSS_TRY_US
-          && !g_hash_table_contains (control->links, &desired->member.id))
+      if (desired->cross_domain && now_us >= desired->since_us + CROSS_TRY_US &&
+          !g_hash_table_contains (control->links, &desired->member.id))
         {
           uint64_t *id = g_new (uint64_t, 1);
           uint64_t *until = g_new (uint64_t, 1);
@@ -195,8 +195,8 @@
       const WcMember *chosen;
       const uint64_t *avoided = g_hash_table_lookup (control->avoided, &members[i].id);
 
-      if (members[i].domain == control->config.self.domain || members[i].state == WC_MEMBER_SUSPECT
-          || members[i].state == WC_MEMBER_LEAVING || (avoided && now_us < *avoided))
+      if (members[i].domain == control->config.self.domain || members[i].state == WC_MEMBER_SUSPECT ||
+          members[i].state == WC_MEMBER_LEAVING || (avoided && now_us < *avoided))
         continue;
       chosen = g_hash_table_lookup (best, GUINT_TO_POINTER (members[i].domain));
       if (!chosen || weight (control, &members[i]) > weight (control, chosen))
--- a/src/core/peer_session.c
+++ b/src/core/peer_session.c
@@ -45,14 +45,14 @@
   [WC_PEER_UNEXPECTED] = "unexpected frame",
 };
 
-static WcPeerStatus fail (WcError *error, WcPeerStatus status, const char *detail);
-static WcPeerStatus receive_hello (WcPeerSession *session, const Wc__PeerFrame *frame, const uint8_t *data,
-                                   size_t size_bytes, WcError *error);
+static WcPeerStatus   fail (WcError *error, WcPeerStatus status, const char *detail);
+static WcPeerStatus   receive_hello (WcPeerSession *session, const Wc__PeerFrame *frame, const uint8_t *data,
+                                     size_t size_bytes, WcError *error);
 static const uint8_t *find_common_key (const WcPeerSession *session, const Wc__PeerFrame *hello, uint32_t *epoch);
-static void         derive_key (WcPeerSession *session, const uint8_t *key, const uint8_t *peer_hello, size_t peer_bytes);
-static void         compute_mac (const WcPeerSession *session, bool sent, const Wc__PeerFrame *frame,
-                                 uint8_t mac[WC_PEER_MAC_BYTES]);
-static void         append_packed (const Wc__PeerFrame *frame, GByteArray *out);
+static void derive_key (WcPeerSession *session, const uint8_t *key, const uint8_t *peer_hello, size_t peer_bytes);
+static void
+compute_mac (const WcPeerSession *session, bool sent, const Wc__PeerFrame *frame, uint8_t mac[WC_PEER_MAC_BYTES]);
+static void append_packed (const Wc__PeerFrame *frame, GByteArray *out);
 
 WcStatus
 wc_peer_status_translate (WcPeerStatus status)
@@ -292,8 +292,8 @@
   if (frame->challenge.len != WC_PEER_CHALLENGE_BYTES || frame->instance == 0 || frame->incarnation == 0)
     return fail (error, WC_PEER_MALFORMED, "HELLO without challenge or identity");
   /* A connection to the own port, or an attacker that sends a HELLO back. */
-  if (frame->instance == session->instance
-      || memcmp (frame->challenge.data, session->challenge, WC_PEER_CHALLENGE_BYTES) == 0)
+  if (frame->instance == session->instance ||
+      memcmp (frame->challenge.data, session->challenge, WC_PEER_CHALLENGE_BYTES) == 0)
     return fail (error, WC_PEER_UNEXPECTED, "the peer uses this instance's identity");
   if (frame->n_epochs > WC_PEER_EPOCHS_MAX)
     return fail (error, WC_PEER_MALFORMED, "HELLO with too many epochs");
@@ -349,8 +349,10 @@
   crypto_generichash_init (&state, key, WC_KEY_BYTES, SESSION_KEY_BYTES);
   crypto_generichash_update (&state, (const uint8_t *)LABEL, sizeof LABEL);
   crypto_generichash_update (&state, lengths, sizeof lengths);
-  crypto_generichash_update (&state, session->initiator ? own : peer_hello, session->initiator ? own_bytes : peer_bytes);
-  crypto_generichash_update (&state, session->initiator ? peer_hello : own, session->initiator ? peer_bytes : own_bytes);
+  crypto_generichash_update (&state, session->initiator ? own : peer_hello,
+                             session->initiator ? own_bytes : peer_bytes);
+  crypto_generichash_update (&state, session->initiator ? peer_hello : own,
+                             session->initiator ? peer_bytes : own_bytes);
   crypto_generichash_final (&state, session->key, SESSION_KEY_BYTES);
 }
 
--- a/src/core/peer_session.h
+++ b/src/core/peer_session.h
@@ -89,7 +89,8 @@
 
 /**
  * wc_peer_session_receive() - check one frame, without its length.
- * @frame: set to the frame when it is authentic, to be freed with wc__peer_frame__free_unpacked(); NULL after the HELLO.
+ * @frame: set to the frame when it is authentic, to be freed with wc__peer_frame__free_unpacked(); NULL after the
+ * HELLO.
  * @error: text of a failure; may be NULL.
  */
 WcPeerStatus wc_peer_session_receive (WcPeerSession *session, const uint8_t *data, size_t size_bytes,
--- a/src/edge/control_thread.c
+++ b/src/edge/control_thread.c
@@ -42,7 +42,6 @@
 
   /* Shared with other threads under the mutex. */
   pthread_mutex_t mutex;
-  pthread_cond_t  stopped_changed;
   bool            stopped;
   bool            quit;
   uint32_t        terminations;
@@ -126,7 +125,6 @@
   thread->worker_count = worker_count;
   thread->loop = ev_loop_new (EVFLAG_AUTO);
   pthread_mutex_init (&thread->mutex, NULL);
-  pthread_cond_init (&thread->stopped_changed, NULL);
   thread->new_domains = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   thread->blocked_domains = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   g_strlcpy (thread->reason, "starting", sizeof thread->reason);
@@ -158,8 +156,8 @@
       wc_control_thread_delete (thread);
       return NULL;
     }
-  thread->platform = wc_platform_client_new (thread->loop, settings->platforms, settings->platform_count, platform_read,
-                                             thread);
+  thread->platform =
+      wc_platform_client_new (thread->loop, settings->platforms, settings->platform_count, platform_read, thread);
   thread->control = wc_control_new (&config, &CONTROL_OPS, thread, &thread->counters);
 
   /* Short enough that a pause is noticed at a fifth of its threshold. */
@@ -206,7 +204,6 @@
   g_array_free (thread->new_domains, TRUE);
   g_array_free (thread->blocked_domains, TRUE);
   g_free (thread->status);
-  pthread_cond_destroy (&thread->stopped_changed);
   pthread_mutex_destroy (&thread->mutex);
   g_free (thread);
 }
@@ -222,15 +219,17 @@
   ev_async_send (thread->loop, &thread->wake);
 }
 
-void
-wc_control_thread_wait (WcControlThread *thread)
+bool
+wc_control_thread_is_stopped (WcControlThread *thread)
 {
+  bool stopped;
+
   assert (thread != NULL);
 
   pthread_mutex_lock (&thread->mutex);
-  while (!thread->stopped)
-    pthread_cond_wait (&thread->stopped_changed, &thread->mutex);
+  stopped = thread->stopped;
   pthread_mutex_unlock (&thread->mutex);
+  return stopped;
 }
 
 bool
@@ -465,9 +464,9 @@
 static void
 update_keys (WcControlThread *thread, WcView *view)
 {
-  uint32_t     *epochs;
-  size_t        count = 0;
-  const WcKey  *keys;
+  uint32_t    *epochs;
+  size_t       count = 0;
+  const WcKey *keys;
 
   if (view->keyring == thread->keyring)
     return;
@@ -616,7 +615,6 @@
 
   pthread_mutex_lock (&thread->mutex);
   thread->stopped = true;
-  pthread_cond_broadcast (&thread->stopped_changed);
   pthread_mutex_unlock (&thread->mutex);
 }
 
--- a/src/edge/control_thread.h
+++ b/src/edge/control_thread.h
@@ -34,8 +34,8 @@
 /** wc_control_thread_terminate() - ask for a drain; a second call stops at once. Any thread. */
 void wc_control_thread_terminate (WcControlThread *thread);
 
-/** wc_control_thread_wait() - wait until the instance is stopped. */
-void wc_control_thread_wait (WcControlThread *thread);
+/** wc_control_thread_is_stopped() - drained, or stopped at once. */
+bool wc_control_thread_is_stopped (WcControlThread *thread);
 
 /** wc_control_thread_is_ready() - whether new traffic should be sent here; otherwise @reason says why not. */
 bool wc_control_thread_is_ready (WcControlThread *thread, char reason[WC_READY_REASON_BYTES]);
--- a/src/edge/instance_list.c
+++ b/src/edge/instance_list.c
@@ -54,9 +54,9 @@
   struct json_object *workers;
 
   memset (member, 0, sizeof *member);
-  if (!name || !domain || !address || !state || !wc_address_parse (address, &member->address)
-      || !json_object_object_get_ex (entry, "workers", &workers) || json_object_get_int (workers) < 1
-      || json_object_get_int (workers) > UINT16_MAX)
+  if (!name || !domain || !address || !state || !wc_address_parse (address, &member->address) ||
+      !json_object_object_get_ex (entry, "workers", &workers) || json_object_get_int (workers) < 1 ||
+      json_object_get_int (workers) > UINT16_MAX)
     return false;
   member->id = wc_name_id64 (name);
   member->domain = wc_name_id32 (domain);
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -235,8 +235,8 @@
     {
       Connection *connection = g_ptr_array_index (links->connections, i - 1);
 
-      if (connection->session && wc_peer_session_is_ready (connection->session)
-          && links->ops->is_blocked (links->user_data, wc_peer_session_get_peer_domain (connection->session)))
+      if (connection->session && wc_peer_session_is_ready (connection->session) &&
+          links->ops->is_blocked (links->user_data, wc_peer_session_get_peer_domain (connection->session)))
         connection_close (connection, "links to its domain are cut by fault injection");
     }
 }
--- a/src/edge/platform_client.h
+++ b/src/edge/platform_client.h
@@ -49,8 +49,7 @@
  * @path: with its query.
  * @wait_ms: how long the platform may hold the answer back.
  */
-void
-wc_platform_client_get (WcPlatformClient *client, WcPlatformRead read, const char *path, uint32_t wait_ms);
+void wc_platform_client_get (WcPlatformClient *client, WcPlatformRead read, const char *path, uint32_t wait_ms);
 
 void wc_platform_client_cancel (WcPlatformClient *client, WcPlatformRead read);
 
