Add the worker: core node, HTTP connections to targets, traffic thread

Cause: the path of a packet needs one owner per service and domain, tickets for orders, and connections that never repeat a request.

--- /dev/null
+++ b/src/core/node_private.h
@@ -0,0 +1,114 @@
+#ifndef WC_CORE_NODE_PRIVATE_H
+#define WC_CORE_NODE_PRIVATE_H
+
+#include <glib.h>
+
+#include <wigeoncart/answer_store.h>
+#include <wigeoncart/ledger.h>
+#include <wigeoncart/node.h>
+#include <wigeoncart/stream_table.h>
+#include <wigeoncart/ticket.h>
+#include <wigeoncart/token.h>
+
+#include "core/request_table.h"
+#include "core/service_state.h"
+#include "core/ticket_window.h"
+#include "wigeoncart.pb-c.h"
+
+enum
+{
+  /* Parts that follow a finished request without being asked for. */
+  WC_NODE_FIRST_PARTS = 16,
+  /* Most parts that one FETCH is answered with. */
+  WC_NODE_FETCH_PARTS = 64,
+  WC_NODE_FEED_WAIT_MS = 5000,
+  WC_NODE_FEED_RETRY_US = 200 * 1000,
+  /* A caller that names a longer deadline is held to this one. */
+  WC_NODE_MAX_REMAINING_MS = 120 * 1000
+};
+
+struct WcNode
+{
+  WcNodeConfig     config;
+  const WcNodeOps *ops;
+  void            *user_data;
+  WcCounters      *counters;
+  GRand           *random;
+  WcSealer         sealer;
+  WcView          *view;
+  WcLedger        *ledger;
+  WcAnswerStore   *answers;
+  WcStreamTable   *streams;
+  WcRequestTable  *requests;
+  GHashTable      *services;
+  WcTicketWindow   tickets;
+  uint64_t         next_serial;
+  uint64_t         wall_s;
+  uint64_t         last_seen_us;
+  /* After a pause of the process, nothing is dispatched until a view is newer than this or the limit has passed. */
+  uint64_t resumed_us;
+  uint64_t confirm_limit_us;
+};
+
+/**
+ * struct WcNodePacket - a parsed datagram together with where it came from.
+ * @hops: how often it was relayed.
+ * @data, @size_bytes: the caller's datagram as received, for relaying.
+ * @token: valid unless the packet opens a flow.
+ */
+typedef struct
+{
+  uint64_t                now_us;
+  WcAddress               caller;
+  uint32_t                hops;
+  const uint8_t          *data;
+  size_t                  size_bytes;
+  const Wc__CallerPacket *message;
+  const WcService        *service;
+  WcToken                 token;
+  bool                    token_is_old;
+} WcNodePacket;
+
+/* node_route.c: decides where a datagram is handled. */
+void wc_node_route (WcNode *node, WcNodePacket *packet);
+
+/* node_request.c: idempotent requests, polls, and what all requests have in common. */
+void       wc_node_handle_request (WcNode *node, const WcNodePacket *packet, uint32_t shard);
+void       wc_node_handle_cancel (WcNode *node, const WcNodePacket *packet);
+WcRequest *wc_node_accept (WcNode *node, const WcNodePacket *packet, WcRequestKind kind, uint32_t shard);
+WcRefusal  wc_node_submit (WcNode *node, uint64_t now_us, WcRequest *request);
+void       wc_node_finish (WcNode *node, uint64_t now_us, WcRequest *request, Wc__InstancePacket__Result result,
+                           const char *reason);
+void       wc_node_pump (WcNode *node, uint64_t now_us, WcServiceState *state);
+void       wc_node_pump_all (WcNode *node, uint64_t now_us);
+void       wc_node_end_attempt (WcNode *node, uint64_t now_us, WcRequest *request, WcOutcome outcome);
+bool       wc_node_may_dispatch (const WcNode *node, uint64_t now_us);
+
+/* node_order.c: tickets and orders. */
+void wc_node_handle_ticket (WcNode *node, const WcNodePacket *packet);
+void wc_node_handle_order (WcNode *node, const WcNodePacket *packet, const WcTicket *ticket);
+void wc_node_settle_order (WcNode *node, WcRequest *request, Wc__InstancePacket__Result result);
+
+/* node_stream.c: event streams. */
+void wc_node_handle_poll (WcNode *node, const WcNodePacket *packet, uint32_t shard);
+void wc_node_feed_tick (WcNode *node, uint64_t now_us);
+void wc_node_feed_done (WcNode *node, uint64_t now_us, WcRequest *request, uint32_t http_status, uint64_t cursor);
+void wc_node_feed_ended (WcNode *node, uint64_t now_us, WcRequest *request);
+void wc_node_feed_apply_view (WcNode *node, uint64_t now_us);
+
+/* node_reply.c: datagrams to callers. */
+void wc_node_handle_open (WcNode *node, const WcNodePacket *packet, uint32_t shard);
+void wc_node_handle_fetch (WcNode *node, const WcNodePacket *packet);
+void wc_node_reply (WcNode *node, const WcAddress *caller, const Wc__InstancePacket *message);
+void wc_node_reply_result (WcNode *node, const WcAddress *caller, uint64_t request_id,
+                           Wc__InstancePacket__Result result, const char *reason);
+void wc_node_reply_parts (WcNode *node, const WcAddress *caller, uint64_t request_id, uint64_t answer,
+                          uint32_t first_part, uint32_t part_count, uint64_t cursor, const WcToken *fresh_token);
+
+/* node.c */
+WcServiceState *wc_node_get_service (WcNode *node, uint64_t now_us, uint32_t service, uint32_t shard);
+void            wc_node_count (WcNode *node, WcCounter counter);
+void            wc_node_record (WcNode *node, WcEventKind kind, const WcRequest *request, const char *reason);
+uint64_t        wc_node_random64 (WcNode *node);
+
+#endif
--- /dev/null
+++ b/src/core/node_route.c
@@ -0,0 +1,242 @@
+#include "core/node_private.h"
+
+#include <wigeoncart/ownership.h>
+
+#include "core/relay_packet.h"
+
+enum
+{
+  /* From this attempt on, a caller's packets stay in the failure domain that they arrive in. */
+  LOCAL_ATTEMPT = 2
+};
+
+static void     route_to_owner (WcNode *node, WcNodePacket *packet, uint64_t flow);
+static void     route_order (WcNode *node, WcNodePacket *packet);
+static void     route_to_holder (WcNode *node, WcNodePacket *packet);
+static void     handle_as_owner (WcNode *node, const WcNodePacket *packet, uint32_t shard);
+static uint32_t choose_domain (WcNode *node, const WcNodePacket *packet);
+static bool     domain_has_targets (const WcNode *node, uint32_t service, uint32_t domain);
+static uint32_t find_shard (const WcNode *node, uint32_t service, uint32_t domain, uint64_t flow);
+static void     relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker);
+
+void
+wc_node_route (WcNode *node, WcNodePacket *packet)
+{
+  const Wc__CallerPacket *message = packet->message;
+
+  switch (message->kind)
+    {
+    case WC__CALLER_PACKET__KIND__OPEN:
+      route_to_owner (node, packet, message->request_id);
+      break;
+    case WC__CALLER_PACKET__KIND__REQUEST:
+    case WC__CALLER_PACKET__KIND__TICKET:
+    case WC__CALLER_PACKET__KIND__POLL:
+      route_to_owner (node, packet, packet->token.flow);
+      break;
+    case WC__CALLER_PACKET__KIND__ORDER:
+      route_order (node, packet);
+      break;
+    case WC__CALLER_PACKET__KIND__FETCH:
+      route_to_holder (node, packet);
+      break;
+    case WC__CALLER_PACKET__KIND__CANCEL:
+      if (message->answer)
+        route_to_holder (node, packet);
+      else if (message->ticket.len > 0)
+        route_order (node, packet);
+      else
+        route_to_owner (node, packet, packet->token.flow);
+      break;
+    default:
+      wc_node_count (node, WC_COUNTER_PACKETS_MALFORMED);
+      break;
+    }
+}
+
+/* local functions */
+
+static void
+route_to_owner (WcNode *node, WcNodePacket *packet, uint64_t flow)
+{
+  const WcMemberTable *members = node->view->members;
+  uint32_t             service = packet->service->id;
+  bool                 draining = node->view->lifecycle == WC_LIFECYCLE_DRAINING;
+  const WcMember      *owner;
+  uint32_t             domain;
+  uint32_t             shard;
+  uint32_t             worker;
+
+  /* The relaying worker decided by its own view; a second opinion could send the packet in circles. */
+  if (packet->hops > 0 && !(draining && packet->hops < WC_RELAY_MAX_HOPS))
+    {
+      handle_as_owner (node, packet, find_shard (node, service, node->config.domain, flow));
+      return;
+    }
+  domain = packet->hops > 0 ? node->config.domain : choose_domain (node, packet);
+  shard = find_shard (node, service, domain, flow);
+  owner = wc_ownership_find_owner (members, domain, service, shard);
+  if (!owner)
+    {
+      handle_as_owner (node, packet, find_shard (node, service, node->config.domain, flow));
+      return;
+    }
+  worker = wc_ownership_get_worker (service, shard, MAX (owner->workers, 1));
+  if (owner->id == node->config.instance && worker == node->config.worker)
+    handle_as_owner (node, packet, shard);
+  else
+    relay (node, packet, owner, worker);
+}
+
+static void
+route_order (WcNode *node, WcNodePacket *packet)
+{
+  const Wc__CallerPacket *message = packet->message;
+  const WcMember         *owner;
+  WcTicket                ticket;
+  WcStatus                status;
+
+  status = wc_ticket_open (node->view->keyring, message->ticket.data, message->ticket.len, &ticket);
+  if (status != WC_STATUS_OK || ticket.service != message->service)
+    {
+      wc_node_count (node, status == WC_STATUS_OK ? WC_COUNTER_SERVICE_MISMATCHES : WC_COUNTER_TICKETS_REJECTED);
+      /* The order may have run before its key was withdrawn. */
+      wc_node_reply_result (node, &packet->caller, message->request_id,
+                            status == WC_STATUS_UNKNOWN_KEY ? WC__INSTANCE_PACKET__RESULT__UNKNOWN
+                                                            : WC__INSTANCE_PACKET__RESULT__INVALID,
+                            "the ticket is not valid for this service");
+      return;
+    }
+  if (ticket.owner == node->config.instance &&
+      (ticket.incarnation != node->config.incarnation || ticket.worker == node->config.worker))
+    {
+      if (message->kind == WC__CALLER_PACKET__KIND__CANCEL)
+        wc_node_handle_cancel (node, packet);
+      else
+        wc_node_handle_order (node, packet, &ticket);
+      return;
+    }
+  owner = wc_member_table_find (node->view->members, ticket.owner);
+  if (owner)
+    relay (node, packet, owner, ticket.worker);
+}
+
+static void
+route_to_holder (WcNode *node, WcNodePacket *packet)
+{
+  const Wc__AnswerRef *answer = packet->message->answer;
+  const WcMember      *holder;
+
+  if (!answer)
+    {
+      wc_node_count (node, WC_COUNTER_PACKETS_MALFORMED);
+      return;
+    }
+  if (answer->instance == node->config.instance)
+    {
+      if (answer->incarnation != node->config.incarnation)
+        return;
+      if (answer->worker == node->config.worker)
+        {
+          if (packet->message->kind == WC__CALLER_PACKET__KIND__CANCEL)
+            wc_node_handle_cancel (node, packet);
+          else
+            wc_node_handle_fetch (node, packet);
+          return;
+        }
+    }
+  holder = wc_member_table_find (node->view->members, answer->instance);
+  if (holder)
+    relay (node, packet, holder, answer->worker);
+}
+
+static void
+handle_as_owner (WcNode *node, const WcNodePacket *packet, uint32_t shard)
+{
+  switch (packet->message->kind)
+    {
+    case WC__CALLER_PACKET__KIND__OPEN:
+      wc_node_handle_open (node, packet, shard);
+      break;
+    case WC__CALLER_PACKET__KIND__TICKET:
+      wc_node_handle_ticket (node, packet);
+      break;
+    case WC__CALLER_PACKET__KIND__POLL:
+      wc_node_handle_poll (node, packet, shard);
+      break;
+    case WC__CALLER_PACKET__KIND__CANCEL:
+      wc_node_handle_cancel (node, packet);
+      break;
+    default:
+      wc_node_handle_request (node, packet, shard);
+      break;
+    }
+}
+
+static uint32_t
+choose_domain (WcNode *node, const WcNodePacket *packet)
+{
+  uint32_t service = packet->service->id;
+  uint32_t here = node->config.domain;
+  bool     retried = packet->message->attempt >= LOCAL_ATTEMPT;
+  bool     has_token = packet->message->kind != WC__CALLER_PACKET__KIND__OPEN;
+
+  /* A repeated packet may have been lost on the way to a domain that is cut off or to an owner that died. */
+  if (retried && domain_has_targets (node, service, here))
+    return here;
+  if (!retried && has_token && packet->service->affinity == WC_AFFINITY_SESSION &&
+      domain_has_targets (node, service, packet->token.domain) &&
+      wc_ownership_find_owner (node->view->members, packet->token.domain, service, 0))
+    return packet->token.domain;
+  return wc_ownership_pick_domain (node->view->members, node->view->reg, service, here, g_rand_int (node->random));
+}
+
+static bool
+domain_has_targets (const WcNode *node, uint32_t service, uint32_t domain)
+{
+  size_t          count;
+  const WcTarget *targets = wc_register_get_service_targets (node->view->reg, service, domain, &count);
+
+  for (size_t i = 0; i < count; i++)
+    if (!targets[i].leaving && targets[i].weight > 0)
+      return true;
+  return false;
+}
+
+static uint32_t
+find_shard (const WcNode *node, uint32_t service, uint32_t domain, uint64_t flow)
+{
+  size_t count;
+
+  wc_register_get_service_targets (node->view->reg, service, domain, &count);
+  return (uint32_t)(flow % wc_ownership_get_shard_count (count));
+}
+
+static void
+relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker)
+{
+  uint8_t   buffer[WC_RELAY_MAX_BYTES];
+  WcAddress address = member->address;
+  WcRelay   out = {
+      .caller = packet->caller,
+      .hops = packet->hops + 1,
+      .packet = packet->data,
+      .packet_bytes = packet->size_bytes,
+  };
+  size_t size;
+
+  if (out.hops > WC_RELAY_MAX_HOPS || address.family == 0)
+    {
+      wc_node_count (node, WC_COUNTER_RELAYS_REJECTED);
+      return;
+    }
+  size = wc_relay_pack (node->view->keyring, &out, buffer);
+  if (size == 0)
+    {
+      wc_node_count (node, WC_COUNTER_RELAYS_REJECTED);
+      return;
+    }
+  address.port = (uint16_t)(address.port + worker);
+  wc_node_count (node, WC_COUNTER_PACKETS_RELAYED);
+  node->ops->relay (node->user_data, &address, buffer, size);
+}
--- /dev/null
+++ b/src/core/relay_packet.h
@@ -0,0 +1,35 @@
+#ifndef WC_CORE_RELAY_PACKET_H
+#define WC_CORE_RELAY_PACKET_H
+
+#include <wigeoncart/address.h>
+#include <wigeoncart/keyring.h>
+#include <wigeoncart/node.h>
+
+#include "core/arena.h"
+
+enum
+{
+  WC_RELAY_MAX_BYTES = WC_DATAGRAM_MAX_BYTES + 64,
+  WC_RELAY_MAX_HOPS = 2
+};
+
+/**
+ * struct WcRelay - a caller's datagram on its way between workers.
+ * @packet: after wc_relay_open(), memory of the arena.
+ */
+typedef struct
+{
+  WcAddress      caller;
+  uint32_t       hops;
+  const uint8_t *packet;
+  size_t         packet_bytes;
+} WcRelay;
+
+/** wc_relay_pack() - Return: bytes written, 0 when the datagram is too large or there is no key. */
+size_t wc_relay_pack (const WcKeyring *keyring, const WcRelay *relay, uint8_t buffer[WC_RELAY_MAX_BYTES]);
+
+/** wc_relay_open() - check and unpack. Return: OK, PARSE, UNKNOWN_KEY, FORGED, or INVALID for too many hops. */
+WcStatus
+wc_relay_open (const WcKeyring *keyring, const uint8_t *data, size_t size_bytes, WcArena *arena, WcRelay *relay);
+
+#endif
--- /dev/null
+++ b/src/core/service_state.c
@@ -0,0 +1,60 @@
+#include "core/service_state.h"
+
+#include <assert.h>
+
+#include <wigeoncart/ownership.h>
+
+enum
+{
+  REFUSAL_BACKOFF_US = 50 * 1000
+};
+
+WcServiceState *
+wc_service_state_new (uint32_t service, uint32_t shard, const WcNodeConfig *config, GRand *random)
+{
+  WcServiceState    *state = g_new0 (WcServiceState, 1);
+  WcDispatcherConfig dispatcher_config = {
+    .queue_max_requests = config->queue_max_requests,
+    .retry_budget_percent = config->retry_budget_percent,
+    .refusal_backoff_us = REFUSAL_BACKOFF_US,
+    .late_binding = true,
+  };
+
+  state->service = service;
+  state->shard = shard;
+  state->dispatcher = wc_dispatcher_new (&dispatcher_config, config->policy, random);
+  return state;
+}
+
+void
+wc_service_state_delete (WcServiceState *state)
+{
+  if (!state)
+    return;
+  wc_dispatcher_delete (state->dispatcher);
+  g_free (state);
+}
+
+void
+wc_service_state_apply (WcServiceState *state, uint64_t now_us, const WcRegister *reg, uint32_t domain)
+{
+  WcDispatchTarget chosen[WC_SHARD_TARGETS];
+  size_t           count;
+  size_t           used = 0;
+  const WcTarget  *targets;
+  uint32_t         shard_count;
+
+  assert (reg != NULL);
+
+  targets = wc_register_get_service_targets (reg, state->service, domain, &count);
+  shard_count = wc_ownership_get_shard_count (count);
+  for (size_t i = state->shard; i < count && used < WC_SHARD_TARGETS; i += shard_count)
+    chosen[used++] = (WcDispatchTarget){
+      .id = targets[i].id,
+      .slots = targets[i].slots,
+      .weight = targets[i].weight,
+      .cold_start_ms = targets[i].cold_start_ms,
+      .leaving = targets[i].leaving,
+    };
+  wc_dispatcher_set_targets (state->dispatcher, now_us, chosen, used);
+}
--- /dev/null
+++ b/src/core/service_state.h
@@ -0,0 +1,31 @@
+#ifndef WC_CORE_SERVICE_STATE_H
+#define WC_CORE_SERVICE_STATE_H
+
+#include <wigeoncart/dispatcher.h>
+#include <wigeoncart/node.h>
+
+/**
+ * struct WcServiceState - what a worker keeps of one shard of a service in its failure domain.
+ * @feed_cursor: newest event known to exist, 0 while unknown.
+ * @feed_handle: request of the running long poll, 0 for none.
+ * @feed_after: cursor from which that long poll reads.
+ * @feed_retry_us: no long poll starts before this time.
+ */
+typedef struct
+{
+  uint32_t      service;
+  uint32_t      shard;
+  WcDispatcher *dispatcher;
+  uint64_t      feed_cursor;
+  uint64_t      feed_handle;
+  uint64_t      feed_after;
+  uint64_t      feed_retry_us;
+} WcServiceState;
+
+WcServiceState *wc_service_state_new (uint32_t service, uint32_t shard, const WcNodeConfig *config, GRand *random);
+void            wc_service_state_delete (WcServiceState *state);
+
+/** wc_service_state_apply() - take over the shard's targets from a register. */
+void wc_service_state_apply (WcServiceState *state, uint64_t now_us, const WcRegister *reg, uint32_t domain);
+
+#endif
--- /dev/null
+++ b/src/edge/target_connection.c
@@ -0,0 +1,398 @@
+#include "edge/target_connection.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <unistd.h>
+
+#include "edge/socket_address.h"
+
+enum
+{
+  READ_BYTES = 65536
+};
+
+const char *const WC_CONNECTION_STATE_STRINGS[WC_CONNECTION_STATE_COUNT] = {
+  [WC_CONNECTION_CONNECTING] = "connecting",
+  [WC_CONNECTION_CONFIRMING] = "confirming",
+  [WC_CONNECTION_IDLE] = "idle",
+  [WC_CONNECTION_SENDING] = "sending",
+  [WC_CONNECTION_RECEIVING] = "receiving",
+  [WC_CONNECTION_FAILED] = "failed",
+};
+
+static void on_io (struct ev_loop *loop, ev_io *io, int events);
+static void on_connected (WcTargetConnection *connection);
+static void on_readable (WcTargetConnection *connection);
+static void on_complete (WcTargetConnection *connection);
+static void write_request (WcTargetConnection *connection);
+static void watch (WcTargetConnection *connection, int events);
+static void close_with (WcTargetConnection *connection, WcAttemptEnd end);
+static void begin_answer (WcTargetConnection *connection);
+static bool is_refusal (unsigned http_status);
+static void take_header (WcTargetConnection *connection);
+static int  on_header_field (http_parser *parser, const char *text, size_t length);
+static int  on_header_value (http_parser *parser, const char *text, size_t length);
+static int  on_headers_complete (http_parser *parser);
+static int  on_body (http_parser *parser, const char *text, size_t length);
+static int  on_message_complete (http_parser *parser);
+
+static const http_parser_settings PARSER_SETTINGS = {
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+WcTargetConnection *
+wc_target_connection_new (struct ev_loop *loop, const WcTarget *target, const char *service_name,
+                          const WcConnectionOps *ops, void *user_data)
+{
+  WcTargetConnection     *connection = g_new0 (WcTargetConnection, 1);
+  struct sockaddr_storage storage;
+  socklen_t               length = wc_socket_address_from (&target->address, &storage);
+  int                     on = 1;
+
+  connection->loop = loop;
+  connection->ops = ops;
+  connection->user_data = user_data;
+  connection->target = target->id;
+  connection->state = WC_CONNECTION_CONNECTING;
+  g_strlcpy (connection->service_name, service_name, sizeof connection->service_name);
+  connection->fd =
+      socket (target->address.family == 6 ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  ev_io_init (&connection->io, on_io, connection->fd, EV_WRITE);
+  connection->io.data = connection;
+  if (connection->fd >= 0)
+    setsockopt (connection->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (connection->fd >= 0 &&
+      (connect (connection->fd, (struct sockaddr *)&storage, length) == 0 || errno == EINPROGRESS))
+    {
+      ev_io_start (loop, &connection->io);
+    }
+  else
+    {
+      connection->state = WC_CONNECTION_FAILED;
+      ev_feed_event (loop, &connection->io, EV_WRITE);
+    }
+  return connection;
+}
+
+void
+wc_target_connection_delete (WcTargetConnection *connection)
+{
+  if (!connection)
+    return;
+  ev_clear_pending (connection->loop, &connection->io);
+  ev_io_stop (connection->loop, &connection->io);
+  if (connection->fd >= 0)
+    close (connection->fd);
+  g_free (connection);
+}
+
+bool
+wc_target_connection_start (WcTargetConnection *connection, const WcAttempt *attempt)
+{
+  int length;
+
+  assert (connection->attempt == 0);
+
+  length = g_snprintf (connection->request, sizeof connection->request,
+                       "%s %s HTTP/1.1\r\n"
+                       "Host: %s\r\n"
+                       "X-Request-Id: %016" G_GINT64_MODIFIER "x\r\n"
+                       "X-Request-Deadline-Ms: %u\r\n"
+                       "Content-Length: %zu\r\n"
+                       "\r\n",
+                       attempt->method, attempt->path, attempt->service_name, attempt->request_id,
+                       attempt->remaining_ms, attempt->body_bytes);
+  if (length < 0 || (size_t)length + attempt->body_bytes > sizeof connection->request)
+    return false;
+  if (attempt->body_bytes > 0)
+    memcpy (connection->request + length, attempt->body, attempt->body_bytes);
+  connection->request_bytes = (size_t)length + attempt->body_bytes;
+  connection->written_bytes = 0;
+  connection->attempt = attempt->id;
+  if (connection->state == WC_CONNECTION_IDLE)
+    {
+      connection->state = WC_CONNECTION_SENDING;
+      ev_feed_event (connection->loop, &connection->io, EV_WRITE);
+    }
+  return true;
+}
+
+/* local functions */
+
+static void
+on_io (struct ev_loop *loop, ev_io *io, int events)
+{
+  WcTargetConnection *connection = io->data;
+
+  (void)loop;
+  switch (connection->state)
+    {
+    case WC_CONNECTION_FAILED:
+      close_with (connection, WC_ATTEMPT_NOT_SENT);
+      break;
+    case WC_CONNECTION_CONNECTING:
+      on_connected (connection);
+      break;
+    case WC_CONNECTION_SENDING:
+      /* A connection that the target closed while it was idle is noticed before anything is written. */
+      if ((events & EV_READ) && connection->written_bytes == 0)
+        close_with (connection, WC_ATTEMPT_NOT_SENT);
+      else
+        write_request (connection);
+      break;
+    default:
+      on_readable (connection);
+      break;
+    }
+}
+
+static void
+on_connected (WcTargetConnection *connection)
+{
+  char      text[256];
+  int       problem = 0;
+  socklen_t length = sizeof problem;
+  int       size;
+
+  if (getsockopt (connection->fd, SOL_SOCKET, SO_ERROR, &problem, &length) < 0 || problem != 0)
+    {
+      close_with (connection, WC_ATTEMPT_NOT_SENT);
+      return;
+    }
+  size = g_snprintf (text, sizeof text, "OPTIONS * HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n",
+                     connection->service_name);
+  if (size >= (int)sizeof text || send (connection->fd, text, (size_t)size, MSG_NOSIGNAL) != size)
+    {
+      close_with (connection, WC_ATTEMPT_NOT_SENT);
+      return;
+    }
+  connection->state = WC_CONNECTION_CONFIRMING;
+  begin_answer (connection);
+  watch (connection, EV_READ);
+}
+
+static void
+write_request (WcTargetConnection *connection)
+{
+  ssize_t sent;
+
+  if (connection->written_bytes == 0 && !connection->ops->sending (connection->user_data, connection->attempt))
+    {
+      close_with (connection, WC_ATTEMPT_NOT_SENT);
+      return;
+    }
+  sent = send (connection->fd, connection->request + connection->written_bytes,
+               connection->request_bytes - connection->written_bytes, MSG_NOSIGNAL);
+  if (sent < 0 && (errno == EAGAIN || errno == EINTR))
+    {
+      watch (connection, EV_WRITE);
+      return;
+    }
+  if (sent < 0)
+    {
+      close_with (connection, connection->written_bytes == 0 ? WC_ATTEMPT_NOT_SENT : WC_ATTEMPT_BROKEN);
+      return;
+    }
+  connection->written_bytes += (size_t)sent;
+  if (connection->written_bytes < connection->request_bytes)
+    {
+      watch (connection, EV_WRITE);
+      return;
+    }
+  connection->state = WC_CONNECTION_RECEIVING;
+  begin_answer (connection);
+  watch (connection, EV_READ);
+}
+
+static void
+on_readable (WcTargetConnection *connection)
+{
+  static _Thread_local char buffer[READ_BYTES];
+  ssize_t                   size = recv (connection->fd, buffer, sizeof buffer, 0);
+  size_t                    parsed;
+
+  if (size < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (connection->state == WC_CONNECTION_IDLE || size < 0)
+    {
+      close_with (connection, connection->state == WC_CONNECTION_RECEIVING ? WC_ATTEMPT_BROKEN : WC_ATTEMPT_NOT_SENT);
+      return;
+    }
+  /* A size of 0 tells the parser of the end, which completes an answer without a length. */
+  parsed = http_parser_execute (&connection->parser, &PARSER_SETTINGS, buffer, (size_t)size);
+  if (connection->dropped)
+    {
+      connection->attempt = 0;
+      close_with (connection, WC_ATTEMPT_BROKEN);
+      return;
+    }
+  if (connection->complete)
+    {
+      if (size == 0 || parsed != (size_t)size)
+        connection->parser.flags &= ~(unsigned)F_CONNECTION_KEEP_ALIVE;
+      on_complete (connection);
+      return;
+    }
+  if (size == 0 || parsed != (size_t)size)
+    close_with (connection, connection->state == WC_CONNECTION_RECEIVING ? WC_ATTEMPT_BROKEN : WC_ATTEMPT_NOT_SENT);
+}
+
+static void
+on_complete (WcTargetConnection *connection)
+{
+  unsigned http_status = connection->parser.status_code;
+  bool     reusable = http_should_keep_alive (&connection->parser) != 0;
+  uint64_t attempt = connection->attempt;
+
+  if (connection->state == WC_CONNECTION_CONFIRMING)
+    {
+      if (http_status < 200 || http_status > 299 || !reusable)
+        {
+          if (http_status == 421)
+            connection->ops->misdirected (connection->user_data, connection);
+          close_with (connection, is_refusal (http_status) ? WC_ATTEMPT_REFUSED : WC_ATTEMPT_NOT_SENT);
+          return;
+        }
+      connection->state = attempt != 0 ? WC_CONNECTION_SENDING : WC_CONNECTION_IDLE;
+      if (attempt != 0)
+        write_request (connection);
+      return;
+    }
+
+  if (is_refusal (http_status))
+    {
+      close_with (connection, WC_ATTEMPT_REFUSED);
+      return;
+    }
+  connection->attempt = 0;
+  if (reusable)
+    connection->state = WC_CONNECTION_IDLE;
+  else
+    connection->state = WC_CONNECTION_FAILED;
+  connection->ops->done (connection->user_data, attempt, http_status, connection->load_running, connection->cursor);
+  if (!reusable)
+    close_with (connection, WC_ATTEMPT_NOT_SENT);
+}
+
+static void
+watch (WcTargetConnection *connection, int events)
+{
+  ev_io_stop (connection->loop, &connection->io);
+  ev_io_set (&connection->io, connection->fd, events);
+  ev_io_start (connection->loop, &connection->io);
+}
+
+static void
+close_with (WcTargetConnection *connection, WcAttemptEnd end)
+{
+  uint64_t attempt = connection->attempt;
+
+  connection->attempt = 0;
+  connection->state = WC_CONNECTION_FAILED;
+  ev_clear_pending (connection->loop, &connection->io);
+  ev_io_stop (connection->loop, &connection->io);
+  if (attempt != 0)
+    connection->ops->ended (connection->user_data, attempt, end);
+  connection->ops->closed (connection->user_data, connection);
+}
+
+static void
+begin_answer (WcTargetConnection *connection)
+{
+  http_parser_init (&connection->parser, HTTP_RESPONSE);
+  connection->parser.data = connection;
+  connection->complete = false;
+  connection->dropped = false;
+  connection->load_running = UINT32_MAX;
+  connection->cursor = 0;
+  connection->field[0] = '\0';
+  connection->value[0] = '\0';
+  connection->in_value = false;
+}
+
+static bool
+is_refusal (unsigned http_status)
+{
+  return http_status == 421 || http_status == 429 || http_status == 503;
+}
+
+static void
+take_header (WcTargetConnection *connection)
+{
+  if (strcasecmp (connection->field, "X-Load") == 0)
+    connection->load_running = (uint32_t)strtoul (connection->value, NULL, 10);
+  else if (strcasecmp (connection->field, "X-Cursor") == 0)
+    connection->cursor = strtoull (connection->value, NULL, 10);
+}
+
+static int
+on_header_field (http_parser *parser, const char *text, size_t length)
+{
+  WcTargetConnection *connection = parser->data;
+  size_t              used;
+
+  if (connection->in_value)
+    {
+      take_header (connection);
+      connection->field[0] = '\0';
+      connection->value[0] = '\0';
+      connection->in_value = false;
+    }
+  used = strlen (connection->field);
+  g_strlcpy (connection->field + used, text, MIN (sizeof connection->field - used, length + 1));
+  return 0;
+}
+
+static int
+on_header_value (http_parser *parser, const char *text, size_t length)
+{
+  WcTargetConnection *connection = parser->data;
+  size_t              used = strlen (connection->value);
+
+  connection->in_value = true;
+  g_strlcpy (connection->value + used, text, MIN (sizeof connection->value - used, length + 1));
+  return 0;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  WcTargetConnection *connection = parser->data;
+
+  if (connection->in_value)
+    take_header (connection);
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *text, size_t length)
+{
+  WcTargetConnection *connection = parser->data;
+
+  if (connection->state != WC_CONNECTION_RECEIVING || is_refusal (parser->status_code))
+    return 0;
+  if (connection->ops->data (connection->user_data, connection->attempt, (const uint8_t *)text, length))
+    return 0;
+  connection->dropped = true;
+  return 1;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  WcTargetConnection *connection = parser->data;
+
+  connection->complete = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
--- /dev/null
+++ b/src/edge/udp_batch.c
@@ -0,0 +1,135 @@
+#include "edge/udp_batch.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "edge/socket_address.h"
+
+enum
+{
+  BATCH_DATAGRAMS = 64,
+  DATAGRAM_BYTES = 1536
+};
+
+typedef struct
+{
+  struct mmsghdr          headers[BATCH_DATAGRAMS];
+  struct iovec            vectors[BATCH_DATAGRAMS];
+  struct sockaddr_storage addresses[BATCH_DATAGRAMS];
+  uint8_t                 data[BATCH_DATAGRAMS][DATAGRAM_BYTES];
+} Buffers;
+
+struct WcUdpBatch
+{
+  int      fd;
+  unsigned queued;
+  Buffers  in;
+  Buffers  out;
+};
+
+static void init_buffers (Buffers *buffers);
+
+WcUdpBatch *
+wc_udp_batch_new (int fd)
+{
+  WcUdpBatch *batch = g_new0 (WcUdpBatch, 1);
+
+  assert (fd >= 0);
+
+  batch->fd = fd;
+  init_buffers (&batch->in);
+  init_buffers (&batch->out);
+  return batch;
+}
+
+void
+wc_udp_batch_delete (WcUdpBatch *batch)
+{
+  if (!batch)
+    return;
+  close (batch->fd);
+  g_free (batch);
+}
+
+int
+wc_udp_batch_get_fd (const WcUdpBatch *batch)
+{
+  return batch->fd;
+}
+
+unsigned
+wc_udp_batch_receive (WcUdpBatch *batch, WcUdpReceive receive, void *user_data)
+{
+  Buffers *in = &batch->in;
+  int      count;
+
+  for (unsigned i = 0; i < BATCH_DATAGRAMS; i++)
+    in->headers[i].msg_hdr.msg_namelen = sizeof in->addresses[i];
+  count = recvmmsg (batch->fd, in->headers, BATCH_DATAGRAMS, MSG_DONTWAIT, NULL);
+  if (count <= 0)
+    return 0;
+  for (int i = 0; i < count; i++)
+    {
+      WcAddress source;
+
+      /* A longer datagram than the protocol allows was cut off and cannot be valid. */
+      if ((in->headers[i].msg_hdr.msg_flags & MSG_TRUNC) || !wc_socket_address_to (&in->addresses[i], &source))
+        continue;
+      receive (user_data, &source, in->data[i], in->headers[i].msg_len);
+    }
+  return (unsigned)count;
+}
+
+void
+wc_udp_batch_send (WcUdpBatch *batch, const WcAddress *destination, const uint8_t *data, size_t size_bytes)
+{
+  Buffers *out = &batch->out;
+  unsigned i;
+
+  if (size_bytes > DATAGRAM_BYTES)
+    return;
+  if (batch->queued == BATCH_DATAGRAMS)
+    wc_udp_batch_flush (batch);
+  i = batch->queued++;
+  memcpy (out->data[i], data, size_bytes);
+  out->vectors[i].iov_len = size_bytes;
+  out->headers[i].msg_hdr.msg_namelen = wc_socket_address_from (destination, &out->addresses[i]);
+}
+
+void
+wc_udp_batch_flush (WcUdpBatch *batch)
+{
+  unsigned done = 0;
+
+  while (done < batch->queued)
+    {
+      int sent = sendmmsg (batch->fd, batch->out.headers + done, batch->queued - done, MSG_DONTWAIT);
+
+      if (sent < 0 && errno == EINTR)
+        continue;
+      if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        break;
+      /* An error belongs to the first datagram, such as a port that nobody listens on; the others go on. */
+      done += sent > 0 ? (unsigned)sent : 1;
+    }
+  batch->queued = 0;
+}
+
+/* local functions */
+
+static void
+init_buffers (Buffers *buffers)
+{
+  for (unsigned i = 0; i < BATCH_DATAGRAMS; i++)
+    {
+      buffers->vectors[i].iov_base = buffers->data[i];
+      buffers->vectors[i].iov_len = DATAGRAM_BYTES;
+      buffers->headers[i].msg_hdr.msg_iov = &buffers->vectors[i];
+      buffers->headers[i].msg_hdr.msg_iovlen = 1;
+      buffers->headers[i].msg_hdr.msg_name = &buffers->addresses[i];
+    }
+}
