--- a/include/wigeoncart/config_store.h
+++ b/include/wigeoncart/config_store.h
@@ -17,7 +17,12 @@
 
 int wc_config_id_compare (const WcConfigId *a, const WcConfigId *b);
 
-/** struct WcConfigStore - revision in force, its parts, and a newer revision whose parts are being collected. */
+/**
+ * struct WcConfigStore - revision in force, its parts, and newer revisions whose parts are being collected.
+ *
+ * What ends up in force depends on the contents that were offered, not on their order: the newest valid revision of
+ * which all parts are there. A rejected or incomplete revision does not hold up an older one.
+ */
 typedef struct WcConfigStore WcConfigStore;
 
 WcConfigStore *wc_config_store_new (void);
@@ -26,20 +31,26 @@
 /**
  * wc_config_store_offer_head() - offer a published head.
  *
- * Return: OK when the head is newer than all seen before (parts may be missing now), STALE when it is not newer,
- * PARSE or INVALID when malformed, which leaves everything in force.
+ * Return: OK when the head is now collected (parts may be missing), STALE when it is not newer than the one in force,
+ * collected already, rejected, or older than the few newest that are being collected; PARSE or INVALID when malformed,
+ * which changes nothing.
  */
 WcStatus wc_config_store_offer_head (WcConfigStore *store, const char *text, size_t size_bytes, WcError *error);
 
-/** wc_config_store_offer_part() - offer a part; it is kept only when a collected head names its digest. */
+/**
+ * wc_config_store_offer_part() - offer a part; it is kept only when a collected head names its digest.
+ *
+ * Return: OK when the part is held, MISMATCH when no head names it, TOO_LARGE.
+ */
 WcStatus wc_config_store_offer_part (WcConfigStore *store, const void *data, size_t size_bytes, WcError *error);
 
-/** wc_config_store_get_missing() - key and digest of the @index-th missing part; false when there is none. */
+/** wc_config_store_get_missing() - key and digest of the @index-th missing part, those of the newest head first; false
+ * when there is none. */
 bool wc_config_store_get_missing (const WcConfigStore *store, size_t index, const char **key,
                                   uint8_t digest[WC_DIGEST_BYTES]);
 
 /**
- * wc_config_store_activate() - put the collected revision in force when all its parts are there and valid.
+ * wc_config_store_activate() - put the newest collected revision in force of which all parts are there and valid.
  *
  * A revision that fails validation is rejected for good: its id is remembered with the reason and the register in
  * force stays.
@@ -61,7 +72,8 @@
 /** wc_config_store_get_rejection() - id and reason of the last rejected revision; NULL when there is none. */
 const char *wc_config_store_get_rejection (const WcConfigStore *store, WcConfigId *id);
 
-/** wc_config_store_get_head() - text of the newest head, for peers. */
+/** wc_config_store_get_head() - text of the head in force, for peers; of the newest collected one while there is none;
+ * else NULL. */
 const char *wc_config_store_get_head (const WcConfigStore *store, size_t *size_bytes);
 
 /** wc_config_store_find_part() - held part by digest, for peers; NULL when not held. */
--- /dev/null
+++ b/src/core/config_store.c
@@ -0,0 +1,408 @@
+#include <wigeoncart/config_store.h>
+
+#include <assert.h>
+#include <string.h>
+
+#include "core/config_head.h"
+
+/*
+ * Several revisions are collected at once, so that one whose parts cannot be had does not hold up an older one that is
+ * complete. Bounded, because each may hold parts of its own.
+ */
+#define MAX_CANDIDATES 4
+
+/* Rejected revisions that are remembered; one that is forgotten is collected and rejected again. */
+#define MAX_REJECTED 64
+
+/* A head with its text; @text is what peers get. */
+typedef struct
+{
+  WcConfigHead *head;
+  GBytes       *text;
+} Candidate;
+
+struct WcConfigStore
+{
+  WcRegister *reg;
+  WcConfigId  id;
+  Candidate  *in_force;
+  /* Candidate, newest first; all newer than the one in force. */
+  GPtrArray *candidates;
+  WcConfigId newest;
+  /* Digest to GBytes; only parts that the head in force or a candidate names. */
+  GHashTable *parts;
+  /* WcHeadPart; not held, each digest once, those of the newest candidate first. */
+  GArray *missing;
+  /* WcConfigId, oldest first. */
+  GArray    *rejected;
+  WcConfigId last_rejected;
+  char       rejection[WC_ERROR_MESSAGE_BYTES];
+};
+
+static void     candidate_delete (gpointer candidate);
+static bool     is_known (const WcConfigStore *store, const WcConfigId *id);
+static bool     is_complete (const WcConfigStore *store, const Candidate *candidate);
+static WcStatus try_candidate (WcConfigStore *store, guint index, WcError *error);
+static void     put_in_force (WcConfigStore *store, guint index, WcRegister *reg);
+static void     reject (WcConfigStore *store, guint index, const char *reason);
+static void     update_parts (WcConfigStore *store);
+static guint    hash_digest (gconstpointer digest);
+static gboolean equal_digests (gconstpointer a, gconstpointer b);
+
+int
+wc_config_id_compare (const WcConfigId *a, const WcConfigId *b)
+{
+  assert (a != NULL);
+  assert (b != NULL);
+
+  if (a->revision != b->revision)
+    return a->revision < b->revision ? -1 : 1;
+  return memcmp (a->digest, b->digest, WC_DIGEST_BYTES);
+}
+
+WcConfigStore *
+wc_config_store_new (void)
+{
+  WcConfigStore *store = g_new0 (WcConfigStore, 1);
+
+  store->candidates = g_ptr_array_new_with_free_func (candidate_delete);
+  store->parts = g_hash_table_new_full (hash_digest, equal_digests, g_free, (GDestroyNotify)g_bytes_unref);
+  store->missing = g_array_new (FALSE, FALSE, sizeof (WcHeadPart));
+  store->rejected = g_array_new (FALSE, FALSE, sizeof (WcConfigId));
+  return store;
+}
+
+void
+wc_config_store_delete (WcConfigStore *store)
+{
+  if (!store)
+    return;
+  wc_register_unref (store->reg);
+  candidate_delete (store->in_force);
+  g_ptr_array_unref (store->candidates);
+  g_hash_table_destroy (store->parts);
+  g_array_unref (store->missing);
+  g_array_unref (store->rejected);
+  g_free (store);
+}
+
+WcStatus
+wc_config_store_offer_head (WcConfigStore *store, const char *text, size_t size_bytes, WcError *error)
+{
+  WcError       reason = { WC_STATUS_INVALID, "" };
+  WcConfigHead *head;
+  Candidate    *candidate;
+  guint         position = 0;
+
+  assert (store != NULL);
+
+  head = wc_config_head_parse (text, size_bytes, &reason);
+  if (!head)
+    return wc_error_set (error, reason.status == WC_STATUS_PARSE ? WC_STATUS_PARSE : WC_STATUS_INVALID, "%s",
+                         reason.message);
+  if (wc_config_id_compare (&head->id, &store->newest) > 0)
+    store->newest = head->id;
+  for (; position < store->candidates->len; position++)
+    {
+      const Candidate *other = g_ptr_array_index (store->candidates, position);
+
+      if (wc_config_id_compare (&head->id, &other->head->id) > 0)
+        break;
+    }
+  if (is_known (store, &head->id) || position >= MAX_CANDIDATES)
+    {
+      wc_error_set (error, WC_STATUS_STALE, "revision %" G_GUINT64_FORMAT " is not newer", head->id.revision);
+      wc_config_head_delete (head);
+      return WC_STATUS_STALE;
+    }
+
+  candidate = g_new0 (Candidate, 1);
+  candidate->head = head;
+  candidate->text = g_bytes_new (text, size_bytes);
+  g_ptr_array_insert (store->candidates, (gint)position, candidate);
+  if (store->candidates->len > MAX_CANDIDATES)
+    g_ptr_array_set_size (store->candidates, MAX_CANDIDATES);
+  update_parts (store);
+  return WC_STATUS_OK;
+}
+
+WcStatus
+wc_config_store_offer_part (WcConfigStore *store, const void *data, size_t size_bytes, WcError *error)
+{
+  uint8_t digest[WC_DIGEST_BYTES];
+
+  assert (store != NULL);
+  assert (data != NULL || size_bytes == 0);
+
+  if (size_bytes > WC_REGISTER_PART_MAX_BYTES)
+    return wc_error_set (error, WC_STATUS_TOO_LARGE, "the part has more than %d bytes", WC_REGISTER_PART_MAX_BYTES);
+  wc_config_digest (data, size_bytes, digest);
+  if (g_hash_table_contains (store->parts, digest))
+    return WC_STATUS_OK;
+  for (guint i = 0; i < store->missing->len; i++)
+    if (memcmp (g_array_index (store->missing, WcHeadPart, i).digest, digest, WC_DIGEST_BYTES) == 0)
+      {
+        g_hash_table_insert (store->parts, g_memdup2 (digest, sizeof digest), g_bytes_new (data, size_bytes));
+        g_array_remove_index (store->missing, i);
+        return WC_STATUS_OK;
+      }
+  return wc_error_set (error, WC_STATUS_MISMATCH, "no collected head names the digest of the part");
+}
+
+bool
+wc_config_store_get_missing (const WcConfigStore *store, size_t index, const char **key,
+                             uint8_t digest[WC_DIGEST_BYTES])
+{
+  const WcHeadPart *part;
+
+  assert (store != NULL);
+  assert (key != NULL);
+
+  if (index >= store->missing->len)
+    return false;
+  part = &g_array_index (store->missing, WcHeadPart, index);
+  *key = part->key;
+  memcpy (digest, part->digest, WC_DIGEST_BYTES);
+  return true;
+}
+
+WcStatus
+wc_config_store_activate (WcConfigStore *store, WcError *error)
+{
+  WcStatus result = WC_STATUS_NOT_FOUND;
+  guint    index = 0;
+
+  assert (store != NULL);
+
+  while (index < store->candidates->len)
+    {
+      WcStatus status;
+
+      if (!is_complete (store, g_ptr_array_index (store->candidates, index)))
+        {
+          index++;
+          continue;
+        }
+      status = try_candidate (store, index, error);
+      if (status == WC_STATUS_OK)
+        return WC_STATUS_OK;
+      /* A rejected candidate is gone; an older one may be complete and valid. */
+      result = status;
+    }
+  if (result == WC_STATUS_NOT_FOUND)
+    wc_error_set (error, result, "parts are missing or nothing is collected");
+  return result;
+}
+
+WcRegister *
+wc_config_store_get_register (const WcConfigStore *store)
+{
+  assert (store != NULL);
+
+  return store->reg;
+}
+
+const WcConfigId *
+wc_config_store_get_id (const WcConfigStore *store)
+{
+  assert (store != NULL);
+
+  return &store->id;
+}
+
+const WcConfigId *
+wc_config_store_get_newest_id (const WcConfigStore *store)
+{
+  assert (store != NULL);
+
+  return &store->newest;
+}
+
+const char *
+wc_config_store_get_rejection (const WcConfigStore *store, WcConfigId *id)
+{
+  assert (store != NULL);
+  assert (id != NULL);
+
+  if (store->last_rejected.revision == 0)
+    return NULL;
+  *id = store->last_rejected;
+  return store->rejection;
+}
+
+const char *
+wc_config_store_get_head (const WcConfigStore *store, size_t *size_bytes)
+{
+  const Candidate *candidate;
+
+  assert (store != NULL);
+  assert (size_bytes != NULL);
+
+  *size_bytes = 0;
+  candidate = store->in_force;
+  if (!candidate && store->candidates->len > 0)
+    candidate = g_ptr_array_index (store->candidates, 0);
+  return candidate ? g_bytes_get_data (candidate->text, size_bytes) : NULL;
+}
+
+const void *
+wc_config_store_find_part (const WcConfigStore *store, const uint8_t digest[WC_DIGEST_BYTES], size_t *size_bytes)
+{
+  GBytes *part;
+
+  assert (store != NULL);
+  assert (size_bytes != NULL);
+
+  *size_bytes = 0;
+  part = g_hash_table_lookup (store->parts, digest);
+  return part ? g_bytes_get_data (part, size_bytes) : NULL;
+}
+
+/* local functions */
+
+static void
+candidate_delete (gpointer data)
+{
+  Candidate *candidate = data;
+
+  if (!candidate)
+    return;
+  wc_config_head_delete (candidate->head);
+  g_bytes_unref (candidate->text);
+  g_free (candidate);
+}
+
+/* In force or older, collected already, or rejected. */
+static bool
+is_known (const WcConfigStore *store, const WcConfigId *id)
+{
+  if (wc_config_id_compare (id, &store->id) <= 0)
+    return true;
+  for (guint i = 0; i < store->candidates->len; i++)
+    if (wc_config_id_compare (id, &((Candidate *)g_ptr_array_index (store->candidates, i))->head->id) == 0)
+      return true;
+  for (guint i = 0; i < store->rejected->len; i++)
+    if (wc_config_id_compare (id, &g_array_index (store->rejected, WcConfigId, i)) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_complete (const WcConfigStore *store, const Candidate *candidate)
+{
+  for (guint i = 0; i < candidate->head->parts->len; i++)
+    if (!g_hash_table_contains (store->parts, g_array_index (candidate->head->parts, WcHeadPart, i).digest))
+      return false;
+  return true;
+}
+
+/* Put a complete candidate in force, or reject it for good. */
+static WcStatus
+try_candidate (WcConfigStore *store, guint index, WcError *error)
+{
+  const Candidate *candidate = g_ptr_array_index (store->candidates, index);
+  guint            count = candidate->head->parts->len;
+  WcRegisterPart  *parts = g_new0 (WcRegisterPart, count);
+  WcError          reason = { WC_STATUS_INVALID, "" };
+  WcRegister      *reg;
+
+  for (guint i = 0; i < count; i++)
+    {
+      const WcHeadPart *part = &g_array_index (candidate->head->parts, WcHeadPart, i);
+
+      parts[i].name = part->key;
+      parts[i].text = g_bytes_get_data (g_hash_table_lookup (store->parts, part->digest), &parts[i].size_bytes);
+    }
+  reg = wc_register_parse_parts (candidate->head->id.revision, parts, count, &reason);
+  g_free (parts);
+  if (reg)
+    {
+      put_in_force (store, index, reg);
+      return WC_STATUS_OK;
+    }
+  reject (store, index, reason.message);
+  return wc_error_set (error, reason.status == WC_STATUS_PARSE ? WC_STATUS_PARSE : WC_STATUS_INVALID, "%s",
+                       reason.message);
+}
+
+static void
+put_in_force (WcConfigStore *store, guint index, WcRegister *reg)
+{
+  guint kept = 0;
+
+  wc_register_unref (store->reg);
+  store->reg = reg;
+  candidate_delete (store->in_force);
+  store->in_force = g_ptr_array_steal_index (store->candidates, index);
+  store->id = store->in_force->head->id;
+  g_ptr_array_set_size (store->candidates, (gint)index);
+  /* Rejected revisions that are older are refused by the order alone. */
+  for (guint i = 0; i < store->rejected->len; i++)
+    {
+      WcConfigId id = g_array_index (store->rejected, WcConfigId, i);
+
+      if (wc_config_id_compare (&id, &store->id) > 0)
+        g_array_index (store->rejected, WcConfigId, kept++) = id;
+    }
+  g_array_set_size (store->rejected, kept);
+  update_parts (store);
+}
+
+static void
+reject (WcConfigStore *store, guint index, const char *reason)
+{
+  const Candidate *candidate = g_ptr_array_index (store->candidates, index);
+
+  store->last_rejected = candidate->head->id;
+  g_strlcpy (store->rejection, reason, sizeof store->rejection);
+  if (store->rejected->len >= MAX_REJECTED)
+    g_array_remove_index (store->rejected, 0);
+  g_array_append_val (store->rejected, store->last_rejected);
+  g_ptr_array_remove_index (store->candidates, index);
+  update_parts (store);
+}
+
+/* Drop parts that no head names any more, and list those that are missing. */
+static void
+update_parts (WcConfigStore *store)
+{
+  GHashTable    *named = g_hash_table_new (hash_digest, equal_digests);
+  GHashTableIter iter;
+  gpointer       digest;
+
+  g_array_set_size (store->missing, 0);
+  for (guint i = 0; i <= store->candidates->len; i++)
+    {
+      const Candidate *candidate =
+          i < store->candidates->len ? g_ptr_array_index (store->candidates, i) : store->in_force;
+
+      for (guint j = 0; candidate && j < candidate->head->parts->len; j++)
+        {
+          WcHeadPart *part = &g_array_index (candidate->head->parts, WcHeadPart, j);
+
+          if (g_hash_table_add (named, part->digest) && !g_hash_table_contains (store->parts, part->digest))
+            g_array_append_val (store->missing, *part);
+        }
+    }
+  g_hash_table_iter_init (&iter, store->parts);
+  while (g_hash_table_iter_next (&iter, &digest, NULL))
+    if (!g_hash_table_contains (named, digest))
+      g_hash_table_iter_remove (&iter);
+  g_hash_table_destroy (named);
+}
+
+/* A digest is uniform already. */
+static guint
+hash_digest (gconstpointer digest)
+{
+  guint hash;
+
+  memcpy (&hash, digest, sizeof hash);
+  return hash;
+}
+
+static gboolean
+equal_digests (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, WC_DIGEST_BYTES) == 0;
+}
