--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -4,13 +4,11 @@
 #include <sodium.h>
 
 #include "cli/command.h"
-#include "cli/options.h"
-#include "cli/serve.h"
 
-/* Ended by an entry without a name. */
-static const WcCommand COMMANDS[] = {
-  { "serve", "run an instance", wc_serve_run },
-  { NULL, NULL, NULL },
+/* Ended by NULL. */
+static const WcCommand *const COMMANDS[] = {
+  &WC_COMMAND_SERVE,
+  NULL,
 };
 
 static void print_usage (FILE *stream);
@@ -38,9 +36,9 @@
       fprintf (stderr, "wigeoncart: libsodium could not be initialized\n");
       return WC_EXIT_ENVIRONMENT;
     }
-  for (const WcCommand *command = COMMANDS; command->name; command++)
-    if (strcmp (argv[1], command->name) == 0)
-      return command->run (argc - 1, argv + 1);
+  for (const WcCommand *const *command = COMMANDS; *command; command++)
+    if (strcmp (argv[1], (*command)->name) == 0)
+      return (*command)->run (argc - 1, argv + 1);
 
   fprintf (stderr, "wigeoncart: unknown command '%s'\n", argv[1]);
   print_usage (stderr);
@@ -53,7 +51,7 @@
 print_usage (FILE *stream)
 {
   fprintf (stream, "Usage: wigeoncart COMMAND [OPTION...]\n\nCommands:\n");
-  for (const WcCommand *command = COMMANDS; command->name; command++)
-    fprintf (stream, "  %-10s %s\n", command->name, command->summary);
+  for (const WcCommand *const *command = COMMANDS; *command; command++)
+    fprintf (stream, "  %-10s %s\n", (*command)->name, (*command)->summary);
   fprintf (stream, "\nEach command has --help and --version.\n");
 }
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -1,23 +1,26 @@
-#include "cli/serve.h"
-
 #include <signal.h>
 #include <stdio.h>
 #include <time.h>
 
 #include <sodium.h>
 
-#include "cli/options.h"
+#include "cli/arguments.h"
 #include "edge/control_thread.h"
 #include "edge/log.h"
 #include "edge/operator_api.h"
 #include "edge/settings.h"
 #include "edge/worker.h"
 
+static int  run (int argc, char **argv);
 static int  serve (const WcSettings *settings);
 static void wait_for_stop (WcControlThread *control, const sigset_t *signals);
 
-int
-wc_serve_run (int argc, char **argv)
+const WcCommand WC_COMMAND_SERVE = { "serve", "Run an instance; SIGTERM or SIGINT drains it.", run };
+
+/* local functions */
+
+static int
+run (int argc, char **argv)
 {
   static char       *path = NULL;
   const GOptionEntry entries[] = {
@@ -29,9 +32,7 @@
   WcLogLevel  level;
   int         status;
 
-  if (!wc_options_parse (argc, argv, "",
-                         "Runs an instance. SIGTERM or SIGINT drains it; a second one stops it at once.", entries, NULL,
-                         &status))
+  if (!wc_arguments_parse (&WC_COMMAND_SERVE, NULL, entries, &argc, &argv, &status))
     return status;
   if (!path)
     {
@@ -48,11 +49,11 @@
     wc_log_set_level (level);
   status = serve (settings);
   wc_settings_delete (settings);
+  g_free (path);
+  path = NULL;
   return status;
 }
 
-/* local functions */
-
 /* Signals are blocked before any thread starts, so that only the main thread takes them. */
 static int
 serve (const WcSettings *settings)
--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <sodium.h>
--- a/src/edge/platform_client.c
+++ b/src/edge/platform_client.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <http_parser.h>
--- a/src/edge/socket.c
+++ b/src/edge/socket.c
@@ -1,47 +1,23 @@
 #include "edge/socket.h"
 
-#include <assert.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <string.h>
 #include <unistd.h>
 
+#include "edge/socket_address.h"
+
 enum
 {
   BACKLOG = 256,
   UNACKNOWLEDGED_MS = 4000
 };
 
-socklen_t
-wc_socket_address (const WcAddress *address, struct sockaddr_storage *storage)
-{
-  assert (address != NULL);
-  assert (storage != NULL);
-
-  memset (storage, 0, sizeof *storage);
-  if (address->family == 6)
-    {
-      struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)storage;
-
-      in6->sin6_family = AF_INET6;
-      in6->sin6_port = htons (address->port);
-      memcpy (&in6->sin6_addr, address->ip, 16);
-      return sizeof *in6;
-    }
-  struct sockaddr_in *in = (struct sockaddr_in *)storage;
-
-  in->sin_family = AF_INET;
-  in->sin_port = htons (address->port);
-  memcpy (&in->sin_addr, address->ip, 4);
-  return sizeof *in;
-}
-
 int
 wc_socket_listen (const WcAddress *address)
 {
   struct sockaddr_storage storage;
-  socklen_t               length = wc_socket_address (address, &storage);
+  socklen_t               length = wc_socket_address_from (address, &storage);
   int                     descriptor = socket (storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   int                     on = 1;
   int                     saved;
@@ -61,7 +37,7 @@
 wc_socket_connect (const WcAddress *address)
 {
   struct sockaddr_storage storage;
-  socklen_t               length = wc_socket_address (address, &storage);
+  socklen_t               length = wc_socket_address_from (address, &storage);
   int                     descriptor = socket (storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   int                     saved;
 
--- a/src/edge/socket.h
+++ b/src/edge/socket.h
@@ -1,15 +1,8 @@
 #ifndef WC_EDGE_SOCKET_H
 #define WC_EDGE_SOCKET_H
 
-#include <stdbool.h>
-
-#include <sys/socket.h>
-
 #include <wigeoncart/address.h>
 
-/** wc_socket_address() - fill @storage from @address. Return: its length. */
-socklen_t wc_socket_address (const WcAddress *address, struct sockaddr_storage *storage);
-
 /** wc_socket_listen() - non-blocking listener on a TCP address. Return: descriptor, or -1 with errno set. */
 int wc_socket_listen (const WcAddress *address);
 
