--- /dev/null
+++ b/tests/process/lab.sh
@@ -0,0 +1,128 @@
+# Starts and stops a fleet of real processes on loopback. Sourced by the demo and the process tests.
+#
+# Each fleet has a base port: instance i listens for callers on base + i, for peers on base + 100 + 10 i and for operators
+# on base + 300 + i; the platform uses base + 400, the fabric base + 500 (control base + 501), the targets' control port
+# is base + 600. Processes are ended by their ids only.
+
+LAB_BINARY=${LAB_BINARY:-build/wigeoncart}
+LAB_FLEET_KEY=Zf3LfJf+QNXEZFyAInvxAYjIUPnc1NnQ9j7C6JxA4Ik=
+LAB_PIDS=()
+
+lab_fail () {
+  echo "lab: $*" >&2
+  exit 1
+}
+
+# Starts a process in the background with its output in a file; its id is left in LAB_PID.
+lab_spawn () {
+  local log=$1
+  shift
+  "$@" >>"$log" 2>&1 &
+  LAB_PID=$!
+  LAB_PIDS+=("$LAB_PID")
+}
+
+lab_stop_all () {
+  local pid
+  for pid in "${LAB_PIDS[@]}"; do
+    kill -CONT "$pid" 2>/dev/null
+    kill -TERM "$pid" 2>/dev/null
+  done
+  sleep 0.2
+  for pid in "${LAB_PIDS[@]}"; do
+    kill -KILL "$pid" 2>/dev/null
+  done
+  wait 2>/dev/null
+}
+
+# lab_wait SECONDS WHAT COMMAND...: repeats a command until it succeeds.
+lab_wait () {
+  local seconds=$1 what=$2 end
+  shift 2
+  end=$((SECONDS + seconds))
+  until "$@" >/dev/null 2>&1; do
+    [ "$SECONDS" -lt "$end" ] || lab_fail "$what did not happen within $seconds s"
+    sleep 0.1
+  done
+}
+
+lab_get () {
+  curl -sSf --max-time 5 "http://127.0.0.1:$1$2"
+}
+
+# lab_send METHOD PORT PATH BODY
+lab_send () {
+  curl -sSf --max-time 5 -X "$1" --data-binary "$4" "http://127.0.0.1:$2$3"
+}
+
+# lab_domains REGISTER: names of the failure domains. The sample files carry comments, which jq does not read.
+lab_json () {
+  sed 's|^ *//.*||' "$1"
+}
+
+# lab_write_settings DIRECTORY BASE NAME INDEX DOMAIN
+lab_write_settings () {
+  local directory=$1 base=$2 name=$3 index=$4 domain=$5
+  cat >"$directory/$name-$index.json" <<SETTINGS
+{
+  "instance": "$name-$index",
+  "domain": "$domain",
+  "listen": "127.0.0.1:$((base + index))",
+  "peer": "127.0.0.1:$((base + 100 + 10 * index))",
+  "operators": "127.0.0.1:$((base + 300 + index))",
+  "platforms": ["127.0.0.1:$((base + 400))"],
+  "workers": 2,
+  "fleet_key": "$LAB_FLEET_KEY",
+  "ticket_life_ms": ${LAB_TICKET_LIFE_MS:-4000},
+  "answer_life_ms": ${LAB_ANSWER_LIFE_MS:-4000},
+  "fault_injection": true
+}
+SETTINGS
+}
+
+# lab_start_instance DIRECTORY BASE NAME INDEX: the id is left in LAB_PID.
+lab_start_instance () {
+  lab_spawn "$1/$3-$4.log" "$LAB_BINARY" serve --settings "$1/$3-$4.json"
+}
+
+lab_is_ready () {
+  lab_get $(($1 + 300 + $2)) /ready
+}
+
+# lab_start_fleet DIRECTORY BASE NAME REGISTER INSTANCES: starts everything and waits until all instances are ready.
+# LAB_INSTANCE_PIDS_<NAME>[i] holds the ids.
+lab_start_fleet () {
+  local directory=$1 base=$2 name=$3 register=$4 count=$5
+  local domains domain_count index domain list="" addresses=""
+  mkdir -p "$directory"
+  mapfile -t domains < <(lab_json "$register" | jq -r '.domains[]')
+  domain_count=${#domains[@]}
+  declare -g -A "LAB_INSTANCE_PIDS_$name"
+  declare -n pids="LAB_INSTANCE_PIDS_$name"
+
+  for index in $(seq 1 "$count"); do
+    domain=${domains[$(((index - 1) % domain_count))]}
+    lab_write_settings "$directory" "$base" "$name" "$index" "$domain"
+    list="$list${list:+,}{\"name\": \"$name-$index\", \"domain\": \"$domain\", \"workers\": 2, \"state\": \"live\", \
+\"address\": \"127.0.0.1:$((base + 100 + 10 * index))\"}"
+    addresses="$addresses${addresses:+,}127.0.0.1:$((base + index))"
+  done
+  echo "{\"instances\": [$list]}" >"$directory/instances.json"
+
+  lab_spawn "$directory/platform.log" "$LAB_BINARY" emulate platform --listen "127.0.0.1:$((base + 400))" \
+    --register "$register" --instances "$directory/instances.json"
+  declare -g "LAB_PLATFORM_PID_$name=$LAB_PID"
+  lab_spawn "$directory/targets.log" "$LAB_BINARY" emulate targets --register "$register" \
+    --control "127.0.0.1:$((base + 600))" --seed 1 ${LAB_TARGET_OPTIONS:-}
+  lab_spawn "$directory/fabric.log" "$LAB_BINARY" emulate fabric --listen "127.0.0.1:$((base + 500))" \
+    --instances "$addresses" --control "127.0.0.1:$((base + 501))" --seed 1 ${LAB_FABRIC_OPTIONS:-}
+  lab_wait 10 "the start of the platform" lab_get $((base + 400)) /v1/instances
+  lab_wait 10 "the start of the targets" lab_get $((base + 600)) /control/stats
+  for index in $(seq 1 "$count"); do
+    lab_start_instance "$directory" "$base" "$name" "$index"
+    pids[$index]=$LAB_PID
+  done
+  for index in $(seq 1 "$count"); do
+    lab_wait 15 "readiness of $name-$index" lab_is_ready "$base" "$index"
+  done
+}
