--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -1,6 +1,8 @@
 #ifndef WC_CLI_COMMAND_H
 #define WC_CLI_COMMAND_H
 
+#define WC_VERSION "0.1.0"
+
 /** enum WcExit - exit status of every subcommand. */
 typedef enum
 {
@@ -25,4 +27,7 @@
   int (*run) (int argc, char **argv);
 } WcCommand;
 
+extern const WcCommand WC_COMMAND_CHECK;
+extern const WcCommand WC_COMMAND_EXPORT;
+
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -5,11 +5,11 @@
 
 #include "cli/command.h"
 
-#define WC_VERSION "0.1.0"
-
-/* Ended by an entry without a name. */
-static const WcCommand COMMANDS[] = {
-  { NULL, NULL, NULL },
+/* Ended by NULL. */
+static const WcCommand *const COMMANDS[] = {
+  &WC_COMMAND_CHECK,
+  &WC_COMMAND_EXPORT,
+  NULL,
 };
 
 static void print_usage (FILE *stream);
@@ -37,9 +37,9 @@
       fprintf (stderr, "wigeoncart: libsodium could not be initialized\n");
       return WC_EXIT_ENVIRONMENT;
     }
-  for (const WcCommand *command = COMMANDS; command->name; command++)
-    if (strcmp (argv[1], command->name) == 0)
-      return command->run (argc - 1, argv + 1);
+  for (const WcCommand *const *command = COMMANDS; *command; command++)
+    if (strcmp (argv[1], (*command)->name) == 0)
+      return (*command)->run (argc - 1, argv + 1);
 
   fprintf (stderr, "wigeoncart: unknown command '%s'\n", argv[1]);
   print_usage (stderr);
@@ -52,7 +52,7 @@
 print_usage (FILE *stream)
 {
   fprintf (stream, "Usage: wigeoncart COMMAND [OPTION...]\n\nCommands:\n");
-  for (const WcCommand *command = COMMANDS; command->name; command++)
-    fprintf (stream, "  %-10s %s\n", command->name, command->summary);
+  for (const WcCommand *const *command = COMMANDS; *command; command++)
+    fprintf (stream, "  %-10s %s\n", (*command)->name, (*command)->summary);
   fprintf (stream, "\nEach command has --help and --version.\n");
 }
