--- a/src/core/json_lines.c
+++ b/src/core/json_lines.c
@@ -16,6 +16,7 @@
   WcError    *error;
 } Cursor;
 
+static bool is_space (char c);
 static void skip_space (Cursor *cursor);
 static void skip_string (Cursor *cursor);
 static void skip_value (Cursor *cursor);
@@ -81,10 +82,16 @@
 
 /* local functions */
 
+static bool
+is_space (char c)
+{
+  return c == ' ' || c == '\t' || c == '\r' || c == '\n';
+}
+
 static void
 skip_space (Cursor *cursor)
 {
-  for (; cursor->at < cursor->end && strchr (" \t\r\n", *cursor->at); cursor->at++)
+  for (; cursor->at < cursor->end && is_space (*cursor->at); cursor->at++)
     if (*cursor->at == '\n')
       cursor->line++;
 }
@@ -111,7 +118,7 @@
     {
       char c = *cursor->at;
 
-      if (depth == 0 && strchr (",]}", c))
+      if (depth == 0 && (c == ',' || c == ']' || c == '}'))
         return;
       if (c == '"')
         {
--- a/src/core/register_draft.c
+++ b/src/core/register_draft.c
@@ -70,13 +70,20 @@
   { "rules", WC_JSON_OBJECT, false, 0, UINT32_MAX, NULL },
 };
 
+/* @max_entries bounds the joined array of the section at @offset in WcDraft. */
 static const struct
 {
   const char *key;
   bool (*read) (const Reader *reader, struct json_object *section);
+  size_t offset;
+  guint  max_entries;
 } SECTIONS[] = {
-  { "domains", read_domains },     { "services", read_services }, { "hosts", read_hosts },
-  { "customers", read_customers }, { "keys", read_keys },         { "rules", read_rules },
+  { "domains", read_domains, offsetof (WcDraft, domains), MAX_DOMAINS },
+  { "services", read_services, offsetof (WcDraft, services), MAX_SERVICES },
+  { "hosts", read_hosts, offsetof (WcDraft, hosts), MAX_HOSTS },
+  { "customers", read_customers, offsetof (WcDraft, customers), MAX_CUSTOMERS },
+  { "keys", read_keys, offsetof (WcDraft, keys), MAX_KEYS },
+  { "rules", read_rules, offsetof (WcDraft, weights), MAX_HOSTS },
 };
 
 bool
@@ -96,8 +103,13 @@
     {
       struct json_object *section;
 
-      if (json_object_object_get_ex (root, SECTIONS[i].key, &section) && !SECTIONS[i].read (&reader, section))
+      if (!json_object_object_get_ex (root, SECTIONS[i].key, &section))
+        continue;
+      if (!SECTIONS[i].read (&reader, section))
         return false;
+      if (G_STRUCT_MEMBER (GArray *, draft, SECTIONS[i].offset)->len > SECTIONS[i].max_entries)
+        return wc_draft_fail (draft, error, place_of (&reader, section), SECTIONS[i].key,
+                              "has more than %u elements over all parts", SECTIONS[i].max_entries);
     }
   return true;
 }
--- a/tests/test_register.c
+++ b/tests/test_register.c
@@ -276,6 +276,29 @@
 }
 END_TEST
 
+/* Guards against limits that hold for each part but not for the register. */
+START_TEST (test_too_many_over_parts)
+{
+  GString       *texts[2];
+  WcRegisterPart parts[2] = { { "p1", NULL, 0 }, { "p2", NULL, 0 } };
+  WcError        error;
+
+  for (int i = 0; i < 2; i++)
+    {
+      texts[i] = g_string_new ("{\"domains\": [");
+      for (int j = 0; j < 40; j++)
+        g_string_append_printf (texts[i], "%s\"d%d\"", j > 0 ? ", " : "", 40 * i + j);
+      g_string_append (texts[i], "]}");
+      parts[i].text = texts[i]->str;
+      parts[i].size_bytes = texts[i]->len;
+    }
+  ck_assert_ptr_null (wc_register_parse_parts (1, parts, 2, &error));
+  ck_assert_str_eq (error.message, "p2:1: domains: has more than 64 elements over all parts");
+  for (int i = 0; i < 2; i++)
+    g_string_free (texts[i], TRUE);
+}
+END_TEST
+
 /* Guards against unbounded memory: texts over the limits are not parsed. */
 START_TEST (test_too_large)
 {
@@ -416,6 +439,7 @@
   tcase_add_test (cases, test_truncated);
   tcase_add_test (cases, test_damaged);
   tcase_add_test (cases, test_parts);
+  tcase_add_test (cases, test_too_many_over_parts);
   tcase_add_test (cases, test_too_large);
   tcase_add_test (cases, test_collision);
   tcase_add_test (cases, test_many);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -126,6 +126,23 @@
 }
 END_TEST
 
+/* Guards against a half-written file that is used, or that crashes the reader. */
+START_TEST (test_truncated)
+{
+  static const char text[] = "{ // one\n" REST ", /* two */ \"workers\": 3}";
+
+  for (size_t i = 0; i < sizeof text - 1; i++)
+    {
+      char   *prefix = g_strndup (text, i);
+      WcError error;
+
+      ck_assert_ptr_null (load_text (prefix, &error));
+      ck_assert_int_eq (error.status, WC_STATUS_PARSE);
+      g_free (prefix);
+    }
+}
+END_TEST
+
 /* Guards against a missing file that is taken for an empty one. */
 START_TEST (test_missing_file)
 {
@@ -150,6 +167,7 @@
   tcase_add_loop_test (cases, test_bad, 0, G_N_ELEMENTS (BAD_CASES));
   tcase_add_test (cases, test_defaults);
   tcase_add_test (cases, test_sample);
+  tcase_add_test (cases, test_truncated);
   tcase_add_test (cases, test_missing_file);
   suite_add_tcase (suite, cases);
   runner = srunner_create (suite);
