--- a/src/core/register.c
+++ b/src/core/register.c
@@ -24,7 +24,7 @@
   reg->customers = g_array_new (FALSE, FALSE, sizeof (WcCustomer));
   reg->keys = g_array_new (FALSE, FALSE, sizeof (WcKey));
   reg->targets = g_array_new (FALSE, FALSE, sizeof (WcTarget));
-  reg->target_index = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  reg->target_index = g_array_new (FALSE, FALSE, sizeof (WcTargetPosition));
   return reg;
 }
 
@@ -73,26 +73,12 @@
 const WcTarget *
 wc_register_find_target (const WcRegister *reg, uint32_t id)
 {
-  guint low = 0;
-  guint high;
+  const WcTargetPosition *found;
 
   assert (reg != NULL);
 
-  high = reg->target_index->len;
-  while (low < high)
-    {
-      guint           middle = low + (high - low) / 2;
-      const WcTarget *target =
-          &g_array_index (reg->targets, WcTarget, g_array_index (reg->target_index, uint32_t, middle));
-
-      if (target->id == id)
-        return target;
-      if (target->id < id)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  return NULL;
+  found = find_by_id (reg->target_index, id);
+  return found ? &g_array_index (reg->targets, WcTarget, found->position) : NULL;
 }
 
 const WcCustomer *
--- a/src/core/register_resolve.c
+++ b/src/core/register_resolve.c
@@ -20,7 +20,6 @@
 static gint  compare_ids (gconstpointer a, gconstpointer b);
 static gint  compare_targets (gconstpointer a, gconstpointer b);
 static gint  compare_drafts (gconstpointer a, gconstpointer b);
-static gint  compare_positions (gconstpointer a, gconstpointer b, gpointer targets);
 
 bool
 wc_draft_resolve (WcDraft *draft, WcError *error)
@@ -195,8 +194,12 @@
       g_array_append_val (reg->targets, entry->target);
     }
   for (uint32_t i = 0; i < reg->targets->len; i++)
-    g_array_append_val (reg->target_index, i);
-  g_array_sort_with_data (reg->target_index, compare_positions, reg->targets);
+    {
+      WcTargetPosition entry = { g_array_index (reg->targets, WcTarget, i).id, i };
+
+      g_array_append_val (reg->target_index, entry);
+    }
+  g_array_sort (reg->target_index, compare_ids);
   return true;
 }
 
@@ -253,12 +256,3 @@
 {
   return compare_targets (&((const WcDraftTarget *)a)->target, &((const WcDraftTarget *)b)->target);
 }
-
-static gint
-compare_positions (gconstpointer a, gconstpointer b, gpointer targets)
-{
-  const GArray *array = targets;
-
-  return compare_ids (&g_array_index (array, WcTarget, *(const uint32_t *)a).id,
-                      &g_array_index (array, WcTarget, *(const uint32_t *)b).id);
-}
