--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -161,6 +161,30 @@
 }
 END_TEST
 
+/* Guards against a rejected revision that hides an older complete one until the next head arrives. */
+START_TEST (test_rejected_and_older_together)
+{
+  WcConfigStore *store = wc_config_store_new ();
+  char          *good = make_head (1, BASE, HOSTS_1);
+  char          *bad = make_head (2, BASE, BAD_HOSTS);
+  WcConfigId     id;
+  WcError        error;
+
+  ck_assert_int_eq (offer (store, good), WC_STATUS_OK);
+  ck_assert_int_eq (offer (store, bad), WC_STATUS_OK);
+  ck_assert_int_eq (offer_part (store, HOSTS_1), WC_STATUS_OK);
+  ck_assert_int_eq (offer_part (store, BAD_HOSTS), WC_STATUS_OK);
+  ck_assert_int_eq (offer_part (store, BASE), WC_STATUS_OK);
+  ck_assert_int_eq (wc_config_store_activate (store, &error), WC_STATUS_OK);
+  ck_assert_uint_eq (wc_config_store_get_id (store)->revision, 1);
+  ck_assert_ptr_nonnull (wc_config_store_get_rejection (store, &id));
+  ck_assert_uint_eq (id.revision, 2);
+  g_free (good);
+  g_free (bad);
+  wc_config_store_delete (store);
+}
+END_TEST
+
 /* Guards against instances that end up with different revisions because heads arrived in different orders. */
 START_TEST (test_any_order)
 {
@@ -313,6 +337,7 @@
   tcase_add_test (cases, test_stale);
   tcase_add_test (cases, test_race);
   tcase_add_test (cases, test_rejected_then_better);
+  tcase_add_test (cases, test_rejected_and_older_together);
   tcase_add_loop_test (cases, test_any_order, 0, 5);
   tcase_add_test (cases, test_wrong_digest);
   tcase_add_test (cases, test_part_syntax);
