--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -28,5 +28,7 @@
 } WcCommand;
 
 extern const WcCommand WC_COMMAND_SERVE;
+extern const WcCommand WC_COMMAND_CHECK;
+extern const WcCommand WC_COMMAND_EXPORT;
 
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -8,6 +8,8 @@
 /* Ended by NULL. */
 static const WcCommand *const COMMANDS[] = {
   &WC_COMMAND_SERVE,
+  &WC_COMMAND_CHECK,
+  &WC_COMMAND_EXPORT,
   NULL,
 };
 
