Add emulated platform, targets and fabric

The HTTP server reports a closed connection at once, so that a target sees a cancellation, and an emulated process serves many targets on one event loop.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -1,6 +1,8 @@
 #ifndef WC_CLI_COMMAND_H
 #define WC_CLI_COMMAND_H
 
+#define WC_VERSION "0.1.0"
+
 /** enum WcExit - exit status of every subcommand. */
 typedef enum
 {
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -3,12 +3,12 @@
 
 #include <sodium.h>
 
+#include "cli/cmd_emulate.h"
 #include "cli/command.h"
 
-#define WC_VERSION "0.1.0"
-
 /* Ended by an entry without a name. */
 static const WcCommand COMMANDS[] = {
+  { "emulate", "Emulate the platform, targets or the fabric", wc_cmd_emulate_run },
   { NULL, NULL, NULL },
 };
 
--- /dev/null
+++ b/src/emulator/emulated_fabric.c
@@ -0,0 +1,583 @@
+#include "emulator/emulated_fabric.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "emulator/emulator_json.h"
+#include "emulator/emulator_net.h"
+#include "emulator/http_server.h"
+
+enum
+{
+  DATAGRAM_MAX_BYTES = 2048,
+  RECEIVE_BATCH = 64,
+  SOCKET_BUFFER_BYTES = 4 << 20,
+  /* Datagrams in the delay queue; further ones are lost, as in a full switch. */
+  DELAYED_MAX = 200000
+};
+
+/* name of a count in the statistics */
+#define COUNT_LIST(X)                                                                                                  \
+  X (FROM_CALLERS, "from_callers")                                                                                     \
+  X (FROM_INSTANCES, "from_instances")                                                                                 \
+  X (SENT, "sent")                                                                                                     \
+  X (LOST, "lost")                                                                                                     \
+  X (DUPLICATED, "duplicated")                                                                                         \
+  X (REORDERED, "reordered")                                                                                           \
+  X (NO_INSTANCE, "no_instance")                                                                                       \
+  X (SEND_ERRORS, "send_errors")                                                                                       \
+  X (OVERSIZED, "oversized")                                                                                           \
+  X (OVERFLOWED, "overflowed")                                                                                         \
+  X (CALLERS_REFUSED, "callers_refused")
+
+typedef enum
+{
+#define COUNT_ENUM(name, text) COUNT_##name,
+  COUNT_LIST (COUNT_ENUM)
+#undef COUNT_ENUM
+      COUNT_COUNT
+} Count;
+
+static const char *const COUNT_STRINGS[COUNT_COUNT] = {
+#define COUNT_STRING(name, text) [COUNT_##name] = (text),
+  COUNT_LIST (COUNT_STRING)
+#undef COUNT_STRING
+};
+
+/* A caller and the socket that instances see as its address. */
+typedef struct
+{
+  WcEmulatedFabric *fabric;
+  WcAddress         address;
+  int               fd;
+  ev_io             reading;
+  ev_tstamp         last_used;
+} Caller;
+
+/* A datagram that waits; callers are looked up again at its end, since they may be gone by then. */
+typedef struct
+{
+  ev_tstamp due;
+  uint64_t  serial;
+  WcAddress caller;
+  bool      to_caller;
+  WcAddress instance;
+  size_t    size_bytes;
+  uint8_t   data[];
+} Delayed;
+
+/* A list of instances that comes into force later. */
+typedef struct
+{
+  WcEmulatedFabric *fabric;
+  GArray           *instances;
+  ev_timer          timer;
+} DelayedList;
+
+struct WcEmulatedFabric
+{
+  struct ev_loop *loop;
+  int             fd;
+  ev_io           reading;
+  WcHttpServer   *control;
+  GArray         *instances;
+  GPtrArray      *delayed_lists;
+  GHashTable     *callers;
+  GTree          *delayed;
+  uint64_t        last_serial;
+  ev_timer        delay_timer;
+  ev_timer        idle_timer;
+  WcFabricFaults  faults;
+  GRand          *random;
+  double          idle_s;
+  uint64_t        counts[COUNT_COUNT];
+};
+
+static void    read_callers (struct ev_loop *loop, ev_io *watcher, int events);
+static void    read_instances (struct ev_loop *loop, ev_io *watcher, int events);
+static Caller *ensure_caller (WcEmulatedFabric *fabric, const WcAddress *address);
+static void
+pass (WcEmulatedFabric *fabric, const WcAddress *caller, bool to_caller, const uint8_t *data, size_t size_bytes);
+static void   deliver (WcEmulatedFabric *fabric, const WcAddress *caller, bool to_caller, const WcAddress *instance,
+                       const uint8_t *data, size_t size_bytes);
+static double draw_delay_s (WcEmulatedFabric *fabric);
+static void   send_delayed (struct ev_loop *loop, ev_timer *timer, int events);
+static void   arm_delay (WcEmulatedFabric *fabric);
+static void   close_idle (struct ev_loop *loop, ev_timer *timer, int events);
+static void   handle_control (void *user_data, WcHttpExchange *exchange);
+static void   handle_instances (WcEmulatedFabric *fabric, WcHttpExchange *exchange);
+static void   handle_faults (WcEmulatedFabric *fabric, WcHttpExchange *exchange);
+static void   respond_stats (WcEmulatedFabric *fabric, WcHttpExchange *exchange);
+static void   use_list (struct ev_loop *loop, ev_timer *timer, int events);
+static guint  hash_address (const void *address);
+static int    equal_addresses (const void *a, const void *b);
+static int    compare_delayed (const void *a, const void *b, void *unused);
+static void   free_caller (void *data);
+static void   free_list (void *data);
+
+WcEmulatedFabric *
+wc_emulated_fabric_new (struct ev_loop *loop, const WcEmulatedFabricConfig *config, WcError *error)
+{
+  static const WcHttpServerOps ops = { .request = handle_control };
+  WcEmulatedFabric            *fabric;
+  int                          size = SOCKET_BUFFER_BYTES;
+  int                          fd;
+
+  assert (config != NULL);
+
+  fd = wc_net_bind (SOCK_DGRAM, &config->listen, error);
+  if (fd < 0)
+    return NULL;
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  fabric = g_new0 (WcEmulatedFabric, 1);
+  fabric->loop = loop;
+  fabric->fd = fd;
+  fabric->faults = config->faults;
+  fabric->idle_s = config->idle_s;
+  fabric->random = g_rand_new_with_seed (config->seed);
+  fabric->instances = g_array_new (FALSE, FALSE, sizeof (WcAddress));
+  if (config->instance_count > 0)
+    g_array_append_vals (fabric->instances, config->instances, (guint)config->instance_count);
+  fabric->delayed_lists = g_ptr_array_new_with_free_func (free_list);
+  fabric->callers = g_hash_table_new_full (hash_address, equal_addresses, NULL, free_caller);
+  fabric->delayed = g_tree_new_full (compare_delayed, NULL, g_free, NULL);
+  ev_io_init (&fabric->reading, read_callers, fd, EV_READ);
+  fabric->reading.data = fabric;
+  ev_io_start (loop, &fabric->reading);
+  ev_timer_init (&fabric->delay_timer, send_delayed, 0, 0);
+  fabric->delay_timer.data = fabric;
+  ev_timer_init (&fabric->idle_timer, close_idle, config->idle_s, config->idle_s / 4);
+  fabric->idle_timer.data = fabric;
+  ev_timer_start (loop, &fabric->idle_timer);
+  if (config->control.family != 0)
+    {
+      fabric->control = wc_http_server_new (loop, &config->control, &ops, fabric, error);
+      if (!fabric->control)
+        {
+          wc_emulated_fabric_delete (fabric);
+          return NULL;
+        }
+    }
+  return fabric;
+}
+
+void
+wc_emulated_fabric_delete (WcEmulatedFabric *fabric)
+{
+  if (!fabric)
+    return;
+  wc_http_server_delete (fabric->control);
+  ev_io_stop (fabric->loop, &fabric->reading);
+  ev_timer_stop (fabric->loop, &fabric->delay_timer);
+  ev_timer_stop (fabric->loop, &fabric->idle_timer);
+  g_ptr_array_free (fabric->delayed_lists, TRUE);
+  g_hash_table_destroy (fabric->callers);
+  g_tree_destroy (fabric->delayed);
+  g_array_free (fabric->instances, TRUE);
+  g_rand_free (fabric->random);
+  close (fabric->fd);
+  g_free (fabric);
+}
+
+void
+wc_emulated_fabric_get_address (const WcEmulatedFabric *fabric, WcAddress *address)
+{
+  assert (fabric != NULL);
+
+  wc_net_get_local (fabric->fd, address);
+}
+
+/* local functions */
+
+static void
+read_callers (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  WcEmulatedFabric       *fabric = watcher->data;
+  struct sockaddr_storage source;
+  uint8_t                 data[DATAGRAM_MAX_BYTES];
+  WcAddress               address;
+
+  (void)loop;
+  (void)events;
+  for (int i = 0; i < RECEIVE_BATCH; i++)
+    {
+      socklen_t length = sizeof source;
+      ssize_t   size = recvfrom (fabric->fd, data, sizeof data, MSG_TRUNC, (struct sockaddr *)&source, &length);
+
+      if (size < 0 && errno != ECONNREFUSED)
+        return;
+      if (size < 0)
+        continue;
+      fabric->counts[COUNT_FROM_CALLERS]++;
+      wc_net_from_sockaddr (&source, &address);
+      if ((size_t)size > sizeof data)
+        fabric->counts[COUNT_OVERSIZED]++;
+      else if (!ensure_caller (fabric, &address))
+        fabric->counts[COUNT_CALLERS_REFUSED]++;
+      else
+        pass (fabric, &address, false, data, (size_t)size);
+    }
+}
+
+static void
+read_instances (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  Caller           *caller = watcher->data;
+  WcEmulatedFabric *fabric = caller->fabric;
+  uint8_t           data[DATAGRAM_MAX_BYTES];
+
+  (void)loop;
+  (void)events;
+  for (int i = 0; i < RECEIVE_BATCH; i++)
+    {
+      ssize_t size = recv (caller->fd, data, sizeof data, MSG_TRUNC);
+
+      /* ICMP errors of instances that are down are reported here; the datagrams behind them are still there. */
+      if (size < 0 && errno != ECONNREFUSED)
+        return;
+      if (size < 0)
+        continue;
+      fabric->counts[COUNT_FROM_INSTANCES]++;
+      caller->last_used = ev_now (fabric->loop);
+      if ((size_t)size > sizeof data)
+        fabric->counts[COUNT_OVERSIZED]++;
+      else
+        pass (fabric, &caller->address, true, data, (size_t)size);
+    }
+}
+
+static Caller *
+ensure_caller (WcEmulatedFabric *fabric, const WcAddress *address)
+{
+  Caller   *caller = g_hash_table_lookup (fabric->callers, address);
+  WcAddress any = { .family = address->family };
+  int       size = SOCKET_BUFFER_BYTES;
+  int       fd;
+
+  if (!caller)
+    {
+      /* Instances are on loopback, and answer to the address that they see. */
+      if (any.family == 6)
+        any.ip[15] = 1;
+      else
+        memcpy (any.ip, "\x7f\0\0\1", 4);
+      fd = wc_net_bind (SOCK_DGRAM, &any, NULL);
+      if (fd < 0)
+        return NULL;
+      (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+      caller = g_new0 (Caller, 1);
+      caller->fabric = fabric;
+      caller->address = *address;
+      caller->fd = fd;
+      ev_io_init (&caller->reading, read_instances, fd, EV_READ);
+      caller->reading.data = caller;
+      ev_io_start (fabric->loop, &caller->reading);
+      g_hash_table_insert (fabric->callers, &caller->address, caller);
+    }
+  caller->last_used = ev_now (fabric->loop);
+  return caller;
+}
+
+/* Applies the faults to a datagram. */
+static void
+pass (WcEmulatedFabric *fabric, const WcAddress *caller, bool to_caller, const uint8_t *data, size_t size_bytes)
+{
+  WcAddress instance = { 0 };
+  int       copies = 1;
+
+  if (fabric->faults.loss > 0 && g_rand_double (fabric->random) < fabric->faults.loss)
+    {
+      fabric->counts[COUNT_LOST]++;
+      return;
+    }
+  if (fabric->faults.duplicate > 0 && g_rand_double (fabric->random) < fabric->faults.duplicate)
+    {
+      fabric->counts[COUNT_DUPLICATED]++;
+      copies = 2;
+    }
+  for (int i = 0; i < copies; i++)
+    {
+      double   delay_s = draw_delay_s (fabric);
+      Delayed *delayed;
+
+      if (!to_caller)
+        {
+          if (fabric->instances->len == 0)
+            {
+              fabric->counts[COUNT_NO_INSTANCE]++;
+              return;
+            }
+          instance = g_array_index (fabric->instances, WcAddress,
+                                    g_rand_int_range (fabric->random, 0, (gint32)fabric->instances->len));
+        }
+      if (delay_s <= 0)
+        {
+          deliver (fabric, caller, to_caller, &instance, data, size_bytes);
+          continue;
+        }
+      if (g_tree_nnodes (fabric->delayed) >= DELAYED_MAX)
+        {
+          fabric->counts[COUNT_OVERFLOWED]++;
+          continue;
+        }
+      delayed = g_malloc (sizeof *delayed + size_bytes);
+      delayed->due = ev_now (fabric->loop) + delay_s;
+      delayed->serial = ++fabric->last_serial;
+      delayed->caller = *caller;
+      delayed->to_caller = to_caller;
+      delayed->instance = instance;
+      delayed->size_bytes = size_bytes;
+      memcpy (delayed->data, data, size_bytes);
+      g_tree_insert (fabric->delayed, delayed, delayed);
+      arm_delay (fabric);
+    }
+}
+
+static void
+deliver (WcEmulatedFabric *fabric, const WcAddress *caller, bool to_caller, const WcAddress *instance,
+         const uint8_t *data, size_t size_bytes)
+{
+  struct sockaddr_storage destination;
+  socklen_t               length = wc_net_to_sockaddr (to_caller ? caller : instance, &destination);
+  const Caller           *entry;
+  int                     fd = fabric->fd;
+
+  if (!to_caller)
+    {
+      entry = g_hash_table_lookup (fabric->callers, caller);
+      if (!entry)
+        return;
+      fd = entry->fd;
+    }
+  if (sendto (fd, data, size_bytes, 0, (const struct sockaddr *)&destination, length) < 0)
+    fabric->counts[COUNT_SEND_ERRORS]++;
+  else
+    fabric->counts[COUNT_SENT]++;
+}
+
+static double
+draw_delay_s (WcEmulatedFabric *fabric)
+{
+  double delay_ms = fabric->faults.delay_ms;
+
+  if (fabric->faults.jitter_ms > 0)
+    delay_ms += g_rand_double (fabric->random) * fabric->faults.jitter_ms;
+  if (fabric->faults.reorder > 0 && g_rand_double (fabric->random) < fabric->faults.reorder)
+    {
+      fabric->counts[COUNT_REORDERED]++;
+      delay_ms += fabric->faults.reorder_ms;
+    }
+  return delay_ms / 1000;
+}
+
+static void
+send_delayed (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  WcEmulatedFabric *fabric = timer->data;
+  GTreeNode        *node;
+
+  (void)loop;
+  (void)events;
+  while ((node = g_tree_node_first (fabric->delayed)) != NULL)
+    {
+      Delayed *delayed = g_tree_node_key (node);
+
+      if (delayed->due > ev_now (fabric->loop))
+        break;
+      deliver (fabric, &delayed->caller, delayed->to_caller, &delayed->instance, delayed->data, delayed->size_bytes);
+      g_tree_remove (fabric->delayed, delayed);
+    }
+  arm_delay (fabric);
+}
+
+static void
+arm_delay (WcEmulatedFabric *fabric)
+{
+  GTreeNode     *node = g_tree_node_first (fabric->delayed);
+  const Delayed *first;
+
+  ev_timer_stop (fabric->loop, &fabric->delay_timer);
+  if (!node)
+    return;
+  first = g_tree_node_key (node);
+  ev_timer_set (&fabric->delay_timer, MAX (0, first->due - ev_now (fabric->loop)), 0);
+  ev_timer_start (fabric->loop, &fabric->delay_timer);
+}
+
+static void
+close_idle (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  WcEmulatedFabric *fabric = timer->data;
+  GHashTableIter    iter;
+  void             *value;
+
+  (void)loop;
+  (void)events;
+  g_hash_table_iter_init (&iter, fabric->callers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (ev_now (fabric->loop) - ((const Caller *)value)->last_used > fabric->idle_s)
+      g_hash_table_iter_remove (&iter);
+}
+
+static void
+handle_control (void *user_data, WcHttpExchange *exchange)
+{
+  WcEmulatedFabric *fabric = user_data;
+  const char       *path = wc_http_exchange_get_path (exchange);
+  bool              is_get = strcmp (wc_http_exchange_get_method (exchange), "GET") == 0;
+
+  if (is_get && strcmp (path, "/control/stats") == 0)
+    respond_stats (fabric, exchange);
+  else if (!is_get && strcmp (path, "/control/instances") == 0)
+    handle_instances (fabric, exchange);
+  else if (!is_get && strcmp (path, "/control/faults") == 0)
+    handle_faults (fabric, exchange);
+  else
+    wc_emulator_json_respond_error (exchange, 404, "no such control endpoint");
+}
+
+static void
+handle_instances (WcEmulatedFabric *fabric, WcHttpExchange *exchange)
+{
+  size_t              size;
+  const char         *body = wc_http_exchange_get_body (exchange, &size);
+  WcError             error = { 0 };
+  struct json_object *order = wc_emulator_json_parse ("instances", body, size, &error);
+  struct json_object *list = NULL;
+  GArray             *instances;
+  DelayedList        *delayed;
+
+  if (!order || !json_object_object_get_ex (order, "instances", &list) || !json_object_is_type (list, json_type_array))
+    {
+      wc_emulator_json_respond_error (exchange, 400, order ? "instances must be a list of addresses" : error.message);
+      json_object_put (order);
+      return;
+    }
+  instances = g_array_new (FALSE, FALSE, sizeof (WcAddress));
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      WcAddress address;
+
+      if (!wc_address_parse (json_object_get_string (json_object_array_get_idx (list, i)), &address))
+        {
+          wc_emulator_json_respond_error (exchange, 400, "malformed address");
+          g_array_free (instances, TRUE);
+          json_object_put (order);
+          return;
+        }
+      g_array_append_val (instances, address);
+    }
+  delayed = g_new0 (DelayedList, 1);
+  delayed->fabric = fabric;
+  delayed->instances = instances;
+  ev_timer_init (&delayed->timer, use_list, (double)wc_emulator_json_get_int (order, "lag_ms", 0) / 1000, 0);
+  delayed->timer.data = delayed;
+  ev_timer_start (fabric->loop, &delayed->timer);
+  g_ptr_array_add (fabric->delayed_lists, delayed);
+  json_object_put (order);
+  wc_emulator_json_respond (exchange, 200, json_object_new_object ());
+}
+
+static void
+handle_faults (WcEmulatedFabric *fabric, WcHttpExchange *exchange)
+{
+  size_t              size;
+  const char         *body = wc_http_exchange_get_body (exchange, &size);
+  WcError             error = { 0 };
+  struct json_object *order = wc_emulator_json_parse ("faults", body, size, &error);
+  WcFabricFaults     *faults = &fabric->faults;
+
+  if (!order)
+    {
+      wc_emulator_json_respond_error (exchange, 400, error.message);
+      return;
+    }
+  faults->loss = wc_emulator_json_get_double (order, "loss", faults->loss);
+  faults->duplicate = wc_emulator_json_get_double (order, "duplicate", faults->duplicate);
+  faults->reorder = wc_emulator_json_get_double (order, "reorder", faults->reorder);
+  faults->reorder_ms = wc_emulator_json_get_double (order, "reorder_ms", faults->reorder_ms);
+  faults->delay_ms = wc_emulator_json_get_double (order, "delay_ms", faults->delay_ms);
+  faults->jitter_ms = wc_emulator_json_get_double (order, "jitter_ms", faults->jitter_ms);
+  json_object_put (order);
+  wc_emulator_json_respond (exchange, 200, json_object_new_object ());
+}
+
+static void
+respond_stats (WcEmulatedFabric *fabric, WcHttpExchange *exchange)
+{
+  struct json_object *stats = json_object_new_object ();
+
+  wc_emulator_json_add_uint (stats, "callers", g_hash_table_size (fabric->callers));
+  wc_emulator_json_add_uint (stats, "instances", fabric->instances->len);
+  wc_emulator_json_add_uint (stats, "delayed", (uint64_t)g_tree_nnodes (fabric->delayed));
+  for (int i = 0; i < COUNT_COUNT; i++)
+    wc_emulator_json_add_uint (stats, COUNT_STRINGS[i], fabric->counts[i]);
+  wc_emulator_json_respond (exchange, 200, stats);
+}
+
+static void
+use_list (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  DelayedList      *list = timer->data;
+  WcEmulatedFabric *fabric = list->fabric;
+
+  (void)loop;
+  (void)events;
+  g_array_free (fabric->instances, TRUE);
+  fabric->instances = list->instances;
+  list->instances = NULL;
+  g_ptr_array_remove (fabric->delayed_lists, list);
+}
+
+static guint
+hash_address (const void *address)
+{
+  const WcAddress *own = address;
+  guint            hash = own->port;
+
+  for (size_t i = 0; i < (own->family == 6 ? 16 : 4); i++)
+    hash = hash * 31 + own->ip[i];
+  return hash;
+}
+
+static int
+equal_addresses (const void *a, const void *b)
+{
+  return wc_address_equal (a, b);
+}
+
+static int
+compare_delayed (const void *a, const void *b, void *unused)
+{
+  const Delayed *x = a;
+  const Delayed *y = b;
+
+  (void)unused;
+  if (x->due != y->due)
+    return x->due < y->due ? -1 : 1;
+  return x->serial < y->serial ? -1 : x->serial > y->serial;
+}
+
+static void
+free_caller (void *data)
+{
+  Caller *caller = data;
+
+  ev_io_stop (caller->fabric->loop, &caller->reading);
+  close (caller->fd);
+  g_free (caller);
+}
+
+static void
+free_list (void *data)
+{
+  DelayedList *list = data;
+
+  ev_timer_stop (list->fabric->loop, &list->timer);
+  if (list->instances)
+    g_array_free (list->instances, TRUE);
+  g_free (list);
+}
--- /dev/null
+++ b/src/emulator/event_feed.h
@@ -0,0 +1,26 @@
+#ifndef WC_EMULATOR_EVENT_FEED_H
+#define WC_EMULATOR_EVENT_FEED_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/** struct WcEventFeed - numbered events of one service, of which the newest are kept. */
+typedef struct WcEventFeed WcEventFeed;
+
+/** wc_event_feed_new() - @kept: events that can still be read; @service is part of their text. */
+WcEventFeed *wc_event_feed_new (const char *service, uint32_t kept);
+void         wc_event_feed_delete (WcEventFeed *feed);
+
+/** wc_event_feed_add() - a new event; the first has number 1. */
+void     wc_event_feed_add (WcEventFeed *feed);
+uint64_t wc_event_feed_get_newest (const WcEventFeed *feed);
+
+/**
+ * wc_event_feed_read() - append the events after @after to @text, one line "<number> <service> ..." each, as long as
+ * @text stays within @max_bytes.
+ *
+ * Return: number of the last event in @text, or @after when there is none.
+ */
+uint64_t wc_event_feed_read (const WcEventFeed *feed, uint64_t after, size_t max_bytes, GString *text);
+
+#endif
--- /dev/null
+++ b/src/emulator/http_server.h
@@ -0,0 +1,71 @@
+#ifndef WC_EMULATOR_HTTP_SERVER_H
+#define WC_EMULATOR_HTTP_SERVER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include <ev.h>
+
+#include <wigeoncart/address.h>
+#include <wigeoncart/status.h>
+
+/** struct WcHttpServer - HTTP/1.1 server on a libev loop that sees closed connections at once. */
+typedef struct WcHttpServer WcHttpServer;
+
+/** struct WcHttpExchange - a request and its response; lives until the response or until the connection closes. */
+typedef struct WcHttpExchange WcHttpExchange;
+
+/**
+ * struct WcHttpServerOps - what a server calls.
+ * @accepted: a connection was accepted; false closes it at once; may be NULL.
+ * @request: a request is whole; answer it now or later.
+ * @aborted: the connection closed before the response; the exchange is gone after the call; may be NULL.
+ */
+typedef struct
+{
+  bool (*accepted) (void *user_data);
+  void (*request) (void *user_data, WcHttpExchange *exchange);
+  void (*aborted) (void *user_data, WcHttpExchange *exchange);
+} WcHttpServerOps;
+
+/** wc_http_server_new() - listen on @address. Return: NULL with @error set when it is in use. */
+WcHttpServer *wc_http_server_new (struct ev_loop *loop, const WcAddress *address, const WcHttpServerOps *ops,
+                                  void *user_data, WcError *error);
+
+/** wc_http_server_delete() - close the listener and all connections; open exchanges are reported as aborted. */
+void wc_http_server_delete (WcHttpServer *server);
+
+void   wc_http_server_get_address (const WcHttpServer *server, WcAddress *address);
+size_t wc_http_server_get_connections (const WcHttpServer *server);
+
+/** wc_http_server_close_connections() - close all connections; open exchanges are reported as aborted. */
+void wc_http_server_close_connections (WcHttpServer *server);
+
+const char *wc_http_exchange_get_method (const WcHttpExchange *exchange);
+
+/** wc_http_exchange_get_path() - path without the query. */
+const char *wc_http_exchange_get_path (const WcHttpExchange *exchange);
+
+/** wc_http_exchange_get_parameter() - parameter of the query, or NULL. */
+const char *wc_http_exchange_get_parameter (const WcHttpExchange *exchange, const char *name);
+
+/** wc_http_exchange_get_header() - header by lower-case name, or NULL. */
+const char *wc_http_exchange_get_header (const WcHttpExchange *exchange, const char *name);
+
+/** wc_http_exchange_get_body() - body, with a zero byte behind it. */
+const char *wc_http_exchange_get_body (const WcHttpExchange *exchange, size_t *size_bytes);
+
+void  wc_http_exchange_set_data (WcHttpExchange *exchange, void *data);
+void *wc_http_exchange_get_data (const WcHttpExchange *exchange);
+
+/**
+ * wc_http_exchange_respond() - send the response; the exchange is gone after the call.
+ * @headers: lines that end with CR LF, or NULL. A line "Connection: close" closes the connection after the response.
+ */
+void wc_http_exchange_respond (WcHttpExchange *exchange, int status, const char *headers, const void *body,
+                               size_t size_bytes);
+
+/** wc_http_exchange_abort() - close the connection without a response; the exchange is gone after the call. */
+void wc_http_exchange_abort (WcHttpExchange *exchange);
+
+#endif
--- /dev/null
+++ b/src/emulator/sheet.c
@@ -0,0 +1,34 @@
+#include "emulator/sheet.h"
+
+#include <assert.h>
+
+static uint8_t content (size_t place, size_t size_bytes, uint64_t tag);
+
+void
+wc_sheet_fill (uint8_t *data, size_t size_bytes, uint64_t tag)
+{
+  assert (data != NULL || size_bytes == 0);
+
+  for (size_t i = 0; i < size_bytes; i++)
+    data[i] = content (i, size_bytes, tag);
+}
+
+bool
+wc_sheet_check (const uint8_t *data, size_t size_bytes, uint64_t tag)
+{
+  assert (data != NULL || size_bytes == 0);
+
+  for (size_t i = 0; i < size_bytes; i++)
+    if (data[i] != content (i, size_bytes, tag))
+      return false;
+  return true;
+}
+
+/* local functions */
+
+/* Printable. The divisor makes the content differ between datagrams, so that swapped parts are found. */
+static uint8_t
+content (size_t place, size_t size_bytes, uint64_t tag)
+{
+  return (uint8_t)(33 + (place * 31 + place / 97 + size_bytes * 7 + tag) % 90);
+}
