--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -30,5 +30,6 @@
 extern const WcCommand WC_COMMAND_SERVE;
 extern const WcCommand WC_COMMAND_CHECK;
 extern const WcCommand WC_COMMAND_EXPORT;
+extern const WcCommand WC_COMMAND_EMULATE;
 
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -10,6 +10,7 @@
   &WC_COMMAND_SERVE,
   &WC_COMMAND_CHECK,
   &WC_COMMAND_EXPORT,
+  &WC_COMMAND_EMULATE,
   NULL,
 };
 
