--- /dev/null
+++ b/src/cli/load.c
@@ -0,0 +1,419 @@
+#include "cli/load.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "cli/cli_options.h"
+#include "cli/command.h"
+#include "cli/load_report.h"
+#include "client/client_socket.h"
+#include "emulator/sheet.h"
+
+const char *const WC_LOAD_KIND_STRINGS[WC_LOAD_KIND_COUNT] = {
+  [WC_LOAD_SESSION] = "session",
+  [WC_LOAD_ORDER] = "order",
+  [WC_LOAD_DOWNLOAD] = "download",
+  [WC_LOAD_STREAM] = "stream",
+};
+
+enum
+{
+  /* Time between two looks for broken flows. */
+  CHECK_US = 100000,
+  /* Time after the end of the load for calls whose deadline is passing. */
+  GRACE_US = 500000,
+  PATH_BYTES = 256
+};
+
+/*
+ * One caller of the load.
+ * @due_us: when it starts its next call; UINT64_MAX while one is in progress.
+ * @asked_us: when it first asked since its last success; UINT64_MAX when it has not.
+ * @tag: changes with each call and comes back in the answer.
+ * @cursor: last event of a stream; 0 before the first one.
+ */
+typedef struct
+{
+  WcLoadKind  kind;
+  uint32_t    index;
+  const char *customer;
+  uint64_t    flow;
+  uint64_t    call;
+  uint64_t    due_us;
+  uint64_t    started_us;
+  uint64_t    asked_us;
+  uint64_t    tag;
+  uint64_t    cursor;
+  bool        is_broken;
+} Caller;
+
+typedef struct
+{
+  const WcLoadConfig *config;
+  WcClientSocket     *sock;
+  WcClient           *client;
+  GRand              *random;
+  GPtrArray          *callers;
+  GTree              *due;
+  GHashTable         *calls;
+  WcLoadReport        report;
+} Load;
+
+static void add_callers (Load *load, uint64_t now_us);
+static void run_until (Load *load, uint64_t end_us);
+static void start_call (Load *load, Caller *caller, uint64_t now_us);
+static void schedule (Load *load, Caller *caller, uint64_t due_us);
+static void call_finished (void *user_data, uint64_t call, const WcClientAnswer *answer);
+static void events_arrived (void *user_data, uint64_t call, uint64_t cursor, const uint8_t *data, size_t size_bytes);
+static bool is_own_answer (const Load *load, const Caller *caller, const WcClientAnswer *answer);
+static void count_session (Load *load, const WcClientAnswer *answer, bool success);
+static void count_order (Load *load, const Caller *caller, const WcClientAnswer *answer, bool success);
+static void check_broken (Load *load, uint64_t now_us);
+static int  compare_due (const void *a, const void *b, void *unused);
+static uint64_t interval_us (Load *load, const Caller *caller);
+
+int
+wc_load_run (const WcLoadConfig *config)
+{
+  const WcClientOps ops = { .finished = call_finished, .events = events_arrived };
+  Load              load = { .config = config };
+  WcError           error = { 0 };
+  uint64_t          start_us;
+  uint64_t          longest_us = 0;
+
+  assert (config != NULL);
+
+  load.sock = wc_client_socket_new (&config->fabric, &config->client, &ops, &load, &error);
+  if (!load.sock)
+    return wc_cli_error (WC_EXIT_ENVIRONMENT, "call", "%s", error.message);
+  load.client = wc_client_socket_get_client (load.sock);
+  load.random = g_rand_new_with_seed (config->seed);
+  load.callers = g_ptr_array_new_with_free_func (g_free);
+  load.due = g_tree_new_full (compare_due, NULL, NULL, NULL);
+  load.calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, NULL);
+  wc_load_report_init (&load.report);
+
+  start_us = wc_client_socket_now_us ();
+  add_callers (&load, start_us);
+  run_until (&load, start_us + (uint64_t)config->seconds * 1000000);
+
+  /* Calls in progress end by themselves; the outcome of each order belongs into the result. */
+  g_tree_remove_all (load.due);
+  for (guint i = 0; i < load.callers->len; i++)
+    {
+      Caller *caller = g_ptr_array_index (load.callers, i);
+
+      longest_us = MAX (longest_us, (uint64_t)config->deadline_ms[caller->kind] * 1000);
+      if (caller->kind == WC_LOAD_STREAM && caller->call != 0)
+        {
+          g_hash_table_remove (load.calls, &caller->call);
+          wc_client_cancel (load.client, wc_client_socket_now_us (), caller->call);
+          caller->call = 0;
+        }
+    }
+  check_broken (&load, wc_client_socket_now_us ());
+  wc_client_socket_run (load.sock, wc_client_socket_now_us () + longest_us + GRACE_US);
+
+  wc_load_report_print (&load.report, stdout, (double)(wc_client_socket_now_us () - start_us) / 1e6);
+  wc_load_report_finish (&load.report);
+  g_hash_table_destroy (load.calls);
+  g_tree_destroy (load.due);
+  g_ptr_array_free (load.callers, TRUE);
+  g_rand_free (load.random);
+  wc_client_socket_delete (load.sock);
+  return WC_EXIT_OK;
+}
+
+/* local functions */
+
+static void
+add_callers (Load *load, uint64_t now_us)
+{
+  static const WcLoadCount counts[WC_LOAD_KIND_COUNT] = {
+    [WC_LOAD_SESSION] = WC_LOAD_COUNT_SESSIONS,
+    [WC_LOAD_ORDER] = WC_LOAD_COUNT_COUNT,
+    [WC_LOAD_DOWNLOAD] = WC_LOAD_COUNT_COUNT,
+    [WC_LOAD_STREAM] = WC_LOAD_COUNT_STREAMS,
+  };
+  uint32_t customer_count = g_strv_length (load->config->customers);
+
+  for (int kind = 0; kind < WC_LOAD_KIND_COUNT; kind++)
+    for (uint32_t i = 0; i < load->config->callers[kind]; i++)
+      {
+        Caller *caller = g_new0 (Caller, 1);
+
+        caller->kind = (WcLoadKind)kind;
+        caller->index = load->callers->len;
+        caller->customer = load->config->customers[i % customer_count];
+        caller->asked_us = UINT64_MAX;
+        caller->due_us = UINT64_MAX;
+        caller->flow = wc_client_open (load->client, now_us, load->config->services[kind], caller->customer);
+        g_ptr_array_add (load->callers, caller);
+        if (counts[kind] != WC_LOAD_COUNT_COUNT)
+          load->report.counts[counts[kind]]++;
+        /* Callers do not start together. */
+        schedule (load, caller,
+                  now_us + (uint64_t)(g_rand_double (load->random) * load->config->interval_ms[kind] * 1000));
+      }
+}
+
+static void
+run_until (Load *load, uint64_t end_us)
+{
+  uint64_t check_us = 0;
+  uint64_t now_us;
+
+  while ((now_us = wc_client_socket_now_us ()) < end_us)
+    {
+      GTreeNode *node;
+      uint64_t   until_us;
+
+      while ((node = g_tree_node_first (load->due)) != NULL)
+        {
+          Caller *caller = g_tree_node_key (node);
+
+          if (caller->due_us > now_us)
+            break;
+          g_tree_remove (load->due, caller);
+          caller->due_us = UINT64_MAX;
+          start_call (load, caller, now_us);
+        }
+      if (now_us >= check_us)
+        {
+          check_broken (load, now_us);
+          check_us = now_us + CHECK_US;
+        }
+      until_us = MIN (check_us, end_us);
+      node = g_tree_node_first (load->due);
+      if (node)
+        until_us = MIN (until_us, ((const Caller *)g_tree_node_key (node))->due_us);
+      wc_client_socket_step (load->sock, until_us);
+    }
+}
+
+static void
+start_call (Load *load, Caller *caller, uint64_t now_us)
+{
+  const WcLoadConfig *config = load->config;
+  const char         *service = config->services[caller->kind];
+  char                path[PATH_BYTES];
+  WcClientRequest     request = { .method = "GET", .path = path };
+  WcError             error = { 0 };
+
+  caller->tag = g_rand_int (load->random);
+  caller->started_us = now_us;
+  if (caller->asked_us == UINT64_MAX)
+    caller->asked_us = now_us;
+  request.deadline_us = now_us + (uint64_t)config->deadline_ms[caller->kind] * 1000;
+  /* The service in the query lets a target find requests that reached the wrong service. */
+  switch (caller->kind)
+    {
+    case WC_LOAD_SESSION:
+      g_snprintf (path, sizeof path, "/catalogue/%u?service=%s&tag=%" PRIu64, caller->index, service, caller->tag);
+      load->report.counts[WC_LOAD_COUNT_REQUESTS]++;
+      caller->call = wc_client_request (load->client, now_us, caller->flow, &request, &error);
+      break;
+    case WC_LOAD_ORDER:
+      g_snprintf (path, sizeof path, "/orders?service=%s&tag=%" PRIu64, service, caller->tag);
+      request.method = "POST";
+      request.body = (const uint8_t *)"one bell";
+      request.body_bytes = strlen ("one bell");
+      load->report.counts[WC_LOAD_COUNT_ORDERS]++;
+      caller->call = wc_client_order (load->client, now_us, caller->flow, &request, &error);
+      break;
+    case WC_LOAD_DOWNLOAD:
+      g_snprintf (path, sizeof path, "/sheet?bytes=%u&service=%s&tag=%" PRIu64, config->sheet_bytes, service,
+                  caller->tag);
+      load->report.counts[WC_LOAD_COUNT_DOWNLOADS]++;
+      caller->call = wc_client_request (load->client, now_us, caller->flow, &request, &error);
+      break;
+    case WC_LOAD_STREAM:
+      caller->call = wc_client_poll (load->client, now_us, caller->flow, caller->cursor, &error);
+      break;
+    case WC_LOAD_KIND_COUNT:
+      return;
+    }
+  if (caller->call == 0)
+    {
+      fprintf (stderr, "wigeoncart call: %s\n", error.message);
+      schedule (load, caller, now_us + interval_us (load, caller));
+      return;
+    }
+  g_hash_table_insert (load->calls, &caller->call, caller);
+}
+
+static void
+schedule (Load *load, Caller *caller, uint64_t due_us)
+{
+  caller->due_us = due_us;
+  g_tree_insert (load->due, caller, caller);
+}
+
+static void
+call_finished (void *user_data, uint64_t call, const WcClientAnswer *answer)
+{
+  Load    *load = user_data;
+  Caller  *caller = g_hash_table_lookup (load->calls, &call);
+  uint64_t now_us = wc_client_socket_now_us ();
+  bool     is_done = answer->result == WC_CLIENT_DONE && answer->http_status < 400;
+  bool     success;
+
+  if (!caller)
+    return;
+  g_hash_table_remove (load->calls, &call);
+  caller->call = 0;
+  success = is_done && is_own_answer (load, caller, answer);
+  if (is_done && !success)
+    load->report.counts[WC_LOAD_COUNT_WRONG_ANSWERS]++;
+  if (answer->result == WC_CLIENT_DONE_INCOMPLETE)
+    load->report.counts[WC_LOAD_COUNT_INCOMPLETE_ANSWERS]++;
+  if (success)
+    caller->asked_us = UINT64_MAX;
+  wc_load_report_count (&load->report, caller->kind, caller->customer, success, now_us - caller->started_us);
+  switch (caller->kind)
+    {
+    case WC_LOAD_SESSION:
+      count_session (load, answer, success);
+      break;
+    case WC_LOAD_ORDER:
+      count_order (load, caller, answer, success);
+      break;
+    case WC_LOAD_DOWNLOAD:
+      load->report.counts[success ? WC_LOAD_COUNT_LARGE_ANSWERS : WC_LOAD_COUNT_LARGE_ANSWERS_FAILED]++;
+      break;
+    case WC_LOAD_STREAM:
+      load->report.counts[WC_LOAD_COUNT_STREAMS_REFUSED]++;
+      break;
+    case WC_LOAD_KIND_COUNT:
+      break;
+    }
+  schedule (load, caller, MAX (now_us, caller->started_us + interval_us (load, caller)));
+}
+
+static void
+events_arrived (void *user_data, uint64_t call, uint64_t cursor, const uint8_t *data, size_t size_bytes)
+{
+  Load       *load = user_data;
+  Caller     *caller = g_hash_table_lookup (load->calls, &call);
+  const char *line = (const char *)data;
+  const char *end = line ? line + size_bytes : NULL;
+
+  if (!caller)
+    return;
+  /* An empty answer is a success as well: nothing has happened. */
+  caller->asked_us = wc_client_socket_now_us ();
+  load->report.counts[WC_LOAD_COUNT_STREAM_POLLS]++;
+  while (line < end)
+    {
+      uint64_t    event = 0;
+      const char *next = memchr (line, '\n', (size_t)(end - line));
+
+      for (const char *digit = line; digit < end && g_ascii_isdigit (*digit); digit++)
+        event = event * 10 + (uint64_t)g_ascii_digit_value (*digit);
+      load->report.counts[WC_LOAD_COUNT_STREAM_EVENTS]++;
+      if (caller->cursor != 0 && event > caller->cursor + 1)
+        load->report.counts[WC_LOAD_COUNT_STREAM_GAPS]++;
+      if (event <= caller->cursor)
+        load->report.counts[WC_LOAD_COUNT_STREAM_REPEATS]++;
+      caller->cursor = MAX (caller->cursor, event);
+      line = next ? next + 1 : end;
+    }
+  /* Events that the cursor has passed without having been delivered are lost. */
+  if (caller->cursor != 0 && cursor > caller->cursor)
+    {
+      load->report.counts[WC_LOAD_COUNT_STREAM_GAPS]++;
+      caller->cursor = cursor;
+    }
+}
+
+/* Whether the answer belongs to the call: its tag comes back in it. */
+static bool
+is_own_answer (const Load *load, const Caller *caller, const WcClientAnswer *answer)
+{
+  char   ending[32];
+  size_t length;
+
+  if (caller->kind == WC_LOAD_DOWNLOAD)
+    return answer->size_bytes == load->config->sheet_bytes &&
+           wc_sheet_check (answer->data, answer->size_bytes, caller->tag);
+  g_snprintf (ending, sizeof ending, " %" PRIu64 "\n", caller->tag);
+  length = strlen (ending);
+  return answer->size_bytes >= length && memcmp (answer->data + answer->size_bytes - length, ending, length) == 0;
+}
+
+static void
+count_session (Load *load, const WcClientAnswer *answer, bool success)
+{
+  WcLoadCount count = WC_LOAD_COUNT_REQUESTS_FAILED;
+
+  if (success)
+    count = WC_LOAD_COUNT_REQUESTS_DONE;
+  else if (answer->result == WC_CLIENT_BUSY)
+    count = WC_LOAD_COUNT_REQUESTS_BUSY;
+  else if (answer->result == WC_CLIENT_TIMED_OUT)
+    count = WC_LOAD_COUNT_REQUESTS_TIMED_OUT;
+  load->report.counts[count]++;
+}
+
+static void
+count_order (Load *load, const Caller *caller, const WcClientAnswer *answer, bool success)
+{
+  WcLoadCount count = WC_LOAD_COUNT_ORDERS_FAILED;
+
+  /* An order with an incomplete answer ran. */
+  if (success || answer->result == WC_CLIENT_DONE_INCOMPLETE)
+    count = WC_LOAD_COUNT_ORDERS_DONE;
+  else if (answer->result == WC_CLIENT_NOT_RUN)
+    count = WC_LOAD_COUNT_ORDERS_NOT_RUN;
+  else if (answer->result == WC_CLIENT_UNKNOWN)
+    count = WC_LOAD_COUNT_ORDERS_UNKNOWN;
+  load->report.counts[count]++;
+  if (load->config->record)
+    {
+      fprintf (load->config->record,
+               "{\"request_id\":\"%016" PRIx64 "\",\"service\":\"%s\",\"result\":\"%s\",\"http_status\":%u}\n",
+               answer->request_id, load->config->services[caller->kind], WC_CLIENT_RESULT_STRINGS[answer->result],
+               answer->http_status);
+      fflush (load->config->record);
+    }
+}
+
+static void
+check_broken (Load *load, uint64_t now_us)
+{
+  uint64_t limit_us = (uint64_t)load->config->limit_ms * 1000;
+
+  for (guint i = 0; i < load->callers->len; i++)
+    {
+      Caller *caller = g_ptr_array_index (load->callers, i);
+      bool    is_session = caller->kind == WC_LOAD_SESSION;
+
+      if ((!is_session && caller->kind != WC_LOAD_STREAM) || caller->is_broken || caller->asked_us == UINT64_MAX ||
+          now_us < caller->asked_us || now_us - caller->asked_us <= limit_us)
+        continue;
+      caller->is_broken = true;
+      load->report.counts[WC_LOAD_COUNT_BROKEN_FLOWS]++;
+      load->report.counts[is_session ? WC_LOAD_COUNT_BROKEN_SESSIONS : WC_LOAD_COUNT_BROKEN_STREAMS]++;
+    }
+}
+
+static int
+compare_due (const void *a, const void *b, void *unused)
+{
+  const Caller *x = a;
+  const Caller *y = b;
+
+  (void)unused;
+  if (x->due_us != y->due_us)
+    return x->due_us < y->due_us ? -1 : 1;
+  return x->index < y->index ? -1 : x->index > y->index;
+}
+
+static uint64_t
+interval_us (Load *load, const Caller *caller)
+{
+  double interval_ms = load->config->interval_ms[caller->kind];
+
+  return (uint64_t)(interval_ms * 1000 * g_rand_double_range (load->random, 0.9, 1.1));
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -3,11 +3,13 @@
 
 #include <sodium.h>
 
+#include "cli/cmd_call.h"
 #include "cli/cmd_emulate.h"
 #include "cli/command.h"
 
 /* Ended by an entry without a name. */
 static const WcCommand COMMANDS[] = {
+  { "call", "Call a service, or run a mixed load of calls", wc_cmd_call_run },
   { "emulate", "Emulate the platform, targets or the fabric", wc_cmd_emulate_run },
   { NULL, NULL, NULL },
 };
--- a/src/client/client.c
+++ b/src/client/client.c
@@ -6,10 +6,10 @@
 #include "client/client_private.h"
 
 const char *const WC_CLIENT_RESULT_STRINGS[WC_CLIENT_RESULT_COUNT] = {
-  [WC_CLIENT_DONE] = "done",           [WC_CLIENT_DONE_INCOMPLETE] = "done, answer incomplete",
-  [WC_CLIENT_NOT_RUN] = "not run",     [WC_CLIENT_UNKNOWN] = "outcome unknown",
+  [WC_CLIENT_DONE] = "done",           [WC_CLIENT_DONE_INCOMPLETE] = "done_incomplete",
+  [WC_CLIENT_NOT_RUN] = "not_run",     [WC_CLIENT_UNKNOWN] = "unknown",
   [WC_CLIENT_BUSY] = "busy",           [WC_CLIENT_INVALID] = "invalid",
-  [WC_CLIENT_TIMED_OUT] = "timed out",
+  [WC_CLIENT_TIMED_OUT] = "timed_out",
 };
 
 static int      compare_timers (const void *a, const void *b, void *unused);
