--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,12 @@
 test: all
 	@tests/run_tests.sh $(BUILD)/tests
 
+# Installs what is missing, builds, and serves the two sample deployments.
+demo:
+	@./install-dependencies.sh
+	@$(MAKE) --no-print-directory $(BUILD)/wigeoncart
+	@tests/process/demo.sh
+
 sanitize:
 	$(MAKE) BUILD=build/sanitize CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" test
 
--- a/tests/process/lab.sh
+++ b/tests/process/lab.sh
@@ -2,7 +2,7 @@
 #
 # Each fleet has a base port: instance i listens for callers on base + i, for peers on base + 100 + 10 i and for operators
 # on base + 300 + i; the platform uses base + 400, the fabric base + 500 (control base + 501), the targets' control port
-# is base + 600. Processes are ended by their ids only.
+# is base + 600 and its targets follow from base + 700 on. Processes are ended by their ids only.
 
 LAB_BINARY=${LAB_BINARY:-build/wigeoncart}
 LAB_FLEET_KEY=Zf3LfJf+QNXEZFyAInvxAYjIUPnc1NnQ9j7C6JxA4Ik=
@@ -55,11 +55,17 @@
   curl -sSf --max-time 5 -X "$1" --data-binary "$4" "http://127.0.0.1:$2$3"
 }
 
-# lab_domains REGISTER: names of the failure domains. The sample files carry comments, which jq does not read.
+# The sample files carry comments, which jq does not read.
 lab_json () {
   sed 's|^ *//.*||' "$1"
 }
 
+# lab_move_targets REGISTER BASE: the register with its targets' ports moved to this fleet's.
+lab_move_targets () {
+  lab_json "$1" | jq --argjson shift "$(($2 + 700 - 21000))" \
+    '(.hosts[].targets[].address) |= (split(":") | "\(.[0]):\((.[1] | tonumber) + $shift)")'
+}
+
 # lab_write_settings DIRECTORY BASE NAME INDEX DOMAIN
 lab_write_settings () {
   local directory=$1 base=$2 name=$3 index=$4 domain=$5
@@ -95,6 +101,8 @@
   local directory=$1 base=$2 name=$3 register=$4 count=$5
   local domains domain_count index domain list="" addresses=""
   mkdir -p "$directory"
+  lab_move_targets "$register" "$base" >"$directory/register.json"
+  register=$directory/register.json
   mapfile -t domains < <(lab_json "$register" | jq -r '.domains[]')
   domain_count=${#domains[@]}
   declare -g -A "LAB_INSTANCE_PIDS_$name"
@@ -126,3 +134,53 @@
     lab_wait 15 "readiness of $name-$index" lab_is_ready "$base" "$index"
   done
 }
+
+# lab_summary BASE REPORT RECORD: compares what callers were told with what targets ran. Prints one line of JSON.
+lab_summary () {
+  local base=$1 report=$2 record=$3 runs stats
+  runs=$(mktemp)
+  stats=$(mktemp)
+  lab_get $((base + 600)) /control/runs >"$runs"
+  lab_get $((base + 600)) /control/stats >"$stats"
+  jq -cn --slurpfile report "$report" --slurpfile orders "$record" --slurpfile runs "$runs" --slurpfile stats "$stats" '
+    ($runs[0] | with_entries(select(.value.order))) as $ran
+    | $report[0] as $calls
+    | {
+        sessions: $calls.sessions,
+        requests: $calls.requests,
+        requests_done: $calls.requests_done,
+        orders: $calls.orders,
+        orders_done: $calls.orders_done,
+        orders_not_run: $calls.orders_not_run,
+        orders_unknown: $calls.orders_unknown,
+        large_answers: $calls.large_answers,
+        stream_events: $calls.stream_events,
+        doubled_runs: ([$ran[] | select(.started > 1)] | length),
+        false_not_run: ([$orders[] | select(.result == "not_run" and ($ran[.request_id].started // 0) > 0)] | length),
+        false_done: ([$orders[] | select(.result == "done" and ($ran[.request_id].started // 0) == 0)] | length),
+        misrouted: ([$stats[0].targets[] | .misrouted_path + .misdirected_host] | add),
+        work_after_leaving: ([$stats[0].targets[] | .new_work_after_leaving] | add),
+        incomplete_answers: $calls.incomplete_answers,
+        wrong_answers: $calls.wrong_answers,
+        broken_flows: $calls.broken_flows,
+        stream_gaps: $calls.stream_gaps,
+        imbalance: ([$stats[0].targets[] | select(.service == "order-desk" or .service == "dispatch") | .completed]
+                    | if add > 0 then ((max / (add / length)) * 100 | round / 100) else null end),
+        latency_ms: ($calls.latency_ms.session | {p50, p99} | map_values(. * 10 | round / 10))
+      }'
+  rm -f "$runs" "$stats"
+}
+
+# lab_add: adds the counts of several summaries read from standard input.
+lab_add () {
+  jq -cs 'reduce .[] as $one ({}; . as $sum | reduce ($one | to_entries[] | select(.value | type == "number")) as $e
+    ($sum; if $e.key == "imbalance" or ($e.key | endswith("_max_ms"))
+           then .[$e.key] = ([.[$e.key] // 0, $e.value] | max)
+           else .[$e.key] = (.[$e.key] // 0) + $e.value end))'
+}
+
+# lab_kept_promises: whether a summary on standard input shows no broken promise.
+lab_kept_promises () {
+  jq -e '[.doubled_runs, .false_not_run, .false_done, .misrouted, .incomplete_answers, .wrong_answers, .broken_flows,
+          .stream_gaps] | add == 0' >/dev/null
+}
