--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,9 @@
 	@$(MAKE) --no-print-directory $(BUILD)/wigeoncart
 	@tests/process/demo.sh
 
+prove: $(BUILD)/wigeoncart
+	@tests/process/prove.sh
+
 sanitize:
 	$(MAKE) BUILD=build/sanitize CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" test
 
