--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -27,4 +27,10 @@
   int (*run) (int argc, char **argv);
 } WcCommand;
 
+extern const WcCommand WC_COMMAND_SERVE;
+extern const WcCommand WC_COMMAND_CHECK;
+extern const WcCommand WC_COMMAND_EXPORT;
+extern const WcCommand WC_COMMAND_CALL;
+extern const WcCommand WC_COMMAND_EMULATE;
+
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -3,15 +3,11 @@
 
 #include <sodium.h>
 
-#include "cli/cmd_call.h"
-#include "cli/cmd_emulate.h"
 #include "cli/command.h"
 
-/* Ended by an entry without a name. */
-static const WcCommand COMMANDS[] = {
-  { "call", "Call a service, or run a mixed load of calls", wc_cmd_call_run },
-  { "emulate", "Emulate the platform, targets or the fabric", wc_cmd_emulate_run },
-  { NULL, NULL, NULL },
+/* Ended by NULL. */
+static const WcCommand *const COMMANDS[] = {
+  &WC_COMMAND_SERVE, &WC_COMMAND_CHECK, &WC_COMMAND_EXPORT, &WC_COMMAND_CALL, &WC_COMMAND_EMULATE, NULL,
 };
 
 static void print_usage (FILE *stream);
@@ -39,9 +35,9 @@
       fprintf (stderr, "wigeoncart: libsodium could not be initialized\n");
       return WC_EXIT_ENVIRONMENT;
     }
-  for (const WcCommand *command = COMMANDS; command->name; command++)
-    if (strcmp (argv[1], command->name) == 0)
-      return command->run (argc - 1, argv + 1);
+  for (const WcCommand *const *command = COMMANDS; *command; command++)
+    if (strcmp (argv[1], (*command)->name) == 0)
+      return (*command)->run (argc - 1, argv + 1);
 
   fprintf (stderr, "wigeoncart: unknown command '%s'\n", argv[1]);
   print_usage (stderr);
@@ -54,7 +50,7 @@
 print_usage (FILE *stream)
 {
   fprintf (stream, "Usage: wigeoncart COMMAND [OPTION...]\n\nCommands:\n");
-  for (const WcCommand *command = COMMANDS; command->name; command++)
-    fprintf (stream, "  %-10s %s\n", command->name, command->summary);
+  for (const WcCommand *const *command = COMMANDS; *command; command++)
+    fprintf (stream, "  %-10s %s\n", (*command)->name, (*command)->summary);
   fprintf (stream, "\nEach command has --help and --version.\n");
 }
