--- a/src/cli/cmd_call.c
+++ b/src/cli/cmd_call.c
@@ -51,7 +51,7 @@
 static bool check_numbers (const Options *options);
 
 const WcCommand WC_COMMAND_CALL = { .name = "call",
-                                    .summary = "Call a service through a fleet, or run a mixed load",
+                                    .summary = "Call a service through a fleet, or run a mixed load.",
                                     .run = run };
 
 /* local functions */
--- a/src/cli/cmd_emulate.c
+++ b/src/cli/cmd_emulate.c
@@ -59,7 +59,7 @@
 run_platform (int argc, char **argv)
 {
   const WcCommand          command = { .name = "emulate platform",
-                                       .summary = "Emulate the configuration service and the list of instances" };
+                                       .summary = "Emulate the configuration service and the list of instances." };
   char                    *listen_text = NULL;
   char                    *register_path = NULL;
   char                    *instances_path = NULL;
@@ -112,7 +112,7 @@
 run_targets (int argc, char **argv)
 {
   const WcCommand         command = { .name = "emulate targets",
-                                      .summary = "Emulate the targets of a register, each at its own address" };
+                                      .summary = "Emulate the targets of a register, each at its own address." };
   char                   *control_text = NULL;
   char                   *register_path = NULL;
   char                   *targets_path = NULL;
@@ -189,7 +189,7 @@
 run_fabric (int argc, char **argv)
 {
   const WcCommand        command = { .name = "emulate fabric",
-                                     .summary = "Emulate a fabric that sprays datagrams across the instances" };
+                                     .summary = "Emulate a fabric that sprays datagrams across the instances." };
   char                  *listen_text = NULL;
   char                  *control_text = NULL;
   char                  *instances_text = NULL;
