--- a/src/emulator/emulated_fabric.c
+++ b/src/emulator/emulated_fabric.c
@@ -190,6 +190,14 @@
   wc_net_get_local (fabric->fd, address);
 }
 
+void
+wc_emulated_fabric_get_control (const WcEmulatedFabric *fabric, WcAddress *address)
+{
+  assert (fabric != NULL && fabric->control != NULL);
+
+  wc_http_server_get_address (fabric->control, address);
+}
+
 /* local functions */
 
 static void
@@ -459,9 +467,10 @@
   instances = g_array_new (FALSE, FALSE, sizeof (WcAddress));
   for (size_t i = 0; i < json_object_array_length (list); i++)
     {
-      WcAddress address;
+      struct json_object *item = json_object_array_get_idx (list, i);
+      WcAddress           address;
 
-      if (!wc_address_parse (json_object_get_string (json_object_array_get_idx (list, i)), &address))
+      if (!json_object_is_type (item, json_type_string) || !wc_address_parse (json_object_get_string (item), &address))
         {
           wc_emulator_json_respond_error (exchange, 400, "malformed address");
           g_array_free (instances, TRUE);
--- a/src/emulator/emulated_fabric.h
+++ b/src/emulator/emulated_fabric.h
@@ -44,4 +44,7 @@
 void              wc_emulated_fabric_delete (WcEmulatedFabric *fabric);
 void              wc_emulated_fabric_get_address (const WcEmulatedFabric *fabric, WcAddress *address);
 
+/** wc_emulated_fabric_get_control() - address of the control endpoints, when there are any. */
+void wc_emulated_fabric_get_control (const WcEmulatedFabric *fabric, WcAddress *address);
+
 #endif
