--- a/src/cli/cmd_emulate.c
+++ b/src/cli/cmd_emulate.c
@@ -1,11 +1,10 @@
-#include "cli/cmd_emulate.h"
-
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
 #include <ev.h>
 
+#include "cli/arguments.h"
 #include "cli/cli_options.h"
 #include "cli/command.h"
 #include "emulator/emulated_fabric.h"
@@ -13,6 +12,7 @@
 #include "emulator/emulated_targets.h"
 #include "emulator/emulator_json.h"
 
+static int run (int argc, char **argv);
 static int run_platform (int argc, char **argv);
 static int run_targets (int argc, char **argv);
 static int run_fabric (int argc, char **argv);
@@ -24,14 +24,14 @@
 static bool parse_addresses (const char *text, GArray *addresses);
 static void print_usage (FILE *stream);
 
-const WcCommand WC_COMMAND_EMULATE = {
-  .name = "emulate",
-  .summary = "Emulate the platform, targets or the fabric.",
-  .run = wc_cmd_emulate_run,
-};
+const WcCommand WC_COMMAND_EMULATE = { .name = "emulate",
+                                       .summary = "Emulate the platform, targets or the fabric",
+                                       .run = run };
+
+/* local functions */
 
-int
-wc_cmd_emulate_run (int argc, char **argv)
+static int
+run (int argc, char **argv)
 {
   const char *part = argc > 1 ? argv[1] : "";
 
@@ -55,11 +55,11 @@
   return WC_EXIT_USAGE;
 }
 
-/* local functions */
-
 static int
 run_platform (int argc, char **argv)
 {
+  const WcCommand          command = { .name = "emulate platform",
+                                       .summary = "Emulate the configuration service and the list of instances." };
   char                    *listen_text = NULL;
   char                    *register_path = NULL;
   char                    *instances_path = NULL;
@@ -80,9 +80,7 @@
           { 0 },
   };
 
-  result = wc_cli_parse ("emulate platform", "Emulates the configuration service and the list of instances.", entries,
-                         argc, argv);
-  if (result >= 0)
+  if (!wc_arguments_parse (&command, NULL, entries, &argc, &argv, &result))
     return result;
   if (!listen_text || reads_per_s < 1)
     return wc_cli_error (WC_EXIT_USAGE, "emulate platform", "--listen is required and --reads-per-s is at least 1");
@@ -113,6 +111,8 @@
 static int
 run_targets (int argc, char **argv)
 {
+  const WcCommand         command = { .name = "emulate targets",
+                                      .summary = "Emulate the targets of a register, each at its own address." };
   char                   *control_text = NULL;
   char                   *register_path = NULL;
   char                   *targets_path = NULL;
@@ -152,9 +152,7 @@
   max_connections = (int)config.max_connections;
   load_lag_ms = (int)config.load_lag_ms;
   cold_factor = config.cold_factor;
-  result = wc_cli_parse ("emulate targets", "Emulates the targets of a register, each at its own address.", entries,
-                         argc, argv);
-  if (result >= 0)
+  if (!wc_arguments_parse (&command, NULL, entries, &argc, &argv, &result))
     return result;
   if (!register_path == !targets_path)
     return wc_cli_error (WC_EXIT_USAGE, "emulate targets", "give either --register or --targets");
@@ -190,6 +188,8 @@
 static int
 run_fabric (int argc, char **argv)
 {
+  const WcCommand        command = { .name = "emulate fabric",
+                                     .summary = "Emulate a fabric that sprays datagrams across the instances." };
   char                  *listen_text = NULL;
   char                  *control_text = NULL;
   char                  *instances_text = NULL;
@@ -215,9 +215,7 @@
         { 0 },
   };
 
-  result = wc_cli_parse ("emulate fabric", "Emulates a fabric that sprays datagrams across the instances.", entries,
-                         argc, argv);
-  if (result >= 0)
+  if (!wc_arguments_parse (&command, NULL, entries, &argc, &argv, &result))
     return result;
   if (!listen_text)
     return wc_cli_error (WC_EXIT_USAGE, "emulate fabric", "--listen is required");
