--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -1567,7 +1567,7 @@
   (ProtobufCMessageInit) wc__member_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue wc__peer_frame__kind__enum_values_by_number[6] =
+static const ProtobufCEnumValue wc__peer_frame__kind__enum_values_by_number[8] =
 {
   { "NONE", "WC__PEER_FRAME__KIND__NONE", 0 },
   { "HELLO", "WC__PEER_FRAME__KIND__HELLO", 1 },
@@ -1575,17 +1575,21 @@
   { "CONFIG_HEAD", "WC__PEER_FRAME__KIND__CONFIG_HEAD", 3 },
   { "CONFIG_ASK", "WC__PEER_FRAME__KIND__CONFIG_ASK", 4 },
   { "CONFIG_PART", "WC__PEER_FRAME__KIND__CONFIG_PART", 5 },
+  { "LIST_ASK", "WC__PEER_FRAME__KIND__LIST_ASK", 6 },
+  { "LIST", "WC__PEER_FRAME__KIND__LIST", 7 },
 };
 static const ProtobufCIntRange wc__peer_frame__kind__value_ranges[] = {
-{0, 0},{0, 6}
+{0, 0},{0, 8}
 };
-static const ProtobufCEnumValueIndex wc__peer_frame__kind__enum_values_by_name[6] =
+static const ProtobufCEnumValueIndex wc__peer_frame__kind__enum_values_by_name[8] =
 {
   { "CONFIG_ASK", 4 },
   { "CONFIG_HEAD", 3 },
   { "CONFIG_PART", 5 },
   { "HEARTBEAT", 2 },
   { "HELLO", 1 },
+  { "LIST", 7 },
+  { "LIST_ASK", 6 },
   { "NONE", 0 },
 };
 const ProtobufCEnumDescriptor wc__peer_frame__kind__descriptor =
@@ -1595,9 +1599,9 @@
   "Kind",
   "Wc__PeerFrame__Kind",
   "wc",
-  6,
+  8,
   wc__peer_frame__kind__enum_values_by_number,
-  6,
+  8,
   wc__peer_frame__kind__enum_values_by_name,
   1,
   wc__peer_frame__kind__value_ranges,
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -21,11 +21,6 @@
 
 static void enter (WcControl *control, uint64_t now_us);
 static void leave (WcControl *control, uint64_t now_us);
-static void set_lifecycle (WcControl *control, WcLifecycle lifecycle, const char *reason);
-static void check_join (WcControl *control, uint64_t now_us);
-static void check_reconfirm (WcControl *control, uint64_t now_us);
-static void check_drain (WcControl *control, uint64_t now_us);
-static bool peers_settled (const WcControl *control, uint64_t now_us, bool peer_has_config);
 static void pause_detected (WcControl *control, uint64_t now_us, uint64_t gap_us);
 
 void
@@ -132,11 +127,12 @@
       control->drain_started_us = now_us;
       wc_membership_set_self_state (control->membership, WC_MEMBER_LEAVING);
       wc_control_set_own_state (control, now_us, WC_MEMBER_LEAVING);
-      set_lifecycle (control, WC_LIFECYCLE_DRAINING, "stop was requested");
+      wc_control_set_lifecycle (control, WC_LIFECYCLE_DRAINING, "stop was requested");
     }
   else if (control->lifecycle != WC_LIFECYCLE_STOPPED)
-    set_lifecycle (control, WC_LIFECYCLE_STOPPED,
-                   control->lifecycle == WC_LIFECYCLE_JOINING ? "stop before serving" : "second stop request");
+    wc_control_set_lifecycle (control, WC_LIFECYCLE_STOPPED,
+                              control->lifecycle == WC_LIFECYCLE_JOINING ? "stop before serving"
+                                                                         : "second stop request");
   leave (control, now_us);
 }
 
@@ -183,6 +179,8 @@
     {
       if (frame->kind == WC__PEER_FRAME__KIND__HEARTBEAT)
         wc_control_heartbeat_receive (control, now_us, link, frame);
+      else if (frame->kind == WC__PEER_FRAME__KIND__LIST_ASK || frame->kind == WC__PEER_FRAME__KIND__LIST)
+        wc_control_list_receive (control, now_us, link, frame);
       else
         wc_control_config_receive (control, now_us, link, frame);
     }
@@ -193,8 +191,8 @@
 wc_control_list (WcControl *control, uint64_t now_us, const WcMember *members, size_t count, size_t size_bytes)
 {
   /* At most 256 bytes a second: the list of 1,200 instances has about 144 KB. */
-  static const uint64_t US_PER_BYTE = 1000 * MS / 256;
-  uint64_t              pace_us = size_bytes * US_PER_BYTE;
+  static const uint64_t us_per_byte = 1000 * MS / 256;
+  uint64_t              pace_us = size_bytes * us_per_byte;
 
   assert (control != NULL);
   assert (members != NULL || count == 0);
@@ -203,37 +201,7 @@
   control->list_pending = false;
   control->list_known = true;
   control->next_list_us = now_us + wc_control_jitter (control, MAX (pace_us, (uint64_t)5000 * MS));
-  wc_membership_apply_list (control->membership, now_us, members, count);
-
-  GHashTableIter iterator;
-  gpointer       value;
-
-  g_hash_table_iter_init (&iterator, control->records);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    ((WcControlRecord *)value)->listed = false;
-  for (size_t i = 0; i < count; i++)
-    {
-      WcControlRecord *record;
-
-      if (members[i].domain != control->config.self.domain || members[i].id == control->config.self.id)
-        continue;
-      record = g_hash_table_lookup (control->records, &members[i].id);
-      if (!record)
-        {
-          record = g_new0 (WcControlRecord, 1);
-          record->member = members[i];
-          record->member.state = WC_MEMBER_LISTED;
-          record->first_us = now_us;
-          g_hash_table_insert (control->records, &record->member.id, record);
-        }
-      else if (record->member.state == WC_MEMBER_LISTED)
-        {
-          record->member.address = members[i].address;
-          record->member.workers = members[i].workers;
-        }
-      record->listed = true;
-    }
-  control->next_topology_us = now_us;
+  wc_control_apply_list (control, now_us, members, count);
   wc_control_members_tick (control, now_us);
   leave (control, now_us);
 }
@@ -246,6 +214,8 @@
   enter (control, now_us);
   control->list_pending = false;
   control->next_list_us = now_us + wc_control_jitter (control, control->list_known ? 5000 * MS : 1000 * MS);
+  if (!control->list_known)
+    wc_control_ask_list (control);
   leave (control, now_us);
 }
 
@@ -345,28 +315,6 @@
   control->ops->record (control->user_data, &event);
 }
 
-void
-wc_control_confirm (WcControl *control, uint64_t now_us)
-{
-  control->confirmed_us = now_us;
-  if (!control->reconfirming)
-    return;
-  control->reconfirming = false;
-  control->view_dirty = true;
-  wc_control_record (control, WC_EVENT_LIFECYCLE, control->lifecycle, "configuration confirmed after a pause");
-}
-
-void
-wc_control_check_lifecycle (WcControl *control, uint64_t now_us)
-{
-  if (control->lifecycle == WC_LIFECYCLE_JOINING)
-    check_join (control, now_us);
-  if (control->reconfirming)
-    check_reconfirm (control, now_us);
-  if (control->lifecycle == WC_LIFECYCLE_DRAINING)
-    check_drain (control, now_us);
-}
-
 void
 wc_control_publish (WcControl *control, uint64_t now_us)
 {
@@ -384,6 +332,14 @@
   wc_view_unref (view);
 }
 
+void
+wc_control_set_lifecycle (WcControl *control, WcLifecycle lifecycle, const char *reason)
+{
+  control->lifecycle = lifecycle;
+  control->view_dirty = true;
+  wc_control_record (control, WC_EVENT_LIFECYCLE, lifecycle, reason);
+}
+
 uint64_t
 wc_control_jitter (WcControl *control, uint64_t base_us)
 {
@@ -418,14 +374,6 @@
     }
 }
 
-static void
-set_lifecycle (WcControl *control, WcLifecycle lifecycle, const char *reason)
-{
-  control->lifecycle = lifecycle;
-  control->view_dirty = true;
-  wc_control_record (control, WC_EVENT_LIFECYCLE, lifecycle, reason);
-}
-
 /* What arrived during the pause may lie in socket buffers, so only an answer to a question asked now counts. */
 static void
 pause_detected (WcControl *control, uint64_t now_us, uint64_t gap_us)
@@ -476,105 +424,3 @@
     }
   wc_control_send_challenges (control, now_us);
 }
-
-/* Serves once the newest configuration that any peer has is in force. The platform's head is held back until then: it
- * may be stale, or a revision that the peers have rejected. */
-static void
-check_join (WcControl *control, uint64_t now_us)
-{
-  const WcConfigId *id = wc_config_store_get_id (control->store);
-  bool              limit_passed = now_us >= control->join_started_us + control->config.join_limit_us;
-  bool              peer_has_config = false;
-  bool              newer = false;
-  GHashTableIter    iterator;
-  gpointer          value;
-
-  g_hash_table_iter_init (&iterator, control->links);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      WcControlLink *link = value;
-
-      peer_has_config = peer_has_config || (link->heard && link->config.revision > 0);
-      newer = newer || (link->heard && wc_control_is_newer (control, &link->config));
-    }
-  if (!limit_passed && (newer || !peers_settled (control, now_us, peer_has_config)))
-    return;
-  if (!control->platform_accepted)
-    {
-      control->platform_accepted = true;
-      wc_control_accept_platform (control, now_us);
-    }
-  if (id->revision == 0 || !wc_config_store_get_register (control->store) || (newer && !limit_passed))
-    return;
-  wc_control_set_own_state (control, now_us, WC_MEMBER_LIVE);
-  wc_control_confirm (control, now_us);
-  set_lifecycle (control, WC_LIFECYCLE_SERVING,
-                 peer_has_config ? "configuration confirmed by a peer" : "no peer heard; platform's configuration");
-}
-
-/* Whether every wanted link has been heard. Two heartbeats after the first peer is enough if a peer has a
- * configuration; peers that have none may all have just started, so the others are waited for. */
-static bool
-peers_settled (const WcControl *control, uint64_t now_us, bool peer_has_config)
-{
-  GHashTableIter iterator;
-  gpointer       value;
-  uint32_t       heard = 0;
-  uint32_t       missing = 0;
-
-  g_hash_table_iter_init (&iterator, control->links);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    heard += ((WcControlLink *)value)->heard ? 1 : 0;
-  if (heard == 0)
-    return false;
-  g_hash_table_iter_init (&iterator, control->desired);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      WcControlDesired *desired = value;
-      WcControlLink    *link = g_hash_table_lookup (control->links, &desired->member.id);
-
-      missing += !link || !link->heard ? 1 : 0;
-    }
-  return missing == 0 || (peer_has_config && now_us >= control->first_peer_us + 2 * control->config.heartbeat_us);
-}
-
-static void
-check_reconfirm (WcControl *control, uint64_t now_us)
-{
-  GHashTableIter iterator;
-  gpointer       value;
-  bool           confirmed = false;
-  bool           newer = false;
-
-  g_hash_table_iter_init (&iterator, control->links);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      WcControlLink *link = value;
-
-      if (!link->echoed || link->config.revision == 0)
-        continue;
-      confirmed = true;
-      newer = newer || wc_control_is_newer (control, &link->config);
-    }
-  if (confirmed && !newer)
-    wc_control_confirm (control, now_us);
-  else if (now_us >= control->reconfirm_deadline_us)
-    {
-      control->reconfirming = false;
-      control->confirmed_us = now_us;
-      control->view_dirty = true;
-      wc_control_record (control, WC_EVENT_LIFECYCLE, control->lifecycle,
-                         "nobody confirmed the configuration in time; serving in a partition");
-    }
-}
-
-/* Two heartbeats pass first, so that peers and workers have seen the announcement. */
-static void
-check_drain (WcControl *control, uint64_t now_us)
-{
-  if (now_us >= control->drain_started_us + control->config.drain_limit_us)
-    set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drain limit reached");
-  else if (now_us >= control->drain_started_us + 2 * control->config.heartbeat_us &&
-           control->ops->workers_idle (control->user_data))
-    set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drained");
-}
--- /dev/null
+++ b/src/core/control_fetch.c
@@ -0,0 +1,159 @@
+#include "core/control_private.h"
+
+enum
+{
+  MS = 1000,
+  PLATFORM_ANSWER_US = 4000 * MS
+};
+
+static WcControlLink *choose_head_source (WcControl *control);
+static WcControlLink *choose_part_source (WcControl *control);
+static bool           ask_parts (WcControl *control, WcControlLink *link);
+
+void
+wc_control_fetch (WcControl *control, uint64_t now_us)
+{
+  WcControlLink *link;
+  const char    *key;
+  uint8_t        digest[WC_DIGEST_BYTES];
+
+  if (control->fetch != WC_FETCH_IDLE)
+    {
+      if (now_us < control->fetch_deadline_us)
+        return;
+      wc_control_fetch_failed (control, now_us);
+    }
+  if (now_us < control->fetch_retry_us || control->lifecycle == WC_LIFECYCLE_STOPPED)
+    return;
+
+  link = choose_head_source (control);
+  if (link)
+    {
+      Wc__PeerFrame ask = WC__PEER_FRAME__INIT;
+
+      ask.kind = WC__PEER_FRAME__KIND__CONFIG_ASK;
+      control->fetch = WC_FETCH_PEER_HEAD;
+      control->fetch_peer = link->id;
+      control->fetch_deadline_us = now_us + WC_CONTROL_PEER_ANSWER_US;
+      if (!control->ops->send (control->user_data, link->id, &ask))
+        wc_control_fetch_failed (control, now_us);
+      return;
+    }
+  if (!wc_config_store_get_missing (control->store, 0, &key, digest))
+    return;
+  link = choose_part_source (control);
+  if (link && ask_parts (control, link))
+    {
+      control->fetch = WC_FETCH_PEER_PARTS;
+      control->fetch_peer = link->id;
+      control->fetch_deadline_us = now_us + WC_CONTROL_PEER_ANSWER_US;
+      return;
+    }
+  control->fetch = WC_FETCH_PLATFORM_PART;
+  control->fetch_peer = 0;
+  control->fetch_deadline_us = now_us + PLATFORM_ANSWER_US;
+  wc_counters_add (control->counters, WC_COUNTER_PLATFORM_READS, 1);
+  control->ops->read_part (control->user_data, key);
+}
+
+void
+wc_control_link_lost_fetch (WcControl *control, uint64_t peer)
+{
+  if (control->fetch == WC_FETCH_IDLE || control->fetch_peer != peer)
+    return;
+  control->fetch = WC_FETCH_IDLE;
+  control->fetch_attempts++;
+}
+
+void
+wc_control_fetch_failed (WcControl *control, uint64_t now_us)
+{
+  bool platform = control->fetch == WC_FETCH_PLATFORM_PART;
+
+  control->fetch = WC_FETCH_IDLE;
+  control->fetch_attempts++;
+  control->fetch_retry_us = now_us + wc_control_jitter (control, platform ? control->config.watch_retry_us : 50 * MS);
+}
+
+bool
+wc_control_get_missing (const WcControl *control, size_t index, uint8_t digest[WC_DIGEST_BYTES])
+{
+  const char *key;
+
+  return wc_config_store_get_missing (control->store, index, &key, digest);
+}
+
+/* local functions */
+
+/* A link whose peer has a newer configuration in force, unless that one is being collected. Older ones than the newest
+ * are asked for as well: the newest may turn out to be invalid or incomplete. */
+static WcControlLink *
+choose_head_source (WcControl *control)
+{
+  const WcConfigId *newest = wc_config_store_get_newest_id (control->store);
+  uint8_t           digest[WC_DIGEST_BYTES];
+  bool              collecting = wc_control_get_missing (control, 0, digest);
+  WcControlLink    *best = NULL;
+  GHashTableIter    iterator;
+  gpointer          value;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      if (!wc_control_is_newer (control, &link->config) ||
+          (collecting && wc_config_id_compare (&link->config, newest) == 0) ||
+          wc_config_id_compare (&link->config, &link->tried_config) == 0)
+        continue;
+      if (!best || wc_config_id_compare (&link->config, &best->config) > 0)
+        best = link;
+    }
+  return best;
+}
+
+/* A link whose peer has a newer configuration in force. Every third attempt goes to the platform. */
+static WcControlLink *
+choose_part_source (WcControl *control)
+{
+  GPtrArray     *sources;
+  WcControlLink *source = NULL;
+  GHashTableIter iterator;
+  gpointer       value;
+
+  if (control->fetch_attempts % 3 == 2)
+    return NULL;
+  sources = g_ptr_array_new ();
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      if (wc_control_is_newer (control, &link->config))
+        g_ptr_array_add (sources, link);
+    }
+  if (sources->len > 0)
+    source = g_ptr_array_index (sources, (guint)g_rand_int_range (control->random, 0, (gint32)sources->len));
+  g_ptr_array_free (sources, TRUE);
+  return source;
+}
+
+static bool
+ask_parts (WcControl *control, WcControlLink *link)
+{
+  uint8_t             digests[WC_CONTROL_PARTS_PER_ASK][WC_DIGEST_BYTES];
+  ProtobufCBinaryData wanted[WC_CONTROL_PARTS_PER_ASK];
+  Wc__PeerFrame       ask = WC__PEER_FRAME__INIT;
+
+  ask.kind = WC__PEER_FRAME__KIND__CONFIG_ASK;
+  ask.digests = wanted;
+  while (ask.n_digests < WC_CONTROL_PARTS_PER_ASK &&
+         wc_control_get_missing (control, ask.n_digests, digests[ask.n_digests]))
+    {
+      wanted[ask.n_digests].data = digests[ask.n_digests];
+      wanted[ask.n_digests].len = WC_DIGEST_BYTES;
+      ask.n_digests++;
+    }
+  control->fetch_outstanding = (uint32_t)ask.n_digests;
+  return control->ops->send (control->user_data, link->id, &ask);
+}
--- /dev/null
+++ b/src/core/control_lifecycle.c
@@ -0,0 +1,133 @@
+#include "core/control_private.h"
+
+static void check_join (WcControl *control, uint64_t now_us);
+static bool peers_settled (const WcControl *control, uint64_t now_us, bool peer_has_config);
+static void check_reconfirm (WcControl *control, uint64_t now_us);
+static void check_drain (WcControl *control, uint64_t now_us);
+
+void
+wc_control_confirm (WcControl *control, uint64_t now_us)
+{
+  control->confirmed_us = now_us;
+  if (!control->reconfirming)
+    return;
+  control->reconfirming = false;
+  control->view_dirty = true;
+  wc_control_record (control, WC_EVENT_LIFECYCLE, control->lifecycle, "configuration confirmed after a pause");
+}
+
+void
+wc_control_check_lifecycle (WcControl *control, uint64_t now_us)
+{
+  if (control->lifecycle == WC_LIFECYCLE_JOINING)
+    check_join (control, now_us);
+  if (control->reconfirming)
+    check_reconfirm (control, now_us);
+  if (control->lifecycle == WC_LIFECYCLE_DRAINING)
+    check_drain (control, now_us);
+}
+
+/* local functions */
+
+/* Serves once the newest configuration that any peer has is in force. The platform's head is held back until then: it
+ * may be stale, or a revision that the peers have rejected. */
+static void
+check_join (WcControl *control, uint64_t now_us)
+{
+  const WcConfigId *id = wc_config_store_get_id (control->store);
+  bool              limit_passed = now_us >= control->join_started_us + control->config.join_limit_us;
+  bool              peer_has_config = false;
+  bool              newer = false;
+  GHashTableIter    iterator;
+  gpointer          value;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      peer_has_config = peer_has_config || (link->heard && link->config.revision > 0);
+      newer = newer || (link->heard && wc_control_is_newer (control, &link->config));
+    }
+  if (!limit_passed && (newer || !peers_settled (control, now_us, peer_has_config)))
+    return;
+  if (!control->platform_accepted)
+    {
+      control->platform_accepted = true;
+      wc_control_accept_platform (control, now_us);
+    }
+  if (id->revision == 0 || !wc_config_store_get_register (control->store) || (newer && !limit_passed))
+    return;
+  wc_control_set_own_state (control, now_us, WC_MEMBER_LIVE);
+  wc_control_confirm (control, now_us);
+  wc_control_set_lifecycle (control, WC_LIFECYCLE_SERVING,
+                            peer_has_config ? "configuration confirmed by a peer"
+                                            : "no peer heard; platform's configuration");
+}
+
+/* Whether every wanted link has been heard. Two heartbeats after the first peer is enough if a peer has a
+ * configuration; peers that have none may all have just started, so the others are waited for. */
+static bool
+peers_settled (const WcControl *control, uint64_t now_us, bool peer_has_config)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+  uint32_t       heard = 0;
+  uint32_t       missing = 0;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    heard += ((WcControlLink *)value)->heard ? 1 : 0;
+  if (heard == 0)
+    return false;
+  g_hash_table_iter_init (&iterator, control->desired);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlDesired *desired = value;
+      WcControlLink    *link = g_hash_table_lookup (control->links, &desired->member.id);
+
+      missing += !link || !link->heard ? 1 : 0;
+    }
+  return missing == 0 || (peer_has_config && now_us >= control->first_peer_us + 2 * control->config.heartbeat_us);
+}
+
+static void
+check_reconfirm (WcControl *control, uint64_t now_us)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+  bool           confirmed = false;
+  bool           newer = false;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      WcControlLink *link = value;
+
+      if (!link->echoed || link->config.revision == 0)
+        continue;
+      confirmed = true;
+      newer = newer || wc_control_is_newer (control, &link->config);
+    }
+  if (confirmed && !newer)
+    wc_control_confirm (control, now_us);
+  else if (now_us >= control->reconfirm_deadline_us)
+    {
+      control->reconfirming = false;
+      control->confirmed_us = now_us;
+      control->view_dirty = true;
+      wc_control_record (control, WC_EVENT_LIFECYCLE, control->lifecycle,
+                         "nobody confirmed the configuration in time; serving in a partition");
+    }
+}
+
+/* Two heartbeats pass first, so that peers and workers have seen the announcement. */
+static void
+check_drain (WcControl *control, uint64_t now_us)
+{
+  if (now_us >= control->drain_started_us + control->config.drain_limit_us)
+    wc_control_set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drain limit reached");
+  else if (now_us >= control->drain_started_us + 2 * control->config.heartbeat_us &&
+           control->ops->workers_idle (control->user_data))
+    wc_control_set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drained");
+}
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -14,12 +14,10 @@
 };
 
 static bool note_is_newer (const WcControlRecord *record, uint64_t incarnation, uint32_t version, uint32_t state);
-static void apply_note (WcControl *control, uint64_t now_us, const Wc__MemberNote *note);
-static void apply_own_note (WcControl *control, uint64_t now_us, const Wc__MemberNote *note);
+static void apply_note (WcControl *control, uint64_t now_us, const WcMember *member, uint32_t version);
+static void apply_own_note (WcControl *control, uint64_t now_us, const WcMember *member, uint32_t version);
 static void remember_incarnation (WcControlRecord *record);
 static void note_changed (WcControl *control, uint64_t id);
-static bool note_is_acceptable (const WcControl *control, const Wc__MemberNote *note);
-static void fill_note (const WcControl *control, const WcControlRecord *record, Wc__MemberNote *note);
 static void send_notes (WcControl *control, WcControlLink *link, const uint64_t *ids, size_t count);
 static void watch_neighbours (WcControl *control, uint64_t now_us, bool connected);
 static bool is_connected (const WcControl *control, uint64_t now_us);
@@ -182,6 +180,7 @@
 {
   WcControlRecord *record;
   WcConfigId       own;
+  WcMember         member;
 
   link->heard_us = now_us;
   if (frame->config && frame->config->digest.len == WC_DIGEST_BYTES)
@@ -194,8 +193,9 @@
     }
   wc_control_flush_notes (control, now_us, 0);
   for (size_t i = 0; i < frame->n_members; i++)
-    if (note_is_acceptable (control, frame->members[i]))
-      apply_note (control, now_us, frame->members[i]);
+    if (wc_control_read_note (frame->members[i], &member) && member.incarnation != 0 &&
+        member.domain == control->config.self.domain)
+      apply_note (control, now_us, &member, frame->members[i]->version);
   wc_control_flush_notes (control, now_us, link->id);
 
   record = g_hash_table_lookup (control->records, &link->id);
@@ -204,8 +204,7 @@
       record->direct_us = now_us;
       if (frame->state == WC_MEMBER_LIVE || frame->state == WC_MEMBER_LEAVING)
         {
-          WcMember member = record->member;
-
+          member = record->member;
           member.state = (WcMemberState)frame->state;
           wc_membership_heard (control->membership, now_us, &member);
         }
@@ -238,6 +237,39 @@
     wc_control_confirm (control, now_us);
 }
 
+void
+wc_control_fill_note (const WcMember *member, uint32_t version, Wc__MemberNote *note)
+{
+  wc__member_note__init (note);
+  note->instance = member->id;
+  note->incarnation = member->incarnation;
+  note->version = version;
+  note->state = (uint32_t)member->state;
+  note->workers = member->workers;
+  note->domain = member->domain;
+  note->ip.data = (uint8_t *)member->address.ip;
+  note->ip.len = member->address.family == 6 ? 16 : 4;
+  note->port = member->address.port;
+}
+
+bool
+wc_control_read_note (const Wc__MemberNote *note, WcMember *member)
+{
+  memset (member, 0, sizeof *member);
+  if (note->instance == 0 || note->state >= WC_MEMBER_COUNT || (note->ip.len != 4 && note->ip.len != 16) ||
+      note->port > UINT16_MAX || note->workers == 0 || note->workers > UINT16_MAX)
+    return false;
+  member->id = note->instance;
+  member->incarnation = note->incarnation;
+  member->domain = note->domain;
+  member->workers = (uint16_t)note->workers;
+  member->state = (WcMemberState)note->state;
+  member->address.family = note->ip.len == 16 ? 6 : 4;
+  memcpy (member->address.ip, note->ip.data, note->ip.len);
+  member->address.port = (uint16_t)note->port;
+  return true;
+}
+
 /* local functions */
 
 static bool
@@ -253,39 +285,33 @@
 }
 
 static void
-apply_note (WcControl *control, uint64_t now_us, const Wc__MemberNote *note)
+apply_note (WcControl *control, uint64_t now_us, const WcMember *member, uint32_t version)
 {
   WcControlRecord *record;
 
-  if (note->instance == control->config.self.id)
+  if (member->id == control->config.self.id)
     {
-      apply_own_note (control, now_us, note);
+      apply_own_note (control, now_us, member, version);
       return;
     }
-  record = g_hash_table_lookup (control->records, &note->instance);
+  record = g_hash_table_lookup (control->records, &member->id);
   if (!record)
     {
       record = g_new0 (WcControlRecord, 1);
-      record->member.id = note->instance;
-      record->member.domain = note->domain;
+      record->member.id = member->id;
       record->first_us = now_us;
       g_hash_table_insert (control->records, &record->member.id, record);
     }
-  else if (record->member.incarnation != 0 && !note_is_newer (record, note->incarnation, note->version, note->state))
+  else if (record->member.incarnation != 0 &&
+           !note_is_newer (record, member->incarnation, version, (uint32_t)member->state))
     return;
-  if (record->member.incarnation != note->incarnation)
+  if (record->member.incarnation != member->incarnation)
     {
       remember_incarnation (record);
       record->direct_us = now_us;
     }
-  record->member.incarnation = note->incarnation;
-  record->member.state = (WcMemberState)note->state;
-  record->member.workers = (uint16_t)note->workers;
-  record->member.address.family = note->ip.len == 16 ? 6 : 4;
-  memset (record->member.address.ip, 0, sizeof record->member.address.ip);
-  memcpy (record->member.address.ip, note->ip.data, note->ip.len);
-  record->member.address.port = (uint16_t)note->port;
-  record->version = note->version;
+  record->member = *member;
+  record->version = version;
   record->changed_us = now_us;
   record->vouched_us = 0;
   control->next_topology_us = now_us;
@@ -294,13 +320,12 @@
 
 /* A peer that takes this instance for silent or for an older incarnation is corrected by a higher version. */
 static void
-apply_own_note (WcControl *control, uint64_t now_us, const Wc__MemberNote *note)
+apply_own_note (WcControl *control, uint64_t now_us, const WcMember *member, uint32_t version)
 {
-  if (note->incarnation == control->config.self.incarnation &&
-      (note->version < control->own_version ||
-       (note->version == control->own_version && note->state <= (uint32_t)control->own_state)))
+  if (member->incarnation == control->config.self.incarnation &&
+      (version < control->own_version || (version == control->own_version && member->state <= control->own_state)))
     return;
-  control->own_version = MAX (control->own_version, note->version) + 1;
+  control->own_version = MAX (control->own_version, version) + 1;
   note_changed (control, control->config.self.id);
   wc_control_flush_notes (control, now_us, 0);
 }
@@ -325,34 +350,12 @@
   g_array_append_val (control->pending_notes, id);
 }
 
-static bool
-note_is_acceptable (const WcControl *control, const Wc__MemberNote *note)
-{
-  return note->instance != 0 && note->incarnation != 0 && note->domain == control->config.self.domain &&
-         note->state < WC_MEMBER_COUNT && (note->ip.len == 4 || note->ip.len == 16) && note->port <= UINT16_MAX &&
-         note->workers > 0 && note->workers <= UINT16_MAX;
-}
-
-static void
-fill_note (const WcControl *control, const WcControlRecord *record, Wc__MemberNote *note)
-{
-  const WcMember *member = record ? &record->member : &control->config.self;
-
-  wc__member_note__init (note);
-  note->instance = member->id;
-  note->incarnation = member->incarnation;
-  note->version = record ? record->version : control->own_version;
-  note->state = (uint32_t)(record ? member->state : control->own_state);
-  note->workers = member->workers;
-  note->domain = member->domain;
-  note->ip.data = (uint8_t *)member->address.ip;
-  note->ip.len = member->address.family == 6 ? 16 : 4;
-  note->port = member->address.port;
-}
-
 static void
 send_notes (WcControl *control, WcControlLink *link, const uint64_t *ids, size_t count)
 {
+  WcMember own = control->config.self;
+
+  own.state = control->own_state;
   while (count > 0)
     {
       size_t           chunk = MIN (count, (size_t)WC_CONTROL_NOTES_PER_FRAME);
@@ -368,7 +371,8 @@
 
           if (!record && ids[i] != control->config.self.id)
             continue;
-          fill_note (control, record, &notes[frame.n_members]);
+          wc_control_fill_note (record ? &record->member : &own, record ? record->version : control->own_version,
+                                &notes[frame.n_members]);
           pointers[frame.n_members] = &notes[frame.n_members];
           frame.n_members++;
         }
--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -7,7 +7,8 @@
 
 enum
 {
-  WC_CONTROL_REPLACED_INCARNATIONS = 4
+  WC_CONTROL_REPLACED_INCARNATIONS = 4,
+  WC_CONTROL_PEER_ANSWER_US = 1000000
 };
 
 /**
@@ -119,6 +120,7 @@
   uint64_t       next_list_us;
   bool           list_pending;
   bool           list_known;
+  bool           list_from_peer;
 
   WcConfigStore  *store;
   WcKeyring      *keyring;
@@ -143,16 +145,24 @@
 
 /* control.c */
 void wc_control_record (WcControl *control, WcEventKind kind, uint64_t value, const char *reason);
-void wc_control_confirm (WcControl *control, uint64_t now_us);
-void wc_control_check_lifecycle (WcControl *control, uint64_t now_us);
+void wc_control_set_lifecycle (WcControl *control, WcLifecycle lifecycle, const char *reason);
 void wc_control_publish (WcControl *control, uint64_t now_us);
 /* wc_control_jitter() - @base_us times a random factor from 0.75 to 1.25. */
 uint64_t wc_control_jitter (WcControl *control, uint64_t base_us);
 
-/* control_config.c */
-void wc_control_config_tick (WcControl *control, uint64_t now_us);
+/* control_lifecycle.c */
+void wc_control_confirm (WcControl *control, uint64_t now_us);
+void wc_control_check_lifecycle (WcControl *control, uint64_t now_us);
+
+/* control_fetch.c */
 void wc_control_fetch (WcControl *control, uint64_t now_us);
+void wc_control_fetch_failed (WcControl *control, uint64_t now_us);
 void wc_control_link_lost_fetch (WcControl *control, uint64_t peer);
+/* wc_control_get_missing() - digest of the @index-th missing part; false when there is none. */
+bool wc_control_get_missing (const WcControl *control, size_t index, uint8_t digest[WC_DIGEST_BYTES]);
+
+/* control_config.c */
+void wc_control_config_tick (WcControl *control, uint64_t now_us);
 void wc_control_config_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
 void wc_control_offer_head (WcControl *control, uint64_t now_us, const char *text, size_t size_bytes);
 void wc_control_accept_platform (WcControl *control, uint64_t now_us);
@@ -160,6 +170,9 @@
 bool wc_control_is_newer (const WcControl *control, const WcConfigId *id);
 
 /* control_members.c */
+void wc_control_fill_note (const WcMember *member, uint32_t version, Wc__MemberNote *note);
+/* wc_control_read_note() - false when the note is malformed. */
+bool wc_control_read_note (const Wc__MemberNote *note, WcMember *member);
 void wc_control_members_tick (WcControl *control, uint64_t now_us);
 void wc_control_set_own_state (WcControl *control, uint64_t now_us, WcMemberState state);
 void wc_control_update_table (WcControl *control);
@@ -170,6 +183,12 @@
 void
 wc_control_heartbeat_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
 
+/* control_list.c */
+void wc_control_apply_list (WcControl *control, uint64_t now_us, const WcMember *members, size_t count);
+/* wc_control_ask_list() - ask a peer for its list, for an instance that starts while the platform is down. */
+void wc_control_ask_list (WcControl *control);
+void wc_control_list_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
+
 /* control_topology.c */
 void wc_control_update_topology (WcControl *control, uint64_t now_us);
 
--- a/src/core/peer_session.c
+++ b/src/core/peer_session.c
@@ -336,7 +336,7 @@
 static void
 derive_key (WcPeerSession *session, const uint8_t *key, const uint8_t *peer_hello, size_t peer_bytes)
 {
-  static const char        LABEL[] = "wigeoncart peer session 1";
+  static const char        label[] = "wigeoncart peer session 1";
   const uint8_t           *own = session->own_hello->data + WC_PEER_LENGTH_BYTES;
   size_t                   own_bytes = session->own_hello->len - WC_PEER_LENGTH_BYTES;
   uint8_t                  lengths[8];
@@ -347,7 +347,7 @@
   memcpy (lengths, &first, sizeof first);
   memcpy (lengths + sizeof first, &second, sizeof second);
   crypto_generichash_init (&state, key, WC_KEY_BYTES, SESSION_KEY_BYTES);
-  crypto_generichash_update (&state, (const uint8_t *)LABEL, sizeof LABEL);
+  crypto_generichash_update (&state, (const uint8_t *)label, sizeof label);
   crypto_generichash_update (&state, lengths, sizeof lengths);
   crypto_generichash_update (&state, session->initiator ? own : peer_hello,
                              session->initiator ? own_bytes : peer_bytes);
--- /dev/null
+++ b/tests/test_control.c
@@ -0,0 +1,483 @@
+#include <stdlib.h>
+
+#include "control_fleet.h"
+
+/* Guards against an instance that cannot join while the platform is down although its peers have everything. */
+START_TEST (join_with_platform_down)
+{
+  ControlFleet *fleet = fleet_new (4, 2, 1);
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  fleet->platforms[0].up = false;
+  fleet_kill (fleet, 0);
+  fleet_run (fleet, 2000);
+  fleet_start (fleet, 0);
+  fleet_run (fleet, 5000);
+  ck_assert_int_eq (fleet_lifecycle (fleet, 0), WC_LIFECYCLE_SERVING);
+  fleet_assert_revision (fleet, 5);
+  /* The list of the other domain came from a peer. */
+  ck_assert_int_eq (fleet_member_state (fleet, 0, 1), WC_MEMBER_LIVE);
+  ck_assert_int_eq (fleet_member_state (fleet, 2, 0), WC_MEMBER_LIVE);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a restarted instance that serves an older revision of a stale platform. */
+START_TEST (stale_platform_after_restart)
+{
+  ControlFleet *fleet = fleet_new (4, 2, 2);
+
+  fleet_publish (fleet, 0, 3, 3, true);
+  fleet_start_all (fleet);
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_run (fleet, 3000);
+  fleet_assert_revision (fleet, 5);
+  fleet_publish (fleet, 0, 3, 3, true);
+  fleet_run (fleet, 3000);
+  fleet_assert_revision (fleet, 5);
+  fleet_kill (fleet, 1);
+  fleet_start (fleet, 1);
+  while (fleet_lifecycle (fleet, 1) != WC_LIFECYCLE_SERVING && fleet->now_us < 60000000)
+    fleet_step (fleet);
+  ck_assert_uint_eq (fleet_id (fleet, 1)->revision, 5);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a joining instance that never serves when it is the only one. */
+START_TEST (join_alone)
+{
+  ControlFleet *fleet = fleet_new (1, 1, 3);
+
+  fleet_publish (fleet, 0, 4, 4, true);
+  fleet_start (fleet, 0);
+  fleet_run (fleet, 1000);
+  ck_assert_int_eq (fleet_lifecycle (fleet, 0), WC_LIFECYCLE_JOINING);
+  fleet_run (fleet, 4000);
+  ck_assert_int_eq (fleet_lifecycle (fleet, 0), WC_LIFECYCLE_SERVING);
+  ck_assert_uint_eq (fleet_id (fleet, 0)->revision, 4);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against an invalid revision that displaces the one in force, or hides a later valid one. */
+START_TEST (rejected_revision)
+{
+  ControlFleet *fleet = fleet_new (6, 2, 4);
+  WcConfigId    rejected;
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  fleet_publish (fleet, 0, 6, 6, false);
+  fleet_run (fleet, 3000);
+  fleet_assert_revision (fleet, 5);
+  for (guint i = 0; i < fleet->count; i++)
+    if (wc_control_is_reader (fleet->nodes[i].control))
+      {
+        ck_assert_ptr_nonnull (
+            wc_config_store_get_rejection (wc_control_get_store (fleet->nodes[i].control), &rejected));
+        ck_assert_uint_eq (rejected.revision, 6);
+      }
+  /* A joining instance sees the rejected revision first and must still get the one that its peers have. */
+  fleet_kill (fleet, 2);
+  fleet_start (fleet, 2);
+  fleet_run (fleet, 5000);
+  ck_assert_int_eq (fleet_lifecycle (fleet, 2), WC_LIFECYCLE_SERVING);
+  fleet_assert_revision (fleet, 5);
+  fleet_publish (fleet, 0, 7, 7, true);
+  fleet_run (fleet, 3000);
+  fleet_assert_revision (fleet, 7);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against an instance that stays behind because the announcement of a revision was lost. */
+START_TEST (missed_head)
+{
+  ControlFleet *fleet = fleet_new (6, 1, 5);
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  fleet->drop_heartbeats = true;
+  fleet_publish (fleet, 0, 6, 6, true);
+  fleet_run (fleet, 300);
+  fleet->drop_heartbeats = false;
+  fleet_run (fleet, 4000);
+  fleet_assert_revision (fleet, 6);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a domain that keeps an old revision because only other domains can reach the platform. */
+START_TEST (uneven_updates)
+{
+  ControlFleet *fleet = fleet_new (6, 2, 6);
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  for (guint i = 1; i < fleet->count; i += 2)
+    fleet->nodes[i].cut_platform = true;
+  fleet_publish (fleet, 0, 6, 6, true);
+  fleet_run (fleet, 5000);
+  fleet_assert_revision (fleet, 6);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a resumed process that takes frames from before its pause for a confirmation of its view. */
+START_TEST (pause_and_reconfirm)
+{
+  ControlFleet *fleet = fleet_new (3, 1, 7);
+  FleetNode    *node = &fleet->nodes[0];
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  node->paused = true;
+  fleet_run (fleet, 400);
+  fleet_publish (fleet, 0, 6, 6, true);
+  fleet_run (fleet, 2600);
+  ck_assert_uint_gt (g_queue_get_length (node->inbox), 0);
+  memset (node->seen, 0, sizeof node->seen);
+  node->paused = false;
+  node->views = 0;
+  /* The first event after the pause publishes that dispatch must stop. */
+  fleet_deliver (fleet, node);
+  ck_assert_uint_gt (node->views, 0);
+  ck_assert_int_eq (node->published, WC_LIFECYCLE_RECONFIRMING);
+  while (node->published != WC_LIFECYCLE_SERVING && fleet->now_us < 60000000)
+    {
+      ck_assert (!node->seen[WC_LIFECYCLE_SERVING]);
+      fleet_step (fleet);
+    }
+  ck_assert_uint_eq (node->published_id.revision, 6);
+  fleet_run (fleet, 2000);
+  ck_assert_int_eq (fleet_member_state (fleet, 0, 1), WC_MEMBER_LIVE);
+  ck_assert_int_eq (fleet_member_state (fleet, 1, 0), WC_MEMBER_LIVE);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a paused instance that leaves its peers' members suspect, or itself, when it resumes. */
+START_TEST (pause_keeps_members)
+{
+  ControlFleet *fleet = fleet_new (5, 1, 8);
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  fleet->nodes[0].paused = true;
+  fleet_run (fleet, 3000);
+  ck_assert_int_ne (fleet_member_state (fleet, 1, 0), WC_MEMBER_LIVE);
+  fleet->nodes[0].paused = false;
+  fleet_step (fleet);
+  for (guint i = 1; i < fleet->count; i++)
+    ck_assert_int_eq (fleet_member_state (fleet, 0, i), WC_MEMBER_LIVE);
+  fleet_run (fleet, 1000);
+  for (guint i = 1; i < fleet->count; i++)
+    ck_assert_int_eq (fleet_member_state (fleet, i, 0), WC_MEMBER_LIVE);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against an instance that never serves again when it resumes in a partition. */
+START_TEST (partition_serves_on)
+{
+  ControlFleet *fleet = fleet_new (4, 2, 9);
+  FleetNode    *node = &fleet->nodes[0];
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  node->paused = true;
+  fleet_run (fleet, 1500);
+  fleet_isolate (fleet, 0, true);
+  node->paused = false;
+  fleet_run (fleet, 1000);
+  ck_assert_int_eq (fleet_lifecycle (fleet, 0), WC_LIFECYCLE_RECONFIRMING);
+  fleet_run (fleet, 1500);
+  ck_assert_int_eq (fleet_lifecycle (fleet, 0), WC_LIFECYCLE_SERVING);
+  fleet_publish (fleet, 0, 6, 6, true);
+  fleet_run (fleet, 3000);
+  ck_assert_uint_eq (fleet_id (fleet, 0)->revision, 5);
+  fleet_isolate (fleet, 0, false);
+  fleet_run (fleet, 5000);
+  fleet_assert_revision (fleet, 6);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a planned stop that cuts off work, goes unannounced, or never ends. */
+START_TEST (drain)
+{
+  ControlFleet *fleet = fleet_new (3, 1, 10);
+  FleetNode    *node = &fleet->nodes[0];
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  node->workers_idle = false;
+  wc_control_terminate (node->control, fleet->now_us);
+  ck_assert_int_eq (node->published, WC_LIFECYCLE_DRAINING);
+  fleet_run (fleet, 1000);
+  ck_assert (node->running);
+  ck_assert_int_eq (fleet_member_state (fleet, 1, 0), WC_MEMBER_LEAVING);
+  ck_assert_int_eq (fleet_member_state (fleet, 0, 0), WC_MEMBER_LEAVING);
+  node->workers_idle = true;
+  fleet_step (fleet);
+  ck_assert (!node->running);
+  ck_assert_int_eq (node->published, WC_LIFECYCLE_STOPPED);
+
+  /* The limit ends a drain whose work never ends. */
+  fleet->nodes[1].workers_idle = false;
+  wc_control_terminate (fleet->nodes[1].control, fleet->now_us);
+  fleet_run (fleet, 29000);
+  ck_assert (fleet->nodes[1].running);
+  fleet_run (fleet, 2000);
+  ck_assert (!fleet->nodes[1].running);
+
+  /* A second request stops at once. */
+  fleet->nodes[2].workers_idle = false;
+  wc_control_terminate (fleet->nodes[2].control, fleet->now_us);
+  wc_control_terminate (fleet->nodes[2].control, fleet->now_us);
+  ck_assert (fleet->nodes[2].stopped);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a pause during a drain that ends the drain or lets it dispatch on an unconfirmed view. */
+START_TEST (pause_while_draining)
+{
+  ControlFleet *fleet = fleet_new (3, 1, 11);
+  FleetNode    *node = &fleet->nodes[0];
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  node->workers_idle = false;
+  wc_control_terminate (node->control, fleet->now_us);
+  fleet_run (fleet, 300);
+  node->paused = true;
+  fleet_run (fleet, 2000);
+  node->paused = false;
+  fleet_deliver (fleet, node);
+  ck_assert_int_eq (node->published, WC_LIFECYCLE_RECONFIRMING);
+  fleet_run (fleet, 500);
+  ck_assert_int_eq (node->published, WC_LIFECYCLE_DRAINING);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against two registers with one revision number that stay in force side by side. */
+START_TEST (two_heads_race)
+{
+  ControlFleet     *fleet = fleet_new (6, 2, 12 + (uint32_t)_i);
+  const WcConfigId *first;
+
+  for (guint i = 1; i < fleet->count; i += 2)
+    fleet->nodes[i].platform = 1;
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_publish (fleet, 1, 5, 5, true);
+  fleet_start_all (fleet);
+  fleet_publish (fleet, 0, 6, 100 + _i, true);
+  fleet_publish (fleet, 1, 6, 200 + _i, true);
+  fleet_run (fleet, 5000);
+  fleet_assert_revision (fleet, 6);
+  first = fleet_id (fleet, 0);
+  for (guint i = 1; i < fleet->count; i++)
+    ck_assert_int_eq (wc_config_id_compare (first, fleet_id (fleet, i)), 0);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against any order of faults after which an instance's configuration goes back or stays behind. Every view
+ * published by the fleet is compared with the one before it. */
+START_TEST (config_never_reverts)
+{
+  ControlFleet *fleet = fleet_new (8, 2, 1000 + (uint32_t)_i);
+  GRand        *random = g_rand_new_with_seed (2000 + (uint32_t)_i);
+  uint64_t      revision = 10;
+  uint64_t      valid = 10;
+
+  fleet_publish (fleet, 0, revision, 1, true);
+  fleet_start_all (fleet);
+  for (int round = 0; round < 60; round++)
+    {
+      guint node = (guint)g_rand_int_range (random, 0, 8);
+      guint other = (guint)g_rand_int_range (random, 0, 8);
+
+      switch (g_rand_int_range (random, 0, 9))
+        {
+        case 0:
+          fleet_publish (fleet, 0, ++revision, round, true);
+          valid = revision;
+          break;
+        case 1:
+          fleet_publish (fleet, 0, ++revision, round, false);
+          break;
+        case 2:
+          /* The platform goes back to an older revision, and later to the newest again. */
+          fleet_publish (fleet, 0, valid - MIN (valid - 1, 3), round, true);
+          break;
+        case 3:
+          fleet->platforms[0].up = !fleet->platforms[0].up;
+          break;
+        case 4:
+          fleet_kill (fleet, node);
+          break;
+        case 5:
+          if (!fleet->nodes[node].running)
+            fleet_start (fleet, node);
+          break;
+        case 6:
+          fleet->nodes[node].paused = !fleet->nodes[node].paused && fleet->nodes[node].running;
+          break;
+        case 7:
+          if (node != other)
+            fleet_cut (fleet, node, other, !fleet->nodes[node].cut[other]);
+          break;
+        default:
+          fleet->nodes[node].cut_platform = !fleet->nodes[node].cut_platform;
+          break;
+        }
+      fleet_run (fleet, (uint64_t)g_rand_int_range (random, 10, 1500));
+    }
+
+  for (guint i = 0; i < fleet->count; i++)
+    {
+      fleet_isolate (fleet, i, false);
+      fleet->nodes[i].paused = false;
+      if (!fleet->nodes[i].running)
+        fleet_start (fleet, i);
+    }
+  fleet->platforms[0].up = true;
+  fleet_publish (fleet, 0, ++revision, 999, true);
+  /* Backoff after the faults is 19 s at most. */
+  fleet_run (fleet, 25000);
+  fleet_assert_revision (fleet, revision);
+  for (guint i = 0; i < fleet->count; i++)
+    ck_assert_int_eq (fleet_lifecycle (fleet, i), WC_LIFECYCLE_SERVING);
+  g_rand_free (random);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a member that some instances take for live after it was killed, or never take for live again. */
+START_TEST (restart_is_noticed)
+{
+  ControlFleet *fleet = fleet_new (7, 1, 20);
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  fleet_kill (fleet, 3);
+  fleet_run (fleet, 2500);
+  for (guint i = 0; i < fleet->count; i++)
+    if (i != 3)
+      ck_assert_int_eq (fleet_member_state (fleet, i, 3), WC_MEMBER_SUSPECT);
+  fleet_start (fleet, 3);
+  fleet_run (fleet, 4000);
+  for (guint i = 0; i < fleet->count; i++)
+    ck_assert_int_eq (fleet_member_state (fleet, i, 3), WC_MEMBER_LIVE);
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against two members that are taken for suspect by turns because one link between them is cut. */
+START_TEST (one_broken_link)
+{
+  ControlFleet *fleet = fleet_new (5, 1, 21);
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  fleet_cut (fleet, 0, 1, true);
+  fleet_run (fleet, 5000);
+  for (int round = 0; round < 500; round++)
+    {
+      fleet_step (fleet);
+      ck_assert_int_eq (fleet_member_state (fleet, 2, 0), WC_MEMBER_LIVE);
+      ck_assert_int_eq (fleet_member_state (fleet, 2, 1), WC_MEMBER_LIVE);
+      ck_assert_int_eq (fleet_member_state (fleet, 0, 1), WC_MEMBER_LIVE);
+      ck_assert_int_eq (fleet_member_state (fleet, 1, 0), WC_MEMBER_LIVE);
+    }
+  fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against control traffic above 2 KB/s a node at 240 nodes per domain, lost news of members in a domain that is
+ * no full mesh, and a revision that does not reach all of it within 5 s. */
+START_TEST (large_domain)
+{
+  ControlFleet *fleet = fleet_new (240, 1, 22);
+  uint64_t      total = 0;
+  uint64_t      most = 0;
+  uint64_t      reads = 0;
+
+  fleet->step_us = 50000;
+  fleet_publish (fleet, 0, 5, 5, true);
+  for (guint i = 0; i < fleet->count; i++)
+    fleet_start (fleet, i);
+  fleet_run (fleet, 20000);
+  for (guint i = 0; i < fleet->count; i++)
+    {
+      ck_assert_int_eq (fleet_lifecycle (fleet, i), WC_LIFECYCLE_SERVING);
+      for (guint j = 0; j < fleet->count; j++)
+        ck_assert_int_eq (fleet_member_state (fleet, i, j), WC_MEMBER_LIVE);
+      fleet->nodes[i].bytes_sent = 0;
+      fleet->nodes[i].head_reads = 0;
+    }
+  fleet_run (fleet, 20000);
+  for (guint i = 0; i < fleet->count; i++)
+    {
+      total += fleet->nodes[i].bytes_sent;
+      most = MAX (most, fleet->nodes[i].bytes_sent);
+      reads += fleet->nodes[i].head_reads;
+    }
+  printf ("control bytes sent per second and node, with TCP/IP headers: mean %" G_GUINT64_FORMAT
+          ", highest %" G_GUINT64_FORMAT "; head reads %" G_GUINT64_FORMAT " in 20 s\n",
+          total / fleet->count / 20, most / 20, reads);
+  ck_assert_uint_lt (most / 20, 2000);
+  ck_assert_uint_lt (reads, 10);
+
+  fleet_publish (fleet, 0, 6, 6, true);
+  fleet_run (fleet, 5000);
+  fleet_assert_revision (fleet, 6);
+  fleet_kill (fleet, 100);
+  fleet_run (fleet, 8000);
+  for (guint i = 0; i < fleet->count; i++)
+    if (i != 100)
+      ck_assert_int_eq (fleet_member_state (fleet, i, 100), WC_MEMBER_SUSPECT);
+  fleet_start (fleet, 100);
+  fleet_run (fleet, 8000);
+  for (guint i = 0; i < fleet->count; i++)
+    ck_assert_int_eq (fleet_member_state (fleet, i, 100), WC_MEMBER_LIVE);
+  fleet_delete (fleet);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite   *suite = suite_create ("control");
+  TCase   *cases = tcase_create ("control");
+  SRunner *runner;
+  int      failed;
+
+  tcase_add_test (cases, join_with_platform_down);
+  tcase_add_test (cases, stale_platform_after_restart);
+  tcase_add_test (cases, join_alone);
+  tcase_add_test (cases, rejected_revision);
+  tcase_add_test (cases, missed_head);
+  tcase_add_test (cases, uneven_updates);
+  tcase_add_test (cases, pause_and_reconfirm);
+  tcase_add_test (cases, pause_keeps_members);
+  tcase_add_test (cases, partition_serves_on);
+  tcase_add_test (cases, drain);
+  tcase_add_test (cases, pause_while_draining);
+  tcase_add_loop_test (cases, two_heads_race, 0, 4);
+  tcase_add_loop_test (cases, config_never_reverts, 0, 20);
+  tcase_add_test (cases, restart_is_noticed);
+  tcase_add_test (cases, one_broken_link);
+  tcase_add_test (cases, large_domain);
+  suite_add_tcase (suite, cases);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
