--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -28,5 +28,7 @@
 } WcCommand;
 
 extern const WcCommand WC_COMMAND_SERVE;
+extern const WcCommand WC_COMMAND_STATUS;
+extern const WcCommand WC_COMMAND_TIMELINE;
 
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -8,6 +8,8 @@
 /* Ended by NULL. */
 static const WcCommand *const COMMANDS[] = {
   &WC_COMMAND_SERVE,
+  &WC_COMMAND_STATUS,
+  &WC_COMMAND_TIMELINE,
   NULL,
 };
 
--- a/src/core/control_config.c
+++ b/src/core/control_config.c
@@ -38,7 +38,7 @@
 wc_control_config_tick (WcControl *control, uint64_t now_us)
 {
   bool reader = wc_control_is_reader (control);
-  bool silent = now_us >= control->confirmed_us + control->config.silence_us;
+  bool silent = now_us >= control->domain_confirmed_us + control->config.silence_us;
   bool joining = control->lifecycle == WC_LIFECYCLE_JOINING;
 
   if (control->lifecycle == WC_LIFECYCLE_STOPPED)
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -232,9 +232,12 @@
     link->echoed = true;
   /* A peer confirms the configuration when it is past joining and knows no newer one. */
   if (!control->reconfirming && control->lifecycle != WC_LIFECYCLE_JOINING && link->config.revision > 0 &&
-      link->domain == control->config.self.domain && frame->state != WC_MEMBER_LISTED &&
-      !wc_control_is_newer (control, &link->config))
-    wc_control_confirm (control, now_us);
+      frame->state != WC_MEMBER_LISTED && !wc_control_is_newer (control, &link->config))
+    {
+      wc_control_confirm (control, now_us);
+      if (link->domain == control->config.self.domain)
+        control->domain_confirmed_us = now_us;
+    }
 }
 
 void
--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -91,6 +91,7 @@
   WcLifecycle lifecycle;
   uint64_t    last_us;
   uint64_t    confirmed_us;
+  uint64_t    domain_confirmed_us;
   uint64_t    join_started_us;
   uint64_t    first_peer_us;
   bool        platform_accepted;
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -104,15 +104,15 @@
 void
 wc_membership_heard (WcMembership *membership, uint64_t now_us, const WcMember *sender)
 {
-  Entry *entry;
-  bool   changed = false;
+  Entry        *entry;
+  WcMemberState state;
+  bool          changed = false;
 
   assert (membership != NULL);
   assert (sender != NULL);
 
   if (sender->id == membership->self.id || sender->incarnation == 0)
     return;
-  expire (membership, now_us);
   entry = get_entry (membership, sender->id);
   if (!is_replaced (entry, sender->incarnation))
     {
@@ -128,7 +128,12 @@
       entry->heard = true;
       entry->heard_state = sender->state == WC_MEMBER_LEAVING ? WC_MEMBER_LEAVING : WC_MEMBER_LIVE;
     }
-  changed |= refresh (membership);
+  /* Only this entry: in a large domain members are heard hundreds of times a second. */
+  if (derive_state (membership, entry, &state))
+    {
+      changed |= entry->member.state != state;
+      entry->member.state = state;
+    }
   membership->generation += changed;
 }
 
--- a/src/edge/control_thread.c
+++ b/src/edge/control_thread.c
@@ -448,7 +448,12 @@
       g_array_free (kept, TRUE);
     }
   for (size_t i = 0; i < thread->worker_count; i++)
-    wc_worker_set_view (thread->workers[i], filtered);
+    {
+      /* What a worker records after this view comes after what led to it; any thread may raise the clock. */
+      wc_event_ring_observe ((WcEventRing *)wc_worker_get_events (thread->workers[i]),
+                             wc_event_ring_get_logical (thread->events));
+      wc_worker_set_view (thread->workers[i], filtered);
+    }
   wc_view_unref (filtered);
 }
 
