--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -8,6 +8,10 @@
 /* Ended by NULL. */
 static const WcCommand *const COMMANDS[] = {
   &WC_COMMAND_SERVE, &WC_COMMAND_CALL, &WC_COMMAND_CHECK, &WC_COMMAND_EXPORT, &WC_COMMAND_EMULATE, NULL,
+  &WC_COMMAND_SERVE,
+  &WC_COMMAND_STATUS,
+  &WC_COMMAND_TIMELINE,
+  NULL,
 };
 
 static void print_usage (FILE *stream);
