--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -115,6 +115,7 @@
   uint32_t       own_version;
   WcMemberState  own_state;
   uint64_t       next_topology_us;
+  uint32_t       pace;
   uint64_t       next_list_us;
   bool           list_pending;
   bool           list_known;
@@ -166,8 +167,8 @@
 void wc_control_announce (WcControl *control, uint64_t now_us);
 void wc_control_send_challenges (WcControl *control, uint64_t now_us);
 void wc_control_flush_notes (WcControl *control, uint64_t now_us, uint64_t source);
-void wc_control_heartbeat_receive (WcControl *control, uint64_t now_us, WcControlLink *link,
-                                   const Wc__PeerFrame *frame);
+void
+wc_control_heartbeat_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
 
 /* control_topology.c */
 void wc_control_update_topology (WcControl *control, uint64_t now_us);
--- a/src/core/control_topology.c
+++ b/src/core/control_topology.c
@@ -1,8 +1,10 @@
 #include "core/control_private.h"
+#include "core/mix.h"
 
 #include <math.h>
 #include <string.h>
 
+/* Waits for a link to another domain before another member is tried. */
 enum
 {
   MS = 1000,
@@ -16,7 +18,7 @@
 static void     want_neighbours (WcControl *control, uint64_t now_us, GHashTable *wanted);
 static void     want_absent (WcControl *control, uint64_t now_us, GArray *ring, GHashTable *wanted);
 static void     want_other_domains (WcControl *control, uint64_t now_us, GHashTable *wanted);
-static uint64_t mix (uint64_t a, uint64_t b);
+static uint64_t weight (const WcControl *control, const WcMember *member);
 
 void
 wc_control_update_topology (WcControl *control, uint64_t now_us)
@@ -58,8 +60,8 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       WcControlRecord *record = value;
-      bool             monitored = g_hash_table_contains (wanted, &record->member.id)
-                       || g_hash_table_contains (control->links, &record->member.id);
+      bool             monitored = g_hash_table_contains (wanted, &record->member.id) ||
+                       g_hash_table_contains (control->links, &record->member.id);
 
       if (monitored && !record->monitored)
         record->direct_us = now_us;
@@ -77,8 +79,8 @@
     return true;
   if (record->member.state == WC_MEMBER_SUSPECT)
     return false;
-  return now_us < MAX (record->first_us, MAX (record->changed_us, record->direct_us))
-                      + 2 * control->config.suspect_after_us;
+  return now_us <
+         MAX (record->first_us, MAX (record->changed_us, record->direct_us)) + 2 * control->config.suspect_after_us;
 }
 
 static int
@@ -120,6 +122,7 @@
   while (g_array_index (ring, WcMember, own).id != control->config.self.id)
     own++;
 
+  control->pace = ring->len <= WC_CONTROL_MESH_MEMBERS ? 1 : WC_CONTROL_LARGE_PACE;
   if (ring->len <= WC_CONTROL_MESH_MEMBERS)
     for (guint i = 0; i < ring->len; i++)
       {
@@ -155,8 +158,8 @@
         continue;
       while (above < ring->len && g_array_index (ring, WcMember, above).id < record->member.id)
         above++;
-      if (ring->len <= WC_CONTROL_MESH_MEMBERS
-          || g_array_index (ring, WcMember, (above + ring->len - 1) % ring->len).id == control->config.self.id)
+      if (ring->len <= WC_CONTROL_MESH_MEMBERS ||
+          g_array_index (ring, WcMember, (above + ring->len - 1) % ring->len).id == control->config.self.id)
         want (wanted, &record->member, false);
     }
 }
@@ -176,8 +179,8 @@
     {
       WcControlDesired *desired = value;
 
-      if (desired->cross_domain && now_us >= desired->since_us + CROSS_TRY_US
-          && !g_hash_table_contains (control->links, &desired->member.id))
+      if (desired->cross_domain && now_us >= desired->since_us + CROSS_TRY_US &&
+          !g_hash_table_contains (control->links, &desired->member.id))
         {
           uint64_t *id = g_new (uint64_t, 1);
           uint64_t *until = g_new (uint64_t, 1);
@@ -192,11 +195,11 @@
       const WcMember *chosen;
       const uint64_t *avoided = g_hash_table_lookup (control->avoided, &members[i].id);
 
-      if (members[i].domain == control->config.self.domain || members[i].state == WC_MEMBER_SUSPECT
-          || members[i].state == WC_MEMBER_LEAVING || (avoided && now_us < *avoided))
+      if (members[i].domain == control->config.self.domain || members[i].state == WC_MEMBER_SUSPECT ||
+          members[i].state == WC_MEMBER_LEAVING || (avoided && now_us < *avoided))
         continue;
       chosen = g_hash_table_lookup (best, GUINT_TO_POINTER (members[i].domain));
-      if (!chosen || mix (control->config.self.id, members[i].id) > mix (control->config.self.id, chosen->id))
+      if (!chosen || weight (control, &members[i]) > weight (control, chosen))
         g_hash_table_insert (best, GUINT_TO_POINTER (members[i].domain), (gpointer)&members[i]);
     }
   g_hash_table_iter_init (&iterator, best);
@@ -205,13 +208,8 @@
   g_hash_table_destroy (best);
 }
 
-/* Finalizer of SplitMix64: ids are hashes already, the mix only makes each pair's weight independent. */
 static uint64_t
-mix (uint64_t a, uint64_t b)
+weight (const WcControl *control, const WcMember *member)
 {
-  uint64_t x = a ^ (b * UINT64_C (0x9e3779b97f4a7c15));
-
-  x = (x ^ (x >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
-  x = (x ^ (x >> 27)) * UINT64_C (0x94d049bb133111eb);
-  return x ^ (x >> 31);
+  return wc_mix64 (wc_mix64 (control->config.self.id) ^ member->id);
 }
