Answer a FETCH of a held answer instead of ending the process

Cause: wc_node_handle_fetch() passed NULL outputs to wc_answer_store_get_info(), which asserts that they are there. Any FETCH for a held answer aborted the worker. Ruled out: the answer store itself; its contract names no optional output.

--- a/src/core/node_reply.c
+++ b/src/core/node_reply.c
@@ -37,8 +37,11 @@
 {
   const Wc__CallerPacket *message = packet->message;
   uint32_t                count = MIN (message->part_count, WC_NODE_FETCH_PARTS);
+  uint32_t                http_status;
+  uint32_t                total_bytes;
+  uint32_t                held_parts;
 
-  if (!wc_answer_store_get_info (node->answers, message->answer->answer, NULL, NULL, NULL))
+  if (!wc_answer_store_get_info (node->answers, message->answer->answer, &http_status, &total_bytes, &held_parts))
     return;
   wc_counters_add (node->counters, WC_COUNTER_ANSWER_PARTS_REPEATED, count);
   wc_node_reply_parts (node, &packet->caller, message->request_id, message->answer->answer, message->first_part, count,
--- /dev/null
+++ b/tests/test_node.c
@@ -0,0 +1,404 @@
+#include <wigeoncart/node.h>
+
+#include <sodium.h>
+#include <string.h>
+
+#include <wigeoncart/name_id.h>
+#include <wigeoncart/register.h>
+
+#include "test_main.h"
+#include "wigeoncart.pb-c.h"
+
+enum
+{
+  START_US = 1000 * 1000 * 1000,
+  MS = 1000,
+  SECOND_US = 1000 * 1000,
+  SENT_MAX = 64
+};
+
+/** struct World - one node, what it sent and the last attempt that it started. */
+typedef struct
+{
+  WcNode             *node;
+  WcCounters          counters;
+  uint64_t            now_us;
+  Wc__InstancePacket *sent[SENT_MAX];
+  size_t              sent_count;
+  size_t              relayed;
+  uint64_t            attempt;
+  size_t              attempts;
+  size_t              cancelled;
+  uint8_t             token[128];
+  size_t              token_bytes;
+  uint8_t             ticket[128];
+  size_t              ticket_bytes;
+} World;
+
+static const WcAddress CALLER = { .ip = { 127, 0, 0, 1 }, .family = 4, .port = 5000 };
+
+static World world;
+
+static void
+on_send (void *user_data, const WcAddress *caller, const uint8_t *data, size_t size_bytes)
+{
+  (void)user_data;
+  ck_assert (wc_address_equal (caller, &CALLER));
+  ck_assert_uint_lt (world.sent_count, SENT_MAX);
+  world.sent[world.sent_count++] = wc__instance_packet__unpack (NULL, size_bytes, data);
+}
+
+static void
+on_relay (void *user_data, const WcAddress *worker, const uint8_t *data, size_t size_bytes)
+{
+  (void)user_data;
+  (void)worker;
+  (void)data;
+  (void)size_bytes;
+  world.relayed++;
+}
+
+static void
+on_dispatch (void *user_data, const WcAttempt *attempt)
+{
+  (void)user_data;
+  world.attempt = attempt->id;
+  world.attempts++;
+}
+
+static void
+on_cancel (void *user_data, uint64_t attempt_id)
+{
+  (void)user_data;
+  (void)attempt_id;
+  world.cancelled++;
+}
+
+static const WcNodeOps OPS = { .send = on_send, .relay = on_relay, .dispatch = on_dispatch, .cancel = on_cancel };
+
+static const Wc__InstancePacket *
+get_last (void)
+{
+  ck_assert_uint_gt (world.sent_count, 0);
+  return world.sent[world.sent_count - 1];
+}
+
+static void
+set_view (uint32_t first_epoch, uint32_t last_epoch, bool leaving, WcLifecycle lifecycle)
+{
+  GString       *text = g_string_new (NULL);
+  WcError        error = { 0 };
+  WcMember       self = { .id = wc_name_id64 ("entry-1"),
+                          .incarnation = 11,
+                          .domain = wc_name_id32 ("d"),
+                          .workers = 1,
+                          .state = WC_MEMBER_LIVE };
+  WcMemberTable *members = wc_member_table_new (&self, 1);
+  WcRegister    *reg;
+  const WcKey   *keys;
+  WcKeyring     *keyring;
+  WcView        *view;
+  size_t         count;
+
+  g_string_append_printf (text,
+                          "{\"revision\":%u,\"domains\":[\"d\"],\"services\":[{\"name\":\"a\"},{\"name\":\"b\"}],"
+                          "\"hosts\":[{\"name\":\"h\",\"domain\":\"d\",\"targets\":[{\"service\":\"a\","
+                          "\"address\":\"127.0.0.1:9001\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]},"
+                          "{\"name\":\"i\",\"domain\":\"d\",\"targets\":[{\"service\":\"b\",\"address\":"
+                          "\"127.0.0.1:9002\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]}],\"keys\":[",
+                          last_epoch);
+  for (uint32_t epoch = first_epoch; epoch <= last_epoch; epoch++)
+    {
+      uint8_t secret[WC_KEY_BYTES];
+      char    encoded[sodium_base64_ENCODED_LEN (WC_KEY_BYTES, sodium_base64_VARIANT_ORIGINAL)];
+
+      memset (secret, (int)epoch, sizeof secret);
+      sodium_bin2base64 (encoded, sizeof encoded, secret, sizeof secret, sodium_base64_VARIANT_ORIGINAL);
+      g_string_append_printf (text, "%s{\"epoch\":%u,\"secret\":\"%s\"}", epoch > first_epoch ? "," : "", epoch,
+                              encoded);
+    }
+  g_string_append_printf (text, "],\"rules\":{\"leaving\":[%s]}}", leaving ? "\"h\"" : "");
+  reg = wc_register_parse ("test", text->str, text->len, &error);
+  ck_assert_msg (reg != NULL, "%s", error.message);
+  keys = wc_register_get_keys (reg, &count);
+  keyring = wc_keyring_new (keys, count);
+  view = wc_view_new (reg, keyring, members, lifecycle, world.now_us);
+  wc_node_set_view (world.node, world.now_us, view);
+  wc_view_unref (view);
+  wc_keyring_unref (keyring);
+  wc_register_unref (reg);
+  wc_member_table_unref (members);
+  g_string_free (text, TRUE);
+}
+
+static void
+setup (void)
+{
+  WcNodeConfig config;
+
+  memset (&world, 0, sizeof world);
+  world.now_us = START_US;
+  wc_node_config_init (&config);
+  config.instance = wc_name_id64 ("entry-1");
+  config.incarnation = 11;
+  config.domain = wc_name_id32 ("d");
+  world.node = wc_node_new (&config, &OPS, NULL, &world.counters);
+  set_view (1, 1, false, WC_LIFECYCLE_SERVING);
+}
+
+static void
+teardown (void)
+{
+  for (size_t i = 0; i < world.sent_count; i++)
+    wc__instance_packet__free_unpacked (world.sent[i], NULL);
+  wc_node_delete (world.node);
+}
+
+static void
+receive (Wc__CallerPacket *packet)
+{
+  uint8_t data[WC_DATAGRAM_MAX_BYTES];
+  size_t  size_bytes;
+
+  if (packet->service == 0)
+    packet->service = wc_name_id32 ("a");
+  if (packet->token.len == 0)
+    packet->token = (ProtobufCBinaryData){ world.token_bytes, world.token };
+  ck_assert_uint_le (wc__caller_packet__get_packed_size (packet), sizeof data);
+  size_bytes = wc__caller_packet__pack (packet, data);
+  wc_node_receive (world.node, world.now_us, &CALLER, data, size_bytes);
+}
+
+static void
+send_kind (Wc__CallerPacket__Kind kind, uint64_t request_id)
+{
+  Wc__CallerPacket packet = WC__CALLER_PACKET__INIT;
+
+  packet.kind = kind;
+  packet.request_id = request_id;
+  packet.remaining_ms = 2000;
+  if (kind == WC__CALLER_PACKET__KIND__ORDER)
+    packet.ticket = (ProtobufCBinaryData){ world.ticket_bytes, world.ticket };
+  receive (&packet);
+}
+
+static void
+open_flow (void)
+{
+  send_kind (WC__CALLER_PACKET__KIND__OPEN, 1);
+  world.token_bytes = get_last ()->token.len;
+  memcpy (world.token, get_last ()->token.data, world.token_bytes);
+}
+
+static void
+get_ticket (void)
+{
+  open_flow ();
+  send_kind (WC__CALLER_PACKET__KIND__TICKET, 2);
+  world.ticket_bytes = get_last ()->ticket.len;
+  ck_assert_uint_gt (world.ticket_bytes, 0);
+  memcpy (world.ticket, get_last ()->ticket.data, world.ticket_bytes);
+}
+
+static void
+run_until (uint64_t now_us)
+{
+  while (world.now_us < now_us)
+    {
+      world.now_us += 10 * MS;
+      wc_node_tick (world.node, world.now_us);
+    }
+}
+
+static void
+answer_attempt (size_t size_bytes)
+{
+  uint8_t *body = g_malloc0 (size_bytes);
+
+  ck_assert (wc_node_attempt_sending (world.node, world.now_us, world.attempt));
+  ck_assert (wc_node_attempt_data (world.node, world.now_us, world.attempt, body, size_bytes));
+  wc_node_attempt_done (world.node, world.now_us, world.attempt, 200, UINT32_MAX, 0);
+  g_free (body);
+}
+
+/* Failure: a FETCH of a held answer ended the process, because the node asked the answer store without outputs. */
+START_TEST (test_fetch_of_a_held_answer_sends_the_part)
+{
+  Wc__CallerPacket fetch = WC__CALLER_PACKET__INIT;
+  Wc__AnswerRef    answer;
+
+  open_flow ();
+  send_kind (WC__CALLER_PACKET__KIND__REQUEST, 3);
+  answer_attempt (5000);
+  answer = *get_last ()->answer;
+  fetch.kind = WC__CALLER_PACKET__KIND__FETCH;
+  fetch.request_id = 3;
+  fetch.answer = &answer;
+  fetch.first_part = 2;
+  fetch.part_count = 1;
+  receive (&fetch);
+  ck_assert_uint_eq (get_last ()->part, 2);
+  answer.answer ^= 2;
+  receive (&fetch);
+  ck_assert_uint_eq (get_last ()->part, 2);
+}
+END_TEST
+
+/* Failure: an order whose key was withdrawn is reported as not run, or not at all. */
+START_TEST (test_order_under_a_withdrawn_key_is_unknown)
+{
+  get_ticket ();
+  set_view (2, 2, false, WC_LIFECYCLE_SERVING);
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__UNKNOWN);
+}
+END_TEST
+
+/* Failure: a duplicated datagram runs an order twice. */
+START_TEST (test_duplicate_order_runs_once)
+{
+  get_ticket ();
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 4);
+  answer_attempt (10);
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert_uint_eq (world.attempts, 1);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__DONE);
+  ck_assert_uint_eq (get_last ()->total_bytes, 10);
+}
+END_TEST
+
+/* Failure: an order whose connection broke is tried again, or reported as not run. */
+START_TEST (test_broken_order_is_unknown_and_stays_so)
+{
+  get_ticket ();
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert (wc_node_attempt_sending (world.node, world.now_us, world.attempt));
+  wc_node_attempt_ended (world.node, world.now_us, world.attempt, WC_ATTEMPT_BROKEN);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__UNKNOWN);
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__UNKNOWN);
+  ck_assert_uint_eq (world.attempts, 1);
+}
+END_TEST
+
+/* Failure: a late duplicate runs an order that was answered as not run. */
+START_TEST (test_order_answered_as_not_run_never_runs)
+{
+  Wc__CallerPacket order = WC__CALLER_PACKET__INIT;
+
+  get_ticket ();
+  order.kind = WC__CALLER_PACKET__KIND__ORDER;
+  order.request_id = 2;
+  order.remaining_ms = 50;
+  order.ticket = (ProtobufCBinaryData){ world.ticket_bytes, world.ticket };
+  receive (&order);
+  /* No byte was written when the deadline passes. */
+  run_until (world.now_us + 100 * MS);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__NOT_RUN);
+  ck_assert_uint_eq (world.cancelled, 1);
+  ck_assert (!wc_node_attempt_sending (world.node, world.now_us, world.attempt));
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__NOT_RUN);
+  ck_assert_uint_eq (world.attempts, 1);
+}
+END_TEST
+
+/* Failure: an order that may be running at its deadline is reported as not run. */
+START_TEST (test_order_sent_before_its_deadline_is_unknown)
+{
+  get_ticket ();
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert (wc_node_attempt_sending (world.node, world.now_us, world.attempt));
+  run_until (world.now_us + 3 * SECOND_US);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__UNKNOWN);
+}
+END_TEST
+
+/* Failure: the ledger forgets an expired ticket, and the ticket is used once more. */
+START_TEST (test_expired_ticket_is_unknown)
+{
+  get_ticket ();
+  run_until (world.now_us + 11 * SECOND_US);
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__UNKNOWN);
+  ck_assert_uint_eq (world.attempts, 0);
+}
+END_TEST
+
+/* Failure: a packet of one service reaches a target of another. */
+START_TEST (test_packet_for_another_service_is_invalid)
+{
+  Wc__CallerPacket packet = WC__CALLER_PACKET__INIT;
+
+  get_ticket ();
+  packet.service = wc_name_id32 ("b");
+  packet.kind = WC__CALLER_PACKET__KIND__REQUEST;
+  packet.request_id = 3;
+  receive (&packet);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__INVALID);
+  packet.kind = WC__CALLER_PACKET__KIND__ORDER;
+  packet.ticket = (ProtobufCBinaryData){ world.ticket_bytes, world.ticket };
+  receive (&packet);
+  ck_assert_int_eq (get_last ()->result, WC__INSTANCE_PACKET__RESULT__INVALID);
+  ck_assert_uint_eq (world.attempts, 0);
+}
+END_TEST
+
+/* Failure: an attempt that waits for a connection is sent to a target that has been announced as leaving meanwhile. */
+START_TEST (test_attempt_for_a_leaving_target_is_abandoned)
+{
+  open_flow ();
+  send_kind (WC__CALLER_PACKET__KIND__REQUEST, 3);
+  set_view (1, 1, true, WC_LIFECYCLE_SERVING);
+  ck_assert (!wc_node_attempt_sending (world.node, world.now_us, world.attempt));
+}
+END_TEST
+
+/* Failure: a process that was paused sends work by its old view. */
+START_TEST (test_nothing_is_sent_after_a_pause_until_the_view_is_confirmed)
+{
+  open_flow ();
+  send_kind (WC__CALLER_PACKET__KIND__REQUEST, 3);
+  world.now_us += 1500 * MS;
+  ck_assert (!wc_node_attempt_sending (world.node, world.now_us, world.attempt));
+  world.now_us += 10 * MS;
+  set_view (1, 1, false, WC_LIFECYCLE_SERVING);
+  ck_assert (wc_node_attempt_sending (world.node, world.now_us, world.attempt));
+}
+END_TEST
+
+/* Failure: a draining worker counts as idle while a ticket that it issued may still be used. */
+START_TEST (test_drain_waits_for_tickets)
+{
+  get_ticket ();
+  set_view (1, 1, false, WC_LIFECYCLE_DRAINING);
+  ck_assert (!wc_node_is_idle (world.node, world.now_us));
+  run_until (world.now_us + 11 * SECOND_US);
+  ck_assert (wc_node_is_idle (world.node, world.now_us));
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_test (tests, test_fetch_of_a_held_answer_sends_the_part);
+  tcase_add_test (tests, test_order_under_a_withdrawn_key_is_unknown);
+  tcase_add_test (tests, test_duplicate_order_runs_once);
+  tcase_add_test (tests, test_broken_order_is_unknown_and_stays_so);
+  tcase_add_test (tests, test_order_answered_as_not_run_never_runs);
+  tcase_add_test (tests, test_order_sent_before_its_deadline_is_unknown);
+  tcase_add_test (tests, test_expired_ticket_is_unknown);
+  tcase_add_test (tests, test_packet_for_another_service_is_invalid);
+  tcase_add_test (tests, test_attempt_for_a_leaving_target_is_abandoned);
+  tcase_add_test (tests, test_nothing_is_sent_after_a_pause_until_the_view_is_confirmed);
+  tcase_add_test (tests, test_drain_waits_for_tickets);
+}
+
+int
+main (void)
+{
+  return wc_test_run ("node", add_tests);
+}
