Keep the index of requests valid when two requests have one id

Cause: g_hash_table_insert() keeps the old key when the id is in the table. The key lies in the earlier request, whose place is reused after its removal, and then the index holds a key of another value. Ruled out: the order of removal; either order corrupts the index. Before: test_two_requests_may_have_one_id did not find the second request. After: it passes. The index names the newest request with an id.

--- a/src/core/request_table.c
+++ b/src/core/request_table.c
@@ -88,7 +88,8 @@
   request->state = WC_REQUEST_QUEUED;
   request->request_id = request_id;
   if (request_id != 0)
-    g_hash_table_insert (table->by_request_id, &request->request_id, request);
+    /* Replaces the key as well: it lies in the request, and an earlier one with this id may be removed first. */
+    g_hash_table_replace (table->by_request_id, &request->request_id, request);
   return request;
 }
 
