Leave orders under a newer key to instances that have it

Cause: while a new key epoch spreads, a ticket sealed with it may reach an instance that does not have the key yet. That instance answered UNKNOWN, which ends the order at its caller although it never ran. Ruled out: a withdrawn key; there UNKNOWN is right and remains, and a test says so.

--- a/src/core/node_route.c
+++ b/src/core/node_route.c
@@ -17,6 +17,7 @@
 static uint32_t choose_domain (WcNode *node, const WcNodePacket *packet);
 static bool     domain_has_targets (const WcNode *node, uint32_t service, uint32_t domain);
 static uint32_t find_shard (const WcNode *node, uint32_t service, uint32_t domain, uint64_t flow);
+static bool     key_is_newer (const WcNode *node, const uint8_t *sealed);
 static void     relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker);
 
 void
@@ -97,6 +98,13 @@
   WcStatus                status;
 
   status = wc_ticket_open (node->view->keyring, message->ticket.data, message->ticket.len, &ticket);
+  /* The key was published and has not arrived here yet. Another instance answers when the caller resends; a result from
+   * here would end the order. */
+  if (status == WC_STATUS_UNKNOWN_KEY && key_is_newer (node, message->ticket.data))
+    {
+      wc_node_count (node, WC_COUNTER_TICKETS_REJECTED);
+      return;
+    }
   if (status != WC_STATUS_OK || ticket.service != message->service)
     {
       wc_node_count (node, status == WC_STATUS_OK ? WC_COUNTER_SERVICE_MISMATCHES : WC_COUNTER_TICKETS_REJECTED);
@@ -212,6 +220,14 @@
   return (uint32_t)(flow % wc_ownership_get_shard_count (count));
 }
 
+static bool
+key_is_newer (const WcNode *node, const uint8_t *sealed)
+{
+  uint32_t epoch = (uint32_t)sealed[0] << 24 | (uint32_t)sealed[1] << 16 | (uint32_t)sealed[2] << 8 | sealed[3];
+
+  return epoch > wc_keyring_get_newest_epoch (node->view->keyring);
+}
+
 static void
 relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker)
 {
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -244,6 +244,24 @@
 }
 END_TEST
 
+/* Failure: while a new key spread, an instance without it ended orders as unknown that had not run. */
+START_TEST (test_order_under_a_newer_key_is_left_to_other_instances)
+{
+  size_t sent;
+
+  set_view (1, 2, false, WC_LIFECYCLE_SERVING);
+  get_ticket ();
+  set_view (1, 1, false, WC_LIFECYCLE_SERVING);
+  sent = world.sent_count;
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert_uint_eq (world.sent_count, sent);
+  ck_assert_uint_eq (world.attempts, 0);
+  set_view (1, 2, false, WC_LIFECYCLE_SERVING);
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert_uint_eq (world.attempts, 1);
+}
+END_TEST
+
 /* Failure: an order whose key was withdrawn is reported as not run, or not at all. */
 START_TEST (test_order_under_a_withdrawn_key_is_unknown)
 {
@@ -385,6 +403,7 @@
 {
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, test_fetch_of_a_held_answer_sends_the_part);
+  tcase_add_test (tests, test_order_under_a_newer_key_is_left_to_other_instances);
   tcase_add_test (tests, test_order_under_a_withdrawn_key_is_unknown);
   tcase_add_test (tests, test_duplicate_order_runs_once);
   tcase_add_test (tests, test_broken_order_is_unknown_and_stays_so);
