Report an order without a held answer as incomplete

Cause: the client took a result without parts (part count 0: the answer was too large or was released) for an empty answer (one part) and reported DONE with 0 bytes and status 0. Ruled out: the node; it sends 0 parts as node_reply.c documents.

--- a/src/client/client_answer.c
+++ b/src/client/client_answer.c
@@ -16,7 +16,16 @@
 
   if (!call->parts)
     {
-      if (packet->part_count <= 1)
+      if (packet->part_count == 0)
+        {
+          /* An order ran, but its answer was too large to be held, or was released. This is no empty answer, which has
+           * one part. */
+          call->http_status = packet->http_status;
+          if (call->kind == WC_CALL_ORDER)
+            wc_client_call_finish (client, call, WC_CLIENT_DONE_INCOMPLETE, packet->reason);
+          return;
+        }
+      if (packet->part_count == 1)
         {
           if (packet->total_bytes != packet->data.len)
             return;
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -48,6 +48,7 @@
   /* Behaviour of the fleet. */
   uint32_t                   answer_bytes;
   bool                       holder_is_lost;
+  bool                       answer_is_gone;
   bool                       drops_orders;
   bool                       drops_tickets;
   bool                       drops_opens;
@@ -204,7 +205,7 @@
       order->runs = order->result == WC__INSTANCE_PACKET__RESULT__DONE ? 1 : 0;
       g_hash_table_insert (fleet->orders, g_memdup2 (&ticket, sizeof ticket), order);
     }
-  if (order->result == WC__INSTANCE_PACKET__RESULT__DONE)
+  if (order->result == WC__INSTANCE_PACKET__RESULT__DONE && !fleet->answer_is_gone)
     fake_send_parts (fleet, fleet->now_us + fleet->order_run_us, packet->request_id, ticket, 0, 16);
   else
     fake_reply_result (fleet, fleet->now_us + fleet->order_run_us, packet->request_id, order->result);
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -204,6 +204,19 @@
 }
 END_TEST
 
+/* Guards against an answer that is not held any more (no parts) being taken for an empty one (one part). */
+START_TEST (test_order_without_held_answer)
+{
+  FakeFleet *fleet = fake_fleet_new (1, NULL);
+
+  fleet->answer_is_gone = true;
+  start (fleet, true, fleet->now_us + 5 * (uint64_t)SECOND_US);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE_INCOMPLETE);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
 /* Guards against an endless loop of refused requests, and against a refusal that ends a request too early. */
 START_TEST (test_busy_request)
 {
@@ -405,6 +418,7 @@
   tcase_add_test (cases, test_silent_order_is_unknown);
   tcase_add_loop_test (cases, test_unsent_order_did_not_run, 0, 2);
   tcase_add_loop_test (cases, test_order_results, 0, 4);
+  tcase_add_test (cases, test_order_without_held_answer);
   tcase_add_test (cases, test_busy_request);
   tcase_add_test (cases, test_busy_request_recovers);
   tcase_add_test (cases, test_request_times_out);
