Let a request run when only an old estimate says it is too late

Cause: the expected run time is corrected by finished runs only. After one run of 4 s every request with a deadline below that was refused, so none ran and the estimate stayed. Ruled out: a queue or refusals by targets; both were empty when it was refused. After: the estimate counts only while a request runs.

--- a/src/core/dispatcher.c
+++ b/src/core/dispatcher.c
@@ -40,6 +40,7 @@
 
 static bool has_target (const WcDispatcher *dispatcher);
 static bool is_too_late (const WcDispatcher *dispatcher, uint64_t now_us, uint64_t wait_us, uint64_t deadline_us);
+static bool is_running (const WcDispatcher *dispatcher);
 static bool refuse_one (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision);
 static void collect_candidates (WcDispatcher *dispatcher, uint64_t now_us, bool open_only);
 static WcTargetState *choose_target (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
@@ -248,7 +249,20 @@
 static bool
 is_too_late (const WcDispatcher *dispatcher, uint64_t now_us, uint64_t wait_us, uint64_t deadline_us)
 {
-  return now_us + wait_us + dispatcher->targets.run_us >= deadline_us;
+  /* Only finished runs correct the estimate. If it refused requests while none runs, it would refuse all of them for
+   * ever after a few long runs. */
+  uint64_t run_us = is_running (dispatcher) ? dispatcher->targets.run_us : 0;
+
+  return now_us + wait_us + run_us >= deadline_us;
+}
+
+static bool
+is_running (const WcDispatcher *dispatcher)
+{
+  for (guint i = 0; i < dispatcher->targets.states->len; i++)
+    if (g_array_index (dispatcher->targets.states, WcTargetState, i).outstanding > 0)
+      return true;
+  return false;
 }
 
 /* Reports evicted requests and queued ones that can no longer be run in time. */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -211,6 +211,19 @@
 }
 END_TEST
 
+/* Guards against an estimate that, after one long run, refuses every request for ever: only runs can correct it. */
+START_TEST (test_long_run_does_not_refuse_for_ever)
+{
+  set_targets (0, 2);
+  submit (0, 1, 1, FAR_US, 0);
+  wc_dispatcher_end (dispatcher, 4000, expect_dispatch (0, 1), WC_OUTCOME_DONE, 4000);
+  ck_assert_int_eq (submit (4000, 2, 1, 4000 + 2000, 0), WC_REFUSAL_NONE);
+  expect_dispatch (4000, 2);
+  /* While one runs, the estimate counts. */
+  ck_assert_int_eq (submit (4000, 3, 1, 4000 + 2000, 0), WC_REFUSAL_TOO_LATE);
+}
+END_TEST
+
 /* Guards against urgent requests that wait behind those of less worth. */
 START_TEST (test_worth_order)
 {
@@ -437,6 +450,7 @@
   tcase_add_test (cases, test_removed_and_added_again);
   tcase_add_test (cases, test_end_of_unknown_target);
   tcase_add_test (cases, test_refused_early);
+  tcase_add_test (cases, test_long_run_does_not_refuse_for_ever);
   tcase_add_test (cases, test_worth_order);
   tcase_add_test (cases, test_full_queue);
   tcase_add_test (cases, test_retry_budget);
