Do not ask peers that hang for the configuration while reconfirming

Cause: after a pause, the head was asked for from the peer that had announced the highest revision before, even if that peer hung. Each question cost 1 s, the same peer was asked again, and parts of the head that the platform had sent meanwhile were never read. After 2 s the instance served with its old view. Ruled out: the platform read; its head arrived 20 ms after the resumption. After: a link older than the pause counts only once the peer answered the challenge, and a peer that let a question expire is not asked until it speaks.

--- a/src/core/control.c
+++ b/src/core/control.c
@@ -177,6 +177,7 @@
   link = g_hash_table_lookup (control->links, &peer);
   if (link)
     {
+      link->silent = false;
       if (frame->kind == WC__PEER_FRAME__KIND__HEARTBEAT)
         wc_control_heartbeat_receive (control, now_us, link, frame);
       else if (frame->kind == WC__PEER_FRAME__KIND__LIST_ASK || frame->kind == WC__PEER_FRAME__KIND__LIST)
@@ -401,7 +402,10 @@
   control->challenge = ((uint64_t)g_rand_int (control->random) << 32) | g_rand_int (control->random) | 1;
   g_hash_table_iter_init (&iterator, control->links);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
-    ((WcControlLink *)value)->echoed = false;
+    {
+      ((WcControlLink *)value)->echoed = false;
+      ((WcControlLink *)value)->doubtful = true;
+    }
   if (control->lifecycle == WC_LIFECYCLE_JOINING)
     {
       control->join_started_us = now_us;
--- a/src/core/control_fetch.c
+++ b/src/core/control_fetch.c
@@ -8,6 +8,7 @@
 
 static WcControlLink *choose_head_source (WcControl *control);
 static WcControlLink *choose_part_source (WcControl *control);
+static bool           is_responsive (const WcControl *control, const WcControlLink *link);
 static bool           ask_parts (WcControl *control, WcControlLink *link);
 
 void
@@ -21,6 +22,9 @@
     {
       if (now_us < control->fetch_deadline_us)
         return;
+      link = g_hash_table_lookup (control->links, &control->fetch_peer);
+      if (link && control->fetch != WC_FETCH_PLATFORM_PART)
+        link->silent = true;
       wc_control_fetch_failed (control, now_us);
     }
   if (now_us < control->fetch_retry_us || control->lifecycle == WC_LIFECYCLE_STOPPED)
@@ -102,7 +106,7 @@
     {
       WcControlLink *link = value;
 
-      if (!wc_control_is_newer (control, &link->config) ||
+      if (!is_responsive (control, link) || !wc_control_is_newer (control, &link->config) ||
           (collecting && wc_config_id_compare (&link->config, newest) == 0) ||
           wc_config_id_compare (&link->config, &link->tried_config) == 0)
         continue;
@@ -129,7 +133,7 @@
     {
       WcControlLink *link = value;
 
-      if (wc_control_is_newer (control, &link->config))
+      if (is_responsive (control, link) && wc_control_is_newer (control, &link->config))
         g_ptr_array_add (sources, link);
     }
   if (sources->len > 0)
@@ -138,6 +142,14 @@
   return source;
 }
 
+/* Each question to a peer that hangs costs the time until its deadline. Right after a pause this would leave no time to
+ * read the platform before the instance serves with the view that it has. */
+static bool
+is_responsive (const WcControl *control, const WcControlLink *link)
+{
+  return !link->silent && !(control->reconfirming && link->doubtful);
+}
+
 static bool
 ask_parts (WcControl *control, WcControlLink *link)
 {
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -229,7 +229,10 @@
     }
   if (frame->echo.len == sizeof control->challenge &&
       memcmp (frame->echo.data, &control->challenge, sizeof control->challenge) == 0)
-    link->echoed = true;
+    {
+      link->echoed = true;
+      link->doubtful = false;
+    }
   /* A peer confirms the configuration when it is past joining and knows no newer one. */
   if (!control->reconfirming && control->lifecycle != WC_LIFECYCLE_JOINING && link->config.revision > 0 &&
       link->domain == control->config.self.domain && frame->state != WC_MEMBER_LISTED &&
--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -45,6 +45,8 @@
  * @tried_config: announced configuration whose head was fetched and not taken over.
  * @heard: a heartbeat has arrived.
  * @echoed: the peer has answered the challenge sent after the last pause.
+ * @doubtful: the link is older than the last pause and the peer has not answered the challenge yet.
+ * @silent: the peer did not answer the last question in time, and nothing has arrived from it since.
  */
 typedef struct
 {
@@ -53,6 +55,8 @@
   uint32_t   domain;
   bool       heard;
   bool       echoed;
+  bool       doubtful;
+  bool       silent;
   uint64_t   heard_us;
   uint64_t   next_heartbeat_us;
   uint32_t   heartbeats;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -158,6 +158,31 @@
 }
 END_TEST
 
+/* Guards against a resumed instance that spends its time to reconfirm on peers that hang, and serves an old revision
+ * although it can read the newest from the platform. */
+START_TEST (pause_with_hanging_peers)
+{
+  ControlFleet *fleet = fleet_new (3, 1, 9);
+  FleetNode    *node = &fleet->nodes[0];
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  node->paused = true;
+  fleet_publish (fleet, 0, 6, 6, true);
+  fleet_run (fleet, 3000);
+  fleet->nodes[1].paused = true;
+  fleet->nodes[2].paused = true;
+  fleet_publish (fleet, 0, 7, 7, true);
+  fleet_run (fleet, 1000);
+  node->paused = false;
+  fleet_deliver (fleet, node);
+  while (node->published != WC_LIFECYCLE_SERVING && fleet->now_us < 60000000)
+    fleet_step (fleet);
+  ck_assert_uint_eq (node->published_id.revision, 7);
+  fleet_delete (fleet);
+}
+END_TEST
+
 /* Guards against a paused instance that leaves its peers' members suspect, or itself, when it resumes. */
 START_TEST (pause_keeps_members)
 {
@@ -465,6 +490,7 @@
   tcase_add_test (cases, missed_head);
   tcase_add_test (cases, uneven_updates);
   tcase_add_test (cases, pause_and_reconfirm);
+  tcase_add_test (cases, pause_with_hanging_peers);
   tcase_add_test (cases, pause_keeps_members);
   tcase_add_test (cases, partition_serves_on);
   tcase_add_test (cases, drain);
