Close a drained instance before it ends

Cause: the last view of a planned stop had lifecycle stopped, which the node took for serving, so that for some 300 ms before its end a process issued tickets and took requests in. Rolling replacement: 3 of 4800, 4 of 4802 and 2 of 4780 orders ended as unknown ("the instance that issued the ticket has restarted"; a trace showed tickets of 0.3 s age). Ruled out: lost answers (held until the ticket expires), the drain limit (a drain took 5.5 to 6 s of 30 s), tickets used late by the caller. Change: a new lifecycle, closing, takes nothing in; the process ends when the workers are idle under that view, and a worker counts as idle only under the newest view it was given. No tickets are issued while reconfirming, because a draining process may be reconfirming too.

--- a/include/wigeoncart/view.h
+++ b/include/wigeoncart/view.h
@@ -14,6 +14,8 @@
   WC_LIFECYCLE_SERVING,
   WC_LIFECYCLE_RECONFIRMING,
   WC_LIFECYCLE_DRAINING,
+  /* Drained: takes nothing in any more and ends once all workers have confirmed that nothing is left. */
+  WC_LIFECYCLE_CLOSING,
   WC_LIFECYCLE_STOPPED,
   WC_LIFECYCLE_COUNT
 } WcLifecycle;
--- a/src/cli/load.c
+++ b/src/cli/load.c
@@ -372,7 +372,8 @@
   if (load->config->record)
     {
       fprintf (load->config->record,
-               "{\"request_id\":\"%016" PRIx64 "\",\"service\":\"%s\",\"result\":\"%s\",\"http_status\":%u,\"reason\":\"%s\"}\n",
+               "{\"request_id\":\"%016" PRIx64
+               "\",\"service\":\"%s\",\"result\":\"%s\",\"http_status\":%u,\"reason\":\"%s\"}\n",
                answer->request_id, load->config->services[caller->kind], WC_CLIENT_RESULT_STRINGS[answer->result],
                answer->http_status, answer->reason);
       fflush (load->config->record);
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -240,7 +240,7 @@
   if (control->lifecycle == WC_LIFECYCLE_JOINING)
     *reason = wc_config_store_get_register (control->store) ? "joining: configuration is not confirmed by a peer yet"
                                                             : "joining: no configuration yet";
-  else if (control->lifecycle == WC_LIFECYCLE_DRAINING)
+  else if (control->lifecycle == WC_LIFECYCLE_DRAINING || control->lifecycle == WC_LIFECYCLE_CLOSING)
     *reason = "draining";
   else if (control->lifecycle == WC_LIFECYCLE_STOPPED)
     *reason = "stopped";
@@ -411,7 +411,7 @@
       control->join_started_us = now_us;
       control->first_peer_us = 0;
     }
-  else if (control->lifecycle == WC_LIFECYCLE_SERVING || control->lifecycle == WC_LIFECYCLE_DRAINING)
+  else if (control->lifecycle != WC_LIFECYCLE_STOPPED)
     {
       if (!control->reconfirming)
         wc_control_record (control, WC_EVENT_LIFECYCLE, WC_LIFECYCLE_RECONFIRMING, "pause detected");
--- a/src/core/control_lifecycle.c
+++ b/src/core/control_lifecycle.c
@@ -23,7 +23,7 @@
     check_join (control, now_us);
   if (control->reconfirming)
     check_reconfirm (control, now_us);
-  if (control->lifecycle == WC_LIFECYCLE_DRAINING)
+  if (control->lifecycle == WC_LIFECYCLE_DRAINING || control->lifecycle == WC_LIFECYCLE_CLOSING)
     check_drain (control, now_us);
 }
 
@@ -121,13 +121,18 @@
     }
 }
 
-/* Two heartbeats pass first, so that peers and workers have seen the announcement. */
+/* Two heartbeats pass first, so that peers and workers have seen the announcement. A worker that was idle may take work
+ * in until it has the closing view, so that only a second answer under that view ends the process. */
 static void
 check_drain (WcControl *control, uint64_t now_us)
 {
   if (now_us >= control->drain_started_us + control->config.drain_limit_us)
     wc_control_set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drain limit reached");
-  else if (now_us >= control->drain_started_us + 2 * control->config.heartbeat_us &&
-           control->ops->workers_idle (control->user_data))
-    wc_control_set_lifecycle (control, WC_LIFECYCLE_STOPPED, "drained");
+  else if (now_us < control->drain_started_us + 2 * control->config.heartbeat_us ||
+           !control->ops->workers_idle (control->user_data))
+    return;
+  else if (control->lifecycle == WC_LIFECYCLE_DRAINING)
+    wc_control_set_lifecycle (control, WC_LIFECYCLE_CLOSING, "drained");
+  else
+    wc_control_set_lifecycle (control, WC_LIFECYCLE_STOPPED, "nothing is left");
 }
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -115,7 +115,7 @@
         wc_service_state_apply (value, now_us, view->reg, node->config.domain);
       wc_node_feed_apply_view (node, now_us);
     }
-  if (view->lifecycle == WC_LIFECYCLE_DRAINING && before != WC_LIFECYCLE_DRAINING)
+  if (view->lifecycle >= WC_LIFECYCLE_DRAINING && before < WC_LIFECYCLE_DRAINING)
     flush_waiters (node);
   wc_node_pump_all (node, now_us);
 }
@@ -379,7 +379,7 @@
 {
   if (!node->view || !node->view->reg)
     return false;
-  if (node->view->lifecycle != WC_LIFECYCLE_SERVING && node->view->lifecycle != WC_LIFECYCLE_DRAINING)
+  if (node->view->lifecycle < WC_LIFECYCLE_SERVING || node->view->lifecycle == WC_LIFECYCLE_RECONFIRMING)
     return false;
   return node->resumed_us == 0 || node->view->confirmed_us > node->resumed_us ||
          now_us >= node->resumed_us + CONFIRM_LIMIT_US;
--- a/src/core/node_order.c
+++ b/src/core/node_order.c
@@ -20,8 +20,9 @@
                    .expiry_us = packet->now_us + node->config.ticket_life_us,
   };
 
-  /* A ticket issued while draining would keep the process alive for another ticket's life. */
-  if (node->view->lifecycle == WC_LIFECYCLE_DRAINING)
+  /* A ticket issued while draining would keep the process alive for another ticket's life. A process that reconfirms
+   * its view may be draining as well. */
+  if (node->view->lifecycle != WC_LIFECYCLE_SERVING)
     return;
   if (!wc_ticket_window_issue (&node->tickets, packet->now_us))
     {
--- a/src/core/node_route.c
+++ b/src/core/node_route.c
@@ -62,7 +62,7 @@
 {
   const WcMemberTable *members = node->view->members;
   uint32_t             service = packet->service->id;
-  bool                 draining = node->view->lifecycle == WC_LIFECYCLE_DRAINING;
+  bool                 draining = node->view->lifecycle >= WC_LIFECYCLE_DRAINING;
   const WcMember      *owner;
   uint32_t             domain;
   uint32_t             shard;
@@ -161,6 +161,9 @@
 static void
 handle_as_owner (WcNode *node, const WcNodePacket *packet, uint32_t shard)
 {
+  /* The process may end at any time now; the caller's next attempt goes elsewhere. */
+  if (node->view->lifecycle >= WC_LIFECYCLE_CLOSING && packet->message->kind != WC__CALLER_PACKET__KIND__CANCEL)
+    return;
   switch (packet->message->kind)
     {
     case WC__CALLER_PACKET__KIND__OPEN:
--- a/src/core/node_stream.c
+++ b/src/core/node_stream.c
@@ -22,7 +22,7 @@
       request->caller = packet->caller;
       return;
     }
-  if (node->view->lifecycle == WC_LIFECYCLE_DRAINING)
+  if (node->view->lifecycle >= WC_LIFECYCLE_DRAINING)
     {
       wc_node_reply_parts (node, &packet->caller, message->request_id, 0, 0, 1, message->cursor, NULL);
       return;
@@ -48,7 +48,7 @@
   gpointer       value;
   uint64_t       after;
 
-  if (!wc_node_may_dispatch (node, now_us) || node->view->lifecycle == WC_LIFECYCLE_DRAINING)
+  if (!wc_node_may_dispatch (node, now_us) || node->view->lifecycle >= WC_LIFECYCLE_DRAINING)
     return;
   g_hash_table_iter_init (&iter, node->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -5,7 +5,7 @@
 const char *const WC_LIFECYCLE_STRINGS[WC_LIFECYCLE_COUNT] = {
   [WC_LIFECYCLE_JOINING] = "joining",           [WC_LIFECYCLE_SERVING] = "serving",
   [WC_LIFECYCLE_RECONFIRMING] = "reconfirming", [WC_LIFECYCLE_DRAINING] = "draining",
-  [WC_LIFECYCLE_STOPPED] = "stopped",
+  [WC_LIFECYCLE_CLOSING] = "closing",           [WC_LIFECYCLE_STOPPED] = "stopped",
 };
 
 WcView *
--- a/src/edge/worker.c
+++ b/src/edge/worker.c
@@ -44,9 +44,13 @@
   unsigned           tick_count;
   _Atomic (WcView *) next_view;
   atomic_bool        stopping;
-  atomic_bool        idle;
-  GMutex             stats_mutex;
-  WcNodeStats        stats;
+  /* Views handed over by the control thread, and how many of them the worker had when it last found itself idle. A
+   * worker counts as idle only under the newest view. */
+  _Atomic uint64_t views_given;
+  uint64_t         views_taken;
+  _Atomic uint64_t idle_views;
+  GMutex           stats_mutex;
+  WcNodeStats      stats;
 };
 
 static gpointer run (gpointer data);
@@ -171,15 +175,17 @@
   assert (worker != NULL);
   assert (view != NULL);
 
-  atomic_store (&worker->idle, false);
   wc_view_unref (atomic_exchange (&worker->next_view, wc_view_ref (view)));
+  atomic_fetch_add (&worker->views_given, 1);
   ev_async_send (worker->loop, &worker->wake);
 }
 
 bool
 wc_worker_is_idle (const WcWorker *worker)
 {
-  return atomic_load (&worker->idle);
+  uint64_t given = atomic_load (&worker->views_given);
+
+  return given != 0 && atomic_load (&worker->idle_views) == given;
 }
 
 const WcCounters *
@@ -260,8 +266,7 @@
   (void)events;
   wc_node_set_wall_clock (worker->node, (uint64_t)time (NULL));
   wc_node_tick (worker->node, now);
-  if (atomic_load (&worker->next_view) == NULL)
-    atomic_store (&worker->idle, wc_node_is_idle (worker->node, now));
+  atomic_store (&worker->idle_views, wc_node_is_idle (worker->node, now) ? worker->views_taken : 0);
   if (++worker->tick_count % TICKS_PER_CHECK != 0)
     return;
   wc_target_pool_tick (worker->pool, now, worker->reg);
@@ -287,7 +292,11 @@
 on_wake (struct ev_loop *loop, ev_async *async, int events)
 {
   WcWorker *worker = async->data;
-  WcView   *view = atomic_exchange (&worker->next_view, NULL);
+  /* Read before the exchange, so that the view taken is at least as new. */
+  uint64_t given = atomic_load (&worker->views_given);
+  WcView  *view = atomic_exchange (&worker->next_view, NULL);
+
+  worker->views_taken = given;
 
   (void)events;
   if (view)
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -247,6 +247,14 @@
   ck_assert_int_eq (fleet_member_state (fleet, 0, 0), WC_MEMBER_LEAVING);
   node->workers_idle = true;
   fleet_step (fleet);
+  /* A worker may have taken work in after it said that it is idle, so it is asked again under a closed view. */
+  ck_assert (node->running);
+  ck_assert_int_eq (node->published, WC_LIFECYCLE_CLOSING);
+  node->workers_idle = false;
+  fleet_run (fleet, 1000);
+  ck_assert (node->running);
+  node->workers_idle = true;
+  fleet_step (fleet);
   ck_assert (!node->running);
   ck_assert_int_eq (node->published, WC_LIFECYCLE_STOPPED);
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -398,6 +398,23 @@
 }
 END_TEST
 
+/* Failure: a process that is about to end issues a ticket or takes a request in, and its caller never gets an answer.
+ */
+START_TEST (test_closing_worker_takes_nothing_in)
+{
+  size_t sent;
+
+  open_flow ();
+  sent = world.sent_count;
+  set_view (1, 1, false, WC_LIFECYCLE_CLOSING);
+  send_kind (WC__CALLER_PACKET__KIND__TICKET, 2);
+  send_kind (WC__CALLER_PACKET__KIND__REQUEST, 3);
+  ck_assert_uint_eq (world.sent_count, sent);
+  ck_assert_uint_eq (world.attempts, 0);
+  ck_assert (wc_node_is_idle (world.node, world.now_us));
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -414,6 +431,7 @@
   tcase_add_test (tests, test_attempt_for_a_leaving_target_is_abandoned);
   tcase_add_test (tests, test_nothing_is_sent_after_a_pause_until_the_view_is_confirmed);
   tcase_add_test (tests, test_drain_waits_for_tickets);
+  tcase_add_test (tests, test_closing_worker_takes_nothing_in);
 }
 
 int
