--- a/src/core/control.c
+++ b/src/core/control.c
@@ -35,7 +35,7 @@
   config->confirm_limit_us = 2000 * MS;
   config->drain_limit_us = 30000 * MS;
   config->join_limit_us = 3000 * MS;
-  config->silence_us = 5000 * MS;
+  config->silence_us = 3000 * MS;
   config->watch_retry_us = 500 * MS;
 }
 
--- a/src/core/control_config.c
+++ b/src/core/control_config.c
@@ -32,6 +32,19 @@
   return !wc_config_store_get_rejection (control->store, &rejected) || wc_config_id_compare (id, &rejected) != 0;
 }
 
+bool
+wc_control_knows_newer (const WcControl *control)
+{
+  GHashTableIter iterator;
+  gpointer       value;
+
+  g_hash_table_iter_init (&iterator, control->links);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    if (wc_control_is_newer (control, &((WcControlLink *)value)->config))
+      return true;
+  return false;
+}
+
 /* A joining instance reads the head once. Later the two readers of a domain keep a watch, and the others read only when
  * no peer of the domain has confirmed the configuration for a while. */
 void
@@ -62,8 +75,7 @@
     {
       /* Spreads the reads of a domain whose peers fall silent at the same time. */
       control->next_head_us =
-          now_us + control->config.silence_us +
-          (uint64_t)g_rand_int_range (control->random, 0, (gint32)MAX (control->config.silence_us, 1));
+          now_us + (uint64_t)g_rand_int_range (control->random, 0, (gint32)MAX (control->config.silence_us, 1));
       return;
     }
   if (now_us < control->next_head_us)
--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -230,9 +230,9 @@
   if (frame->echo.len == sizeof control->challenge &&
       memcmp (frame->echo.data, &control->challenge, sizeof control->challenge) == 0)
     link->echoed = true;
-  /* A peer confirms the configuration when it is past joining and knows no newer one. */
+  /* A peer confirms the configuration when it is past joining, and no peer has a newer one. */
   if (!control->reconfirming && control->lifecycle != WC_LIFECYCLE_JOINING && link->config.revision > 0 &&
-      frame->state != WC_MEMBER_LISTED && !wc_control_is_newer (control, &link->config))
+      frame->state != WC_MEMBER_LISTED && !wc_control_knows_newer (control))
     {
       wc_control_confirm (control, now_us);
       if (link->domain == control->config.self.domain)
--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -169,6 +169,8 @@
 void wc_control_accept_platform (WcControl *control, uint64_t now_us);
 /* wc_control_is_newer() - whether @id is above the one in force and not known to be invalid. */
 bool wc_control_is_newer (const WcControl *control, const WcConfigId *id);
+/* wc_control_knows_newer() - whether a linked peer has announced a newer one. */
+bool wc_control_knows_newer (const WcControl *control);
 
 /* control_members.c */
 void wc_control_fill_note (const WcMember *member, uint32_t version, Wc__MemberNote *note);
--- a/tests/control_fleet.h
+++ b/tests/control_fleet.h
@@ -88,6 +88,7 @@
   FleetPlatform platforms[FLEET_MAX_PLATFORMS];
   uint64_t      incarnations;
   bool          drop_heartbeats;
+  bool          drop_config;
 };
 
 static void
@@ -142,6 +143,9 @@
     return false;
   if (node->fleet->drop_heartbeats && frame->kind == WC__PEER_FRAME__KIND__HEARTBEAT)
     return true;
+  if (node->fleet->drop_config &&
+      (frame->kind == WC__PEER_FRAME__KIND__CONFIG_HEAD || frame->kind == WC__PEER_FRAME__KIND__CONFIG_PART))
+    return true;
   /* Size as on a link: sequence number, logical clock and MAC are set there. */
   frame->sequence = 100000;
   frame->logical = 10000000;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -45,6 +45,37 @@
 }
 END_TEST
 
+/* Guards against instances that restart together and take each other's copy of a stale platform's configuration for a
+ * confirmation, before they have heard the peer that has a newer one. */
+START_TEST (join_together_with_stale_platform)
+{
+  ControlFleet *fleet = fleet_new (3, 1, 23);
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  fleet_publish (fleet, 0, 3, 3, true);
+  fleet_kill (fleet, 0);
+  fleet_kill (fleet, 1);
+  fleet_cut (fleet, 0, 2, true);
+  fleet_cut (fleet, 1, 2, true);
+  fleet_start (fleet, 0);
+  fleet_start (fleet, 1);
+  fleet_run (fleet, 1500);
+  ck_assert_int_eq (fleet_lifecycle (fleet, 0), WC_LIFECYCLE_JOINING);
+  fleet_cut (fleet, 0, 2, false);
+  fleet_cut (fleet, 1, 2, false);
+  for (int round = 0; round < 300; round++)
+    {
+      fleet_step (fleet);
+      for (guint i = 0; i < 2; i++)
+        ck_assert (!fleet->nodes[i].seen[WC_LIFECYCLE_SERVING] || fleet_id (fleet, i)->revision == 5);
+    }
+  ck_assert_int_eq (fleet_lifecycle (fleet, 0), WC_LIFECYCLE_SERVING);
+  ck_assert_int_eq (fleet_lifecycle (fleet, 1), WC_LIFECYCLE_SERVING);
+  fleet_delete (fleet);
+}
+END_TEST
+
 /* Guards against a joining instance that never serves when it is the only one. */
 START_TEST (join_alone)
 {
@@ -109,6 +140,24 @@
 }
 END_TEST
 
+/* Guards against an instance that no peer confirms and that does not ask the platform itself. */
+START_TEST (unconfirmed_reads_platform)
+{
+  ControlFleet *fleet = fleet_new (5, 1, 24);
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  fleet->drop_config = true;
+  fleet_publish (fleet, 0, 6, 6, true);
+  fleet_run (fleet, 1000);
+  for (guint i = 0; i < fleet->count; i++)
+    ck_assert_int_eq (fleet_id (fleet, i)->revision == 6, wc_control_is_reader (fleet->nodes[i].control));
+  fleet_run (fleet, 12000);
+  fleet_assert_revision (fleet, 6);
+  fleet_delete (fleet);
+}
+END_TEST
+
 /* Guards against a domain that keeps an old revision because only other domains can reach the platform. */
 START_TEST (uneven_updates)
 {
@@ -169,7 +218,9 @@
   fleet_run (fleet, 3000);
   ck_assert_int_ne (fleet_member_state (fleet, 1, 0), WC_MEMBER_LIVE);
   fleet->nodes[0].paused = false;
-  fleet_step (fleet);
+  /* The platform's list, which expires silent members, arrives before any heartbeat. */
+  fleet->nodes[0].list_asked = true;
+  fleet_answer_reads (fleet, &fleet->nodes[0]);
   for (guint i = 1; i < fleet->count; i++)
     ck_assert_int_eq (fleet_member_state (fleet, 0, i), WC_MEMBER_LIVE);
   fleet_run (fleet, 1000);
@@ -460,9 +511,11 @@
 
   tcase_add_test (cases, join_with_platform_down);
   tcase_add_test (cases, stale_platform_after_restart);
+  tcase_add_test (cases, join_together_with_stale_platform);
   tcase_add_test (cases, join_alone);
   tcase_add_test (cases, rejected_revision);
   tcase_add_test (cases, missed_head);
+  tcase_add_test (cases, unconfirmed_reads_platform);
   tcase_add_test (cases, uneven_updates);
   tcase_add_test (cases, pause_and_reconfirm);
   tcase_add_test (cases, pause_keeps_members);
