--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -233,9 +233,9 @@
       link->echoed = true;
       link->doubtful = false;
     }
-  /* A peer confirms the configuration when it is past joining and knows no newer one. */
+  /* A peer confirms the configuration when it is past joining, and no peer has a newer one. */
   if (!control->reconfirming && control->lifecycle != WC_LIFECYCLE_JOINING && link->config.revision > 0 &&
-      frame->state != WC_MEMBER_LISTED && !wc_control_is_newer (control, &link->config))
+      frame->state != WC_MEMBER_LISTED && !wc_control_knows_newer (control))
     {
       wc_control_confirm (control, now_us);
       if (link->domain == control->config.self.domain)
