--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -453,6 +453,18 @@
     fleet->now_us = MAX (fleet->now_us, until_us);
 }
 
+/* Gives a datagram to the client now. */
+static void
+fake_inject (FakeFleet *fleet, const Wc__InstancePacket *packet)
+{
+  uint8_t data[WC_DATAGRAM_MAX_BYTES];
+  size_t  size_bytes = wc__instance_packet__get_packed_size (packet);
+
+  g_assert (size_bytes <= sizeof data);
+  wc__instance_packet__pack (packet, data);
+  wc_client_receive (fleet->client, fleet->now_us, data, size_bytes);
+}
+
 static bool
 fake_answer_is_whole (const FakeFleet *fleet)
 {
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -366,6 +366,155 @@
 }
 END_TEST
 
+/* Guards against an answer that is put together from the answers of two runs, and against a late refusal that ends a
+ * request or an order whose answer is arriving. */
+START_TEST (test_foreign_packets_while_fetching)
+{
+  static const Wc__InstancePacket__Result RESULTS[] = { WC__INSTANCE_PACKET__RESULT__NOT_RUN,
+                                                        WC__INSTANCE_PACKET__RESULT__UNKNOWN,
+                                                        WC__INSTANCE_PACKET__RESULT__BUSY,
+                                                        WC__INSTANCE_PACKET__RESULT__INVALID };
+  FakeFleet                              *fleet = fake_fleet_new (1, NULL);
+  Wc__InstancePacket                      packet = WC__INSTANCE_PACKET__INIT;
+  Wc__AnswerRef                           other = WC__ANSWER_REF__INIT;
+  uint8_t                                 wrong[WC_ANSWER_PART_BYTES] = { 0 };
+  uint64_t                                call;
+
+  fleet->answer_bytes = 100000;
+  fleet->holder_is_lost = true;
+  call = start (fleet, _i == 1, fleet->now_us + 60 * (uint64_t)SECOND_US);
+  fake_run (fleet, fleet->now_us + SECOND_US / 10, 1);
+  packet.kind = WC__INSTANCE_PACKET__KIND__RESULT;
+  packet.request_id = wc_client_get_request_id (fleet->client, call);
+  for (size_t i = 0; i < G_N_ELEMENTS (RESULTS); i++)
+    {
+      packet.result = RESULTS[i];
+      fake_inject (fleet, &packet);
+    }
+  other.instance = 2;
+  other.answer = 77;
+  packet.result = WC__INSTANCE_PACKET__RESULT__DONE;
+  packet.answer = &other;
+  packet.total_bytes = fleet->answer_bytes;
+  packet.part_count = (fleet->answer_bytes + WC_ANSWER_PART_BYTES - 1) / WC_ANSWER_PART_BYTES;
+  packet.data.data = wrong;
+  packet.data.len = sizeof wrong;
+  for (packet.part = 0; packet.part < packet.part_count; packet.part++)
+    fake_inject (fleet, &packet);
+  ck_assert_uint_eq (fleet->finished, 0);
+  fleet->holder_is_lost = false;
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  ck_assert (fake_answer_is_whole (fleet));
+  ck_assert_uint_eq (count_order_runs (fleet), _i == 1 ? 1 : 0);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against events that are delivered again when an instance that is behind answers from an older cursor. */
+START_TEST (test_old_events)
+{
+  FakeFleet         *fleet = fake_fleet_new (1, NULL);
+  Wc__InstancePacket packet = WC__INSTANCE_PACKET__INIT;
+  uint64_t           flow = wc_client_open (fleet->client, fleet->now_us, "dispatch", "crew-1");
+  uint64_t           call = wc_client_poll (fleet->client, fleet->now_us, flow, 0, NULL);
+
+  fleet->last_event = 5;
+  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  ck_assert_uint_eq (fleet->events_seen, 5);
+  packet.kind = WC__INSTANCE_PACKET__KIND__RESULT;
+  packet.result = WC__INSTANCE_PACKET__RESULT__DONE;
+  packet.request_id = wc_client_get_request_id (fleet->client, call);
+  packet.http_status = 200;
+  packet.part_count = 1;
+  packet.data.data = (uint8_t *)"4\n5\n";
+  packet.data.len = 4;
+  packet.total_bytes = 4;
+  packet.cursor = 5;
+  fake_inject (fleet, &packet);
+  fleet->last_event = 6;
+  fake_run (fleet, fleet->now_us + 5 * (uint64_t)SECOND_US, 1);
+  ck_assert_uint_eq (fleet->events_seen, 6);
+  ck_assert_uint_eq (fleet->event_repeats, 0);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a stream that ends at the first INVALID, which an instance with an older register may send, and
+ * against one that never ends. */
+START_TEST (test_invalid_stream)
+{
+  FakeFleet         *fleet = fake_fleet_new (1, NULL);
+  Wc__InstancePacket packet = WC__INSTANCE_PACKET__INIT;
+  uint64_t           flow = wc_client_open (fleet->client, fleet->now_us, "dispatch", "crew-1");
+  uint64_t           call = wc_client_poll (fleet->client, fleet->now_us, flow, 0, NULL);
+
+  fake_run (fleet, fleet->now_us + SECOND_US / 10, 1);
+  packet.kind = WC__INSTANCE_PACKET__KIND__RESULT;
+  packet.result = WC__INSTANCE_PACKET__RESULT__INVALID;
+  packet.request_id = wc_client_get_request_id (fleet->client, call);
+  fake_inject (fleet, &packet);
+  ck_assert_uint_eq (fleet->finished, 0);
+  for (int i = 0; i < 10; i++)
+    fake_inject (fleet, &packet);
+  ck_assert_uint_eq (fleet->finished, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_INVALID);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against a flow that is opened again for each late answer to its old token. */
+START_TEST (test_late_expired_token)
+{
+  WcClientRequest    request = { .method = "GET", .path = "/x" };
+  FakeFleet         *fleet = fake_fleet_new (1, NULL);
+  Wc__InstancePacket packet = WC__INSTANCE_PACKET__INIT;
+  uint64_t           flow = wc_client_open (fleet->client, fleet->now_us, "catalogue", "dealer-7");
+  uint64_t           calls[2];
+
+  fleet->drops_orders = true;
+  request.deadline_us = fleet->now_us + 30 * (uint64_t)SECOND_US;
+  for (int i = 0; i < 2; i++)
+    calls[i] = wc_client_order (fleet->client, fleet->now_us, flow, &request, NULL);
+  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  packet.kind = WC__INSTANCE_PACKET__KIND__RESULT;
+  packet.result = WC__INSTANCE_PACKET__RESULT__EXPIRED_TOKEN;
+  packet.request_id = wc_client_get_request_id (fleet->client, calls[0]);
+  fake_inject (fleet, &packet);
+  /* The new token arrives before the second order is resent. */
+  fake_run (fleet, fleet->now_us + 5000, 1);
+  packet.request_id = wc_client_get_request_id (fleet->client, calls[1]);
+  fake_inject (fleet, &packet);
+  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  ck_assert_uint_eq (fleet->opens, 2);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
+/* Guards against an order that is sent under a second ticket: the answers to resent TICKETs arrive late. */
+START_TEST (test_second_ticket)
+{
+  FakeFleet         *fleet = fake_fleet_new (1, NULL);
+  Wc__InstancePacket packet = WC__INSTANCE_PACKET__INIT;
+  uint64_t           ticket = 1;
+  uint64_t           call;
+
+  fleet->order_run_us = 2 * (uint64_t)SECOND_US;
+  call = start (fleet, true, fleet->now_us + 30 * (uint64_t)SECOND_US);
+  fake_run (fleet, fleet->now_us + SECOND_US / 2, 1);
+  packet.kind = WC__INSTANCE_PACKET__KIND__TICKET_ISSUED;
+  packet.request_id = wc_client_get_request_id (fleet->client, call);
+  packet.ticket.data = (uint8_t *)&ticket;
+  packet.ticket.len = sizeof ticket;
+  fake_inject (fleet, &packet);
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  ck_assert_uint_eq (g_hash_table_size (fleet->orders), 1);
+  ck_assert_uint_eq (count_order_runs (fleet), 1);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
 /* Guards against a crash or a false result on random bytes from the network. */
 START_TEST (test_random_datagrams)
 {
@@ -413,6 +562,11 @@
   tcase_add_loop_test (cases, test_stream_resumes, 0, 20);
   tcase_add_test (cases, test_request_too_large);
   tcase_add_test (cases, test_cancel);
+  tcase_add_loop_test (cases, test_foreign_packets_while_fetching, 0, 2);
+  tcase_add_test (cases, test_old_events);
+  tcase_add_test (cases, test_invalid_stream);
+  tcase_add_test (cases, test_late_expired_token);
+  tcase_add_test (cases, test_second_ticket);
   tcase_add_test (cases, test_random_datagrams);
   suite_add_tcase (suite, cases);
   runner = srunner_create (suite);
