--- a/src/cli/cmd_call.c
+++ b/src/cli/cmd_call.c
@@ -49,6 +49,7 @@
 static void print_answer (void *user_data, uint64_t call, const WcClientAnswer *answer);
 static void print_events (void *user_data, uint64_t call, uint64_t cursor, const uint8_t *data, size_t size_bytes);
 static bool check_numbers (const Options *options);
+static void free_options (Options *options);
 
 const WcCommand WC_COMMAND_CALL = { .name = "call",
                                     .summary = "Call a service through a fleet, or run a mixed load.",
@@ -106,13 +107,21 @@
 
   if (!wc_arguments_parse (&WC_COMMAND_CALL, NULL, entries, &argc, &argv, &exit_code))
     return exit_code;
-  if (!o.fabric || !o.service || !wc_cli_address ("fabric", o.fabric, &fabric))
-    return wc_cli_error (WC_EXIT_USAGE, "call", "--fabric and --service are required");
-  if (o.customer && o.customer[0] == 0)
-    return wc_cli_error (WC_EXIT_USAGE, "call", "--customer is empty");
-  if (!check_numbers (&o) || (o.order && o.stream))
-    return wc_cli_error (WC_EXIT_USAGE, "call", "an option is out of range, or --order and --stream are both given");
-  return o.load + o.orders + o.downloads + o.streams > 0 ? run_load (&o, &fabric) : run_single (&o, &fabric);
+  if (!o.fabric || !o.service)
+    exit_code = wc_cli_error (WC_EXIT_USAGE, "call", "--fabric and --service are required");
+  else if (!wc_cli_address ("fabric", o.fabric, &fabric))
+    exit_code = WC_EXIT_USAGE;
+  else if (o.customer && o.customer[0] == '\0')
+    exit_code = wc_cli_error (WC_EXIT_USAGE, "call", "--customer is empty");
+  else if (!check_numbers (&o) || (o.order && o.stream))
+    exit_code =
+        wc_cli_error (WC_EXIT_USAGE, "call", "an option is out of range, or --order and --stream are both given");
+  else if (o.load + o.orders + o.downloads + o.streams > 0)
+    exit_code = run_load (&o, &fabric);
+  else
+    exit_code = run_single (&o, &fabric);
+  free_options (&o);
+  return exit_code;
 }
 
 static int
@@ -237,3 +246,15 @@
          options->download_interval_ms > 0 && options->sheet_bytes >= 0 && options->limit_ms > 0 &&
          options->seconds > 0 && options->cursor >= 0;
 }
+
+static void
+free_options (Options *options)
+{
+  char **const texts[] = {
+    &options->fabric, &options->service,       &options->customer,         &options->method,         &options->path,
+    &options->body,   &options->order_service, &options->download_service, &options->stream_service, &options->record
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    g_clear_pointer (texts[i], g_free);
+}
--- a/src/cli/cmd_emulate.c
+++ b/src/cli/cmd_emulate.c
@@ -105,6 +105,9 @@
   ev_loop_destroy (loop);
   g_free (register_text);
   g_free (instances_text);
+  g_free (listen_text);
+  g_free (register_path);
+  g_free (instances_path);
   return result;
 }
 
@@ -182,6 +185,11 @@
     }
   wc_emulated_targets_delete (targets);
   ev_loop_destroy (loop);
+  g_free (control_text);
+  g_free (register_path);
+  g_free (targets_path);
+  g_free (domain);
+  g_free (run_text);
   return result;
 }
 
@@ -236,6 +244,9 @@
   result = run_loop (loop, "fabric", &address);
   wc_emulated_fabric_delete (fabric);
   ev_loop_destroy (loop);
+  g_free (listen_text);
+  g_free (control_text);
+  g_free (instances_text);
   return result;
 }
 
--- a/src/cli/load_report.c
+++ b/src/cli/load_report.c
@@ -101,6 +101,7 @@
   json_object_object_add (object, "customers", customers);
   json_object_object_add (object, "seconds", json_object_new_double (seconds));
   fprintf (stream, "%s\n", json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
+  fflush (stream);
   json_object_put (object);
 }
 
