--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-# Targets: all, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, prove, bench, proto, clean.
+# Targets: all, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, prove, bench, bench-plot,
+# proto, clean.
 
 CC       ?= gcc
 BUILD    ?= build
@@ -20,7 +21,7 @@
 CLI_OBJECTS  = $(patsubst %.c,$(BUILD)/%.o,$(CLI_SOURCES))
 TEST_PROGRAMS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SOURCES))
 
-.PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke prove bench proto clean
+.PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke prove bench bench-plot proto clean
 .SECONDARY:
 
 all: $(BUILD)/wigeoncart $(TEST_PROGRAMS)
@@ -67,6 +68,18 @@
 sanitize:
 	$(MAKE) BUILD=build/sanitize CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" test
 
+# Only the results go to standard output, so that BENCH_FLAGS=--json can be piped.
+bench:
+	@$(MAKE) --no-print-directory $(BUILD)/wigeoncart >&2
+	@$(BUILD)/wigeoncart bench $(BENCH_FLAGS)
+
+bench-plot:
+	@$(MAKE) --no-print-directory $(BUILD)/wigeoncart >&2
+	@$(BUILD)/wigeoncart bench --json --steady-only $(BENCH_FLAGS) > $(BUILD)/bench.jsonl
+	@sed -E 's/.*"deployment":"([^"]*)".*"service":"([^"]*)".*"policy":"([^"]*)".*"load":([0-9.]*).*"p99_response_us":([0-9]*).*"worth_on_time":([0-9.]*).*/\1\/\2\t\3\t\4\t\5\t\6/' \
+	  $(BUILD)/bench.jsonl | awk -F '\t' -v OFS='\t' '{ $$3 *= 100; $$4 /= 1000; print }' > $(BUILD)/bench.tsv
+	@gnuplot docs/bench.gnuplot
+
 clean:
 	rm -rf build
 
--- a/include/wigeoncart/policy.h
+++ b/include/wigeoncart/policy.h
@@ -12,6 +12,7 @@
  * targets with @outstanding < @limit.
  * @run_us: moving average of run times, 0 when unknown.
  * @dispatched: attempts sent so far.
+ * @reported: requests that the target last said it runs; stale or false at times, used by "least-reported" only.
  * @work_us: recent run time given to the target, divided by its weight; older work counts less.
  */
 typedef struct
@@ -21,6 +22,7 @@
   uint32_t limit;
   uint32_t slots;
   uint32_t weight;
+  uint32_t reported;
   uint64_t run_us;
   uint64_t dispatched;
   uint64_t work_us;
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -3,12 +3,14 @@
 
 #include <sodium.h>
 
+#include "cli/cmd_bench.h"
 #include "cli/command.h"
 
 #define WC_VERSION "0.1.0"
 
 /* Ended by an entry without a name. */
 static const WcCommand COMMANDS[] = {
+  { "bench", "compare balancing policies in virtual time", wc_cmd_bench },
   { NULL, NULL, NULL },
 };
 
--- a/src/core/dispatcher.c
+++ b/src/core/dispatcher.c
@@ -153,12 +153,14 @@
 void
 wc_dispatcher_hint (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, uint32_t running)
 {
+  WcTargetState *state;
+
   assert (dispatcher != NULL);
 
-  /* Load figures of targets may be stale or wrong; the counts kept here are exact, so nothing depends on them. */
   (void)now_us;
-  (void)target;
-  (void)running;
+  state = wc_target_set_find (&dispatcher->targets, target);
+  if (state)
+    state->reported = running;
 }
 
 uint64_t
@@ -299,6 +301,7 @@
                                     .limit = limit,
                                     .slots = state->target.slots,
                                     .weight = state->target.weight,
+                                    .reported = state->reported,
                                     .run_us = state->run_us,
                                     .dispatched = state->dispatched,
                                     .work_us = wc_target_state_get_work (state, now_us) };
--- a/src/core/policy.c
+++ b/src/core/policy.c
@@ -16,6 +16,8 @@
 static size_t
 choose_two_choices (const WcPolicyTarget *targets, size_t count, uint32_t flow_hash, uint64_t *state, GRand *random);
 static size_t
+choose_least_reported (const WcPolicyTarget *targets, size_t count, uint32_t flow_hash, uint64_t *state, GRand *random);
+static size_t
 choose_product (const WcPolicyTarget *targets, size_t count, uint32_t flow_hash, uint64_t *state, GRand *random);
 static int compare_outstanding (const WcPolicyTarget *a, const WcPolicyTarget *b);
 
@@ -26,6 +28,7 @@
   { "hash", choose_hash },
   { "least-outstanding", choose_least_outstanding },
   { "two-choices", choose_two_choices },
+  { "least-reported", choose_least_reported },
 };
 
 const WcPolicy *
@@ -127,6 +130,26 @@
   return compare_outstanding (&targets[second], &targets[first]) < 0 ? second : first;
 }
 
+/* A baseline that trusts the targets' own figures. */
+static size_t
+choose_least_reported (const WcPolicyTarget *targets, size_t count, uint32_t flow_hash, uint64_t *state, GRand *random)
+{
+  size_t best = 0;
+  size_t ties = 1;
+
+  (void)flow_hash;
+  (void)state;
+  for (size_t i = 1; i < count; i++)
+    if (targets[i].reported < targets[best].reported)
+      {
+        best = i;
+        ties = 1;
+      }
+    else if (targets[i].reported == targets[best].reported && g_rand_int_range (random, 0, (gint32)++ties) == 0)
+      best = i;
+  return best;
+}
+
 /* Every candidate has a free slot, so the choice only decides how evenly the work is spread. */
 static size_t
 choose_product (const WcPolicyTarget *targets, size_t count, uint32_t flow_hash, uint64_t *state, GRand *random)
--- a/src/core/target_set.h
+++ b/src/core/target_set.h
@@ -6,6 +6,7 @@
 /**
  * struct WcTargetState - a target with its counts.
  * @present: part of the current set; an absent target stays until its outstanding attempts have ended.
+ * @reported: requests that it last said it runs.
  * @ramp_start_us: when its ramp-up began; @ramp_end_us is 0 for a warm target.
  * @closed_until_us: end of the backoff after a refusal or failure.
  * @failures: refusals and failures in a row.
@@ -17,6 +18,7 @@
   WcDispatchTarget target;
   bool             present;
   uint32_t         outstanding;
+  uint32_t         reported;
   uint64_t         dispatched;
   uint64_t         run_us;
   uint64_t         ramp_start_us;
--- /dev/null
+++ b/src/emulator/experiment_fleet.c
@@ -0,0 +1,342 @@
+#include <assert.h>
+
+#include "core/mix.h"
+#include "emulator/experiment_state.h"
+
+enum
+{
+  QUEUE_MAX_REQUESTS = 512,
+  RETRY_BUDGET_PERCENT = 10,
+  REFUSAL_BACKOFF_US = 20000,
+  LOAD_POLL_INTERVAL_US = 100000,
+  LOAD_POLL_BYTES = 200
+};
+
+static void new_dispatcher (WcExperiment *experiment, uint32_t instance);
+static void submit (WcExperiment *experiment, uint32_t request, uint32_t instance);
+static void pump (WcExperiment *experiment, uint32_t instance);
+static void dispatch (WcExperiment *experiment, uint32_t request, uint32_t instance, uint32_t host);
+static void relay_to_domain (WcExperiment *experiment, uint32_t request, uint32_t instance, uint32_t domain);
+static size_t
+choose_nearest (const WcPolicyTarget *targets, size_t count, uint32_t flow_hash, uint64_t *state, GRand *random);
+
+static const WcPolicy NEAREST = { "nearest", choose_nearest };
+
+void
+wc_experiment_fleet_init (WcExperiment *experiment)
+{
+  const WcExperimentWorkload *workload = experiment->config->workload;
+
+  for (uint32_t domain = 0; domain < WC_EXPERIMENT_DOMAINS; domain++)
+    for (uint32_t i = 0; i < workload->instances[domain]; i++)
+      {
+        WcExperimentInstance *instance = &experiment->instances[experiment->instance_count++];
+
+        instance->id = wc_mix64 (experiment->instance_count);
+        instance->incarnation = experiment->instance_count;
+        instance->domain = domain;
+        instance->alive = true;
+      }
+  for (uint32_t i = 0; i < experiment->instance_count; i++)
+    {
+      new_dispatcher (experiment, i);
+      if (experiment->config->policy->routing == WC_ROUTING_OWNER)
+        wc_experiment_views_init (experiment, i);
+      if (experiment->config->policy->polls_load)
+        wc_experiment_load_poll (experiment, i);
+    }
+}
+
+void
+wc_experiment_fleet_finish (WcExperiment *experiment)
+{
+  for (uint32_t i = 0; i < experiment->instance_count; i++)
+    {
+      wc_experiment_views_finish (experiment, i);
+      wc_dispatcher_delete (experiment->instances[i].dispatcher);
+    }
+}
+
+void
+wc_experiment_ingress (WcExperiment *experiment, uint32_t request, uint32_t instance)
+{
+  WcExperimentRequest  *entry = &experiment->requests[request];
+  WcExperimentInstance *self = &experiment->instances[instance];
+
+  if (!self->alive)
+    return;
+  if (entry->ingress_us == 0)
+    entry->ingress_us = experiment->now_us;
+  entry->ingress = (uint16_t)instance;
+  switch (experiment->config->policy->routing)
+    {
+    case WC_ROUTING_INSTANCE:
+      submit (experiment, request, instance);
+      break;
+    case WC_ROUTING_OMNISCIENT:
+      submit (experiment, request, 0);
+      break;
+    default:
+      relay_to_domain (experiment, request, instance,
+                       wc_ownership_shares_pick (&self->shares, self->domain + 1, g_rand_int (experiment->choices)));
+      break;
+    }
+}
+
+void
+wc_experiment_relayed (WcExperiment *experiment, uint32_t request, uint32_t instance)
+{
+  if (experiment->instances[instance].alive)
+    submit (experiment, request, instance);
+}
+
+void
+wc_experiment_attempt_end (WcExperiment *experiment, uint32_t request, uint32_t host, WcOutcome outcome)
+{
+  WcExperimentRequest *entry = &experiment->requests[request];
+  uint32_t             instance = entry->instance;
+  const WcExperimentClass *class = &experiment->config->workload->classes[entry->class];
+
+  wc_dispatcher_end (experiment->instances[instance].dispatcher, experiment->now_us, experiment->hosts[host].id,
+                     outcome, outcome == WC_OUTCOME_DONE ? experiment->now_us - entry->dispatched_us : 0);
+  switch (outcome)
+    {
+    case WC_OUTCOME_DONE:
+      wc_experiment_answer (experiment, request, WC_VERDICT_DONE);
+      if (experiment->config->policy->routing == WC_ROUTING_OMNISCIENT)
+        entry->end_us += entry->travel_us + wc_experiment_draw_delay_us (experiment, experiment->hosts[host].domain,
+                                                                         experiment->instances[entry->ingress].domain);
+      break;
+    case WC_OUTCOME_CANCELLED:
+      /* Never started: the target's refusal. Stopped while it ran: an order may have taken effect. */
+      if (entry->start_us < entry->dispatched_us)
+        wc_experiment_answer (experiment, request, WC_VERDICT_REFUSED_LATE);
+      else
+        wc_experiment_answer (experiment, request, class->idempotent ? WC_VERDICT_DONE : WC_VERDICT_UNKNOWN);
+      break;
+    default:
+      if (outcome == WC_OUTCOME_FAILED && !class->idempotent)
+        {
+          entry->lost = true;
+          wc_experiment_answer (experiment, request, WC_VERDICT_UNKNOWN);
+          break;
+        }
+      entry->attempts++;
+      submit (experiment, request, instance);
+      return;
+    }
+  pump (experiment, instance);
+}
+
+void
+wc_experiment_wake (WcExperiment *experiment, uint32_t instance)
+{
+  WcExperimentInstance *self = &experiment->instances[instance];
+
+  if (self->wake_us > experiment->now_us)
+    return;
+  self->wake_us = UINT64_MAX;
+  if (self->alive || experiment->config->policy->routing == WC_ROUTING_OMNISCIENT)
+    pump (experiment, instance);
+}
+
+void
+wc_experiment_load_poll (WcExperiment *experiment, uint32_t instance)
+{
+  WcExperimentInstance *self = &experiment->instances[instance];
+
+  for (uint32_t i = 0; i < experiment->host_count && self->alive; i++)
+    {
+      experiment->control_bytes += LOAD_POLL_BYTES;
+      wc_dispatcher_hint (self->dispatcher, experiment->now_us, experiment->hosts[i].id,
+                          wc_experiment_host_get_reported (experiment, i));
+    }
+  wc_experiment_at (experiment, experiment->now_us + LOAD_POLL_INTERVAL_US, WC_EXPERIMENT_LOAD_POLL, 0, instance, 0, 0);
+}
+
+void
+wc_experiment_instance_fail (WcExperiment *experiment, uint32_t instance)
+{
+  WcExperimentInstance *self = &experiment->instances[instance];
+
+  /* The omniscient dispatcher is not part of any instance; only packets to this one are lost. */
+  self->alive = false;
+  self->changed_us = experiment->now_us;
+  if (experiment->config->policy->routing == WC_ROUTING_OMNISCIENT)
+    return;
+  for (uint32_t i = 0; i < experiment->request_count; i++)
+    {
+      WcExperimentRequest *entry = &experiment->requests[i];
+
+      if (entry->instance != instance || entry->verdict != WC_VERDICT_NONE)
+        continue;
+      entry->instance = WC_EXPERIMENT_NOWHERE;
+      entry->lost = true;
+      entry->epoch++;
+      /* The ticket dies with the incarnation; the caller learns nothing before its deadline. */
+      if (!experiment->config->workload->classes[entry->class].idempotent)
+        {
+          entry->verdict = WC_VERDICT_UNKNOWN;
+          entry->end_us = entry->deadline_us;
+        }
+    }
+  wc_experiment_views_finish (experiment, instance);
+  wc_dispatcher_delete (self->dispatcher);
+  self->dispatcher = NULL;
+}
+
+void
+wc_experiment_instance_return (WcExperiment *experiment, uint32_t instance)
+{
+  WcExperimentInstance *self = &experiment->instances[instance];
+
+  self->alive = true;
+  self->changed_us = experiment->now_us;
+  if (experiment->config->policy->routing == WC_ROUTING_OMNISCIENT)
+    return;
+  self->incarnation += WC_EXPERIMENT_MAX_INSTANCES;
+  new_dispatcher (experiment, instance);
+  if (experiment->config->policy->routing == WC_ROUTING_OWNER)
+    wc_experiment_views_init (experiment, instance);
+}
+
+/* local functions */
+
+static void
+new_dispatcher (WcExperiment *experiment, uint32_t instance)
+{
+  const WcExperimentPolicy *policy = experiment->config->policy;
+  WcExperimentInstance     *self = &experiment->instances[instance];
+  WcDispatcherConfig        config = { .queue_max_requests = QUEUE_MAX_REQUESTS,
+                                       .retry_budget_percent = RETRY_BUDGET_PERCENT,
+                                       .refusal_backoff_us = REFUSAL_BACKOFF_US,
+                                       .late_binding = policy->late_binding };
+  WcDispatchTarget          targets[WC_EXPERIMENT_MAX_HOSTS];
+  size_t                    count = 0;
+
+  if (policy->routing == WC_ROUTING_OMNISCIENT)
+    config.queue_max_requests *= WC_EXPERIMENT_DOMAINS;
+  for (uint32_t i = 0; i < experiment->host_count; i++)
+    if (policy->routing != WC_ROUTING_OWNER || experiment->hosts[i].domain == self->domain)
+      targets[count++] = (WcDispatchTarget){ .id = experiment->hosts[i].id,
+                                             .slots = experiment->config->workload->slots,
+                                             .weight = 100 };
+  self->dispatcher =
+      wc_dispatcher_new (&config, policy->choice ? wc_policy_find (policy->choice) : &NEAREST, experiment->choices);
+  wc_dispatcher_set_targets (self->dispatcher, experiment->now_us, targets, count);
+  self->wake_us = UINT64_MAX;
+}
+
+static void
+submit (WcExperiment *experiment, uint32_t request, uint32_t instance)
+{
+  WcExperimentRequest *entry = &experiment->requests[request];
+  WcDispatchRequest    submitted = { .request = (uint64_t)request + 1,
+                                     .deadline_us = entry->deadline_us,
+                                     .worth = entry->worth,
+                                     .attempts = entry->attempts,
+                                     .flow_hash = (uint32_t)wc_mix64 (entry->flow) };
+  WcRefusal            refusal;
+
+  /* The nearest-first policy gets the domain that the request came from. */
+  if (experiment->config->policy->routing == WC_ROUTING_OMNISCIENT)
+    submitted.flow_hash = experiment->instances[entry->ingress].domain;
+  entry->instance = (uint16_t)instance;
+  entry->sent_to_owner = !experiment->config->workload->classes[entry->class].idempotent;
+  refusal = wc_dispatcher_submit (experiment->instances[instance].dispatcher, experiment->now_us, &submitted);
+  if (refusal != WC_REFUSAL_NONE)
+    wc_experiment_answer (experiment, request,
+                          entry->attempts == 0 ? WC_VERDICT_REFUSED_EARLY : WC_VERDICT_REFUSED_LATE);
+  pump (experiment, instance);
+}
+
+/* Carries out the dispatcher's decisions and sets its timer. */
+static void
+pump (WcExperiment *experiment, uint32_t instance)
+{
+  WcExperimentInstance *self = &experiment->instances[instance];
+  WcDispatchDecision    decision;
+  uint64_t              wake_us;
+
+  while (wc_dispatcher_next (self->dispatcher, experiment->now_us, &decision))
+    {
+      uint32_t request = (uint32_t)decision.request - 1;
+
+      if (decision.refusal != WC_REFUSAL_NONE)
+        wc_experiment_answer (experiment, request, WC_VERDICT_REFUSED_LATE);
+      else
+        dispatch (experiment, request, instance, wc_experiment_host_index (decision.target));
+    }
+  wake_us = wc_dispatcher_get_wake_us (self->dispatcher);
+  if (wake_us >= self->wake_us)
+    return;
+  self->wake_us = MAX (wake_us, experiment->now_us + 1);
+  wc_experiment_at (experiment, self->wake_us, WC_EXPERIMENT_WAKE, 0, instance, 0, 0);
+}
+
+static void
+dispatch (WcExperiment *experiment, uint32_t request, uint32_t instance, uint32_t host)
+{
+  WcExperimentRequest *entry = &experiment->requests[request];
+  uint32_t             from = experiment->instances[instance].domain;
+  uint32_t             to = experiment->hosts[host].domain;
+  uint64_t             delay_us = 0;
+
+  /* A slot that waits for a request to arrive would make the limit lower than a policy that stays in its domain. The
+   * way to the host is therefore added to the response and not to the time that the slot is taken. */
+  if (experiment->config->policy->routing == WC_ROUTING_OMNISCIENT)
+    {
+      from = experiment->instances[entry->ingress].domain;
+      entry->travel_us = wc_experiment_draw_delay_us (experiment, from, to);
+    }
+  else
+    delay_us = wc_experiment_draw_delay_us (experiment, from, to);
+  entry->host = (uint16_t)host;
+  entry->dispatched_us = experiment->now_us;
+  entry->crossed |= from != to;
+  wc_experiment_at (experiment, experiment->now_us + delay_us, WC_EXPERIMENT_HOST_RECEIVE, request, host, entry->epoch,
+                    0);
+}
+
+/* Relays a request to the owner of the service in a domain, as the instance's view has it. */
+static void
+relay_to_domain (WcExperiment *experiment, uint32_t request, uint32_t instance, uint32_t domain)
+{
+  const WcExperimentInstance *self = &experiment->instances[instance];
+  const WcMember             *owner = wc_ownership_find_owner (self->table, domain, WC_EXPERIMENT_SERVICE, 0);
+  WcExperimentRequest        *entry = &experiment->requests[request];
+
+  if (!owner)
+    return;
+  if (owner->id == self->id)
+    {
+      submit (experiment, request, instance);
+      return;
+    }
+  entry->instance = WC_EXPERIMENT_NOWHERE;
+  entry->crossed |= domain != self->domain + 1;
+  for (uint32_t i = 0; i < experiment->instance_count; i++)
+    if (experiment->instances[i].id == owner->id)
+      wc_experiment_at (experiment,
+                        experiment->now_us + wc_experiment_draw_delay_us (experiment, self->domain, domain - 1),
+                        WC_EXPERIMENT_RELAYED, request, i, entry->epoch, 0);
+}
+
+/* The hosts of the request's own domain come first, then those with the least work. */
+static size_t
+choose_nearest (const WcPolicyTarget *targets, size_t count, uint32_t flow_hash, uint64_t *state, GRand *random)
+{
+  size_t best = 0;
+
+  (void)state;
+  (void)random;
+  for (size_t i = 1; i < count; i++)
+    {
+      bool near = wc_experiment_host_domain (targets[i].id) == flow_hash;
+      bool best_near = wc_experiment_host_domain (targets[best].id) == flow_hash;
+
+      if (near != best_near ? near : targets[i].work_us < targets[best].work_us)
+        best = i;
+    }
+  return best;
+}
--- /dev/null
+++ b/src/emulator/experiment_state.h
@@ -0,0 +1,193 @@
+#ifndef WC_EMULATOR_EXPERIMENT_STATE_H
+#define WC_EMULATOR_EXPERIMENT_STATE_H
+
+#include <glib.h>
+
+#include <wigeoncart/dispatcher.h>
+#include <wigeoncart/ownership.h>
+
+#include "emulator/experiment.h"
+#include "emulator/experiment_events.h"
+
+enum
+{
+  WC_EXPERIMENT_MAX_INSTANCES = 16,
+  WC_EXPERIMENT_MAX_HOSTS = 32,
+  WC_EXPERIMENT_FLOWS = 2000,
+  WC_EXPERIMENT_SERVICE = 1,
+  WC_EXPERIMENT_NOWHERE = UINT16_MAX
+};
+
+/** enum WcExperimentVerdict - how a request ended for its caller. */
+typedef enum
+{
+  WC_VERDICT_NONE = 0,
+  WC_VERDICT_DONE,
+  WC_VERDICT_REFUSED_EARLY,
+  WC_VERDICT_REFUSED_LATE,
+  WC_VERDICT_UNKNOWN
+} WcExperimentVerdict;
+
+/**
+ * struct WcExperimentRequest - one request.
+ * @start_us: when its last attempt began to run, 0 for never.
+ * @end_us: when the caller received the verdict.
+ * @travel_us: way to the host that the omniscient dispatcher does not wait for.
+ * @instance: where it was queued; WC_EXPERIMENT_NOWHERE when nobody holds it.
+ * @epoch: grows when it changes its holder.
+ * @crossed: it went to another domain.
+ * @sent_to_owner: an order that was given to a holder, which is the only one that may run it.
+ * @lost: its holder or host failed.
+ */
+typedef struct
+{
+  uint64_t sent_us;
+  uint64_t ingress_us;
+  uint64_t dispatched_us;
+  uint64_t start_us;
+  uint64_t end_us;
+  uint64_t deadline_us;
+  uint64_t travel_us;
+  uint32_t run_us;
+  uint32_t worth;
+  uint32_t flow;
+  uint32_t epoch;
+  uint16_t first_instance;
+  uint16_t ingress;
+  uint16_t instance;
+  uint16_t host;
+  uint8_t class;
+  uint8_t             attempts;
+  uint8_t             resends;
+  bool                crossed;
+  bool                spilled;
+  bool                sent_to_owner;
+  bool                lost;
+  WcExperimentVerdict verdict;
+} WcExperimentRequest;
+
+/** struct WcExperimentAttempt - an attempt on a host; @epoch is the request's when it was sent. */
+typedef struct
+{
+  uint32_t request;
+  uint32_t epoch;
+} WcExperimentAttempt;
+
+/**
+ * struct WcExperimentHost - host with slots and a short queue of its own.
+ * @epoch: grows with each failure.
+ * @busy_us: run time so far; @windows holds it per second.
+ */
+typedef struct
+{
+  uint32_t id;
+  uint32_t domain;
+  uint32_t epoch;
+  bool     alive;
+  uint64_t cold_since_us;
+  GArray  *waiting;
+  GArray  *running_attempts;
+  uint64_t busy_us;
+  GArray  *windows;
+  uint32_t reported;
+  uint64_t reported_us;
+} WcExperimentHost;
+
+typedef struct
+{
+  uint64_t       id;
+  uint32_t       domain;
+  bool           alive;
+  uint64_t       changed_us;
+  uint64_t       incarnation;
+  WcMembership  *membership;
+  WcMemberTable *table;
+  uint64_t       generation;
+  WcDomainShares shares;
+  WcDispatcher  *dispatcher;
+  uint64_t       wake_us;
+} WcExperimentInstance;
+
+/** struct WcExperiment - state of one run. */
+typedef struct
+{
+  const WcExperimentConfig *config;
+  WcExperimentEvents       *events;
+  uint64_t                  now_us;
+  GRand                    *arrivals;
+  GRand                    *network;
+  GRand                    *choices;
+  WcExperimentRequest      *requests;
+  uint32_t                  request_count;
+  double                    interval_us;
+  double                    burst_interval_us;
+  uint64_t                  next_burst_us;
+  WcExperimentInstance      instances[WC_EXPERIMENT_MAX_INSTANCES];
+  uint32_t                  instance_count;
+  WcExperimentHost          hosts[WC_EXPERIMENT_MAX_HOSTS];
+  uint32_t                  host_count;
+  uint64_t                  last_arrival_us;
+  uint64_t                  control_bytes;
+} WcExperiment;
+
+/* Events and delays: experiment.c */
+void wc_experiment_at (WcExperiment *experiment, uint64_t time_us, WcExperimentEventKind kind, uint32_t request,
+                       uint32_t place, uint32_t epoch, uint64_t value);
+
+/* Network and run times: experiment_draw.c */
+double   wc_experiment_draw_exponential (GRand *random, double mean);
+uint32_t wc_experiment_draw_run_us (GRand *random, const WcExperimentClass *class);
+uint32_t wc_experiment_draw_worth (GRand *random);
+uint64_t wc_experiment_draw_caller_delay_us (WcExperiment *experiment);
+uint64_t wc_experiment_draw_delay_us (WcExperiment *experiment, uint32_t from_domain, uint32_t to_domain);
+
+/* Callers: experiment_callers.c */
+void wc_experiment_callers_init (WcExperiment *experiment);
+void wc_experiment_arrival (WcExperiment *experiment, uint32_t request);
+void wc_experiment_resend (WcExperiment *experiment, uint32_t request);
+void wc_experiment_answer (WcExperiment *experiment, uint32_t request, WcExperimentVerdict verdict);
+
+/* Instances: experiment_fleet.c */
+void wc_experiment_fleet_init (WcExperiment *experiment);
+void wc_experiment_fleet_finish (WcExperiment *experiment);
+void wc_experiment_ingress (WcExperiment *experiment, uint32_t request, uint32_t instance);
+void wc_experiment_relayed (WcExperiment *experiment, uint32_t request, uint32_t instance);
+void wc_experiment_attempt_end (WcExperiment *experiment, uint32_t request, uint32_t host, WcOutcome outcome);
+void wc_experiment_wake (WcExperiment *experiment, uint32_t instance);
+void wc_experiment_load_poll (WcExperiment *experiment, uint32_t instance);
+void wc_experiment_instance_fail (WcExperiment *experiment, uint32_t instance);
+void wc_experiment_instance_return (WcExperiment *experiment, uint32_t instance);
+
+/* Views of the instances: experiment_views.c */
+void wc_experiment_views_init (WcExperiment *experiment, uint32_t instance);
+void wc_experiment_views_finish (WcExperiment *experiment, uint32_t instance);
+void wc_experiment_heartbeat_send (WcExperiment *experiment, uint32_t instance);
+void wc_experiment_heartbeat (WcExperiment *experiment, uint32_t sender, uint32_t receiver, uint64_t incarnation);
+void wc_experiment_list (WcExperiment *experiment, uint32_t instance);
+
+/** wc_experiment_host_index() - place of a host in the array by its id, which also holds its domain. */
+static inline uint32_t
+wc_experiment_host_index (uint32_t id)
+{
+  return (id & 0xffff) - 1;
+}
+
+static inline uint32_t
+wc_experiment_host_domain (uint32_t id)
+{
+  return id >> 16;
+}
+
+/* Hosts: experiment_hosts.c */
+void     wc_experiment_hosts_init (WcExperiment *experiment);
+void     wc_experiment_hosts_finish (WcExperiment *experiment);
+void     wc_experiment_host_receive (WcExperiment *experiment, uint32_t host, WcExperimentAttempt attempt);
+void     wc_experiment_host_done (WcExperiment *experiment, uint32_t host, WcExperimentAttempt attempt);
+void     wc_experiment_host_fail (WcExperiment *experiment, uint32_t host);
+void     wc_experiment_host_return (WcExperiment *experiment, uint32_t host);
+uint32_t wc_experiment_host_get_reported (WcExperiment *experiment, uint32_t host);
+
+/* Measures: experiment_stats.c */
+void wc_experiment_stats (const WcExperiment *experiment, WcExperimentResult *result);
+
+#endif
--- /dev/null
+++ b/src/emulator/experiment_workload.c
@@ -0,0 +1,78 @@
+#include "emulator/experiment.h"
+
+#include <glib.h>
+
+/* Sizes and delays are those of the two deployments (docs/design.md, section 1); the mix, the run times and the
+ * deadlines are assumptions. */
+static const WcExperimentWorkload WORKLOADS[] = {
+  {
+      .deployment = "sinos",
+      .service = "order-desk",
+      .hosts = { 5, 5, 4 },
+      .instances = { 3, 3, 2 },
+      .slots = 2,
+      .domain_delay_us = 4000,
+      .requests = 60000,
+      .classes = { { "view", 70, true, WC_RUN_TIMES_EXPONENTIAL, 20000, 0, 1000000 },
+                   { "order", 30, false, WC_RUN_TIMES_LOGNORMAL, 60000, 0.8, 2000000 } },
+      .class_count = 2,
+  },
+  {
+      .deployment = "sinos",
+      .service = "pattern-delivery",
+      .hosts = { 2, 1, 1 },
+      .instances = { 3, 3, 2 },
+      .slots = 2,
+      .domain_delay_us = 4000,
+      .requests = 40000,
+      .classes = { { "sheet", 100, true, WC_RUN_TIMES_LOGNORMAL, 250000, 0.5, 5000000 } },
+      .class_count = 1,
+  },
+  {
+      .deployment = "kavango",
+      .service = "dispatch-stock",
+      .hosts = { 5, 5, 4 },
+      .instances = { 3, 3, 2 },
+      .slots = 2,
+      .domain_delay_us = 3000,
+      .requests = 60000,
+      .classes = { { "alert", 60, true, WC_RUN_TIMES_EXPONENTIAL, 15000, 0, 500000 },
+                   { "reservation", 40, false, WC_RUN_TIMES_LOGNORMAL, 50000, 0.6, 1000000 } },
+      .class_count = 2,
+  },
+  {
+      .deployment = "kavango",
+      .service = "plot-feed",
+      .hosts = { 2, 1, 1 },
+      .instances = { 3, 3, 2 },
+      .slots = 2,
+      .domain_delay_us = 3000,
+      .requests = 40000,
+      .classes = { { "pattern", 100, true, WC_RUN_TIMES_EXPONENTIAL, 200000, 0, 4000000 } },
+      .class_count = 1,
+  },
+};
+
+static const WcExperimentPolicy POLICIES[] = {
+  /* The limit comes first, because the other rows are compared with it. */
+  { "omniscient", NULL, WC_ROUTING_OMNISCIENT, true, false },
+  { "product", "product", WC_ROUTING_OWNER, true, false },
+  { "random", "random", WC_ROUTING_INSTANCE, false, false },
+  { "round-robin", "round-robin", WC_ROUTING_INSTANCE, false, false },
+  { "hash", "hash", WC_ROUTING_INSTANCE, false, false },
+  { "least-outstanding", "least-outstanding", WC_ROUTING_INSTANCE, false, false },
+  { "two-choices", "two-choices", WC_ROUTING_INSTANCE, false, false },
+  { "least-reported", "least-reported", WC_ROUTING_INSTANCE, false, true },
+};
+
+const WcExperimentWorkload *
+wc_experiment_get_workload (size_t index)
+{
+  return index < G_N_ELEMENTS (WORKLOADS) ? &WORKLOADS[index] : NULL;
+}
+
+const WcExperimentPolicy *
+wc_experiment_get_policy (size_t index)
+{
+  return index < G_N_ELEMENTS (POLICIES) ? &POLICIES[index] : NULL;
+}
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -21,7 +21,7 @@
 
   for (const WcPolicy *policy; (policy = wc_policy_get (count)) != NULL; count++)
     ck_assert_ptr_eq (wc_policy_find (policy->name), policy);
-  ck_assert_uint_eq (count, 6);
+  ck_assert_uint_eq (count, 7);
   ck_assert_ptr_nonnull (wc_policy_find ("product"));
   ck_assert_ptr_null (wc_policy_find ("fastest"));
 }
@@ -51,7 +51,8 @@
 /* Guards against a random choice or a rotation that leaves targets out. */
 START_TEST (test_spread)
 {
-  static const char *const NAMES[] = { "random", "round-robin", "hash", "least-outstanding", "two-choices" };
+  static const char *const NAMES[] = { "random",      "round-robin",   "hash", "least-outstanding",
+                                       "two-choices", "least-reported" };
   const WcPolicy          *policy = wc_policy_find (NAMES[_i]);
   GRand                   *random = g_rand_new_with_seed (2);
   WcPolicyTarget           targets[TARGETS];
@@ -149,8 +150,8 @@
   TCase *cases = tcase_create ("policy");
 
   tcase_add_test (cases, test_table);
-  tcase_add_loop_test (cases, test_index_in_range, 0, 6);
-  tcase_add_loop_test (cases, test_spread, 0, 5);
+  tcase_add_loop_test (cases, test_index_in_range, 0, 7);
+  tcase_add_loop_test (cases, test_spread, 0, 6);
   tcase_add_test (cases, test_hash_stability);
   tcase_add_test (cases, test_least_outstanding);
   tcase_add_test (cases, test_two_choices_distinct);
