Pass requests on to another domain's owner when it is faster

Cause: three queues of 10, 10 and 8 slots (4, 2 and 2 for the large answers) wait longer than one queue over all slots. Owners of a service report their backlog to each other every 100 ms and after a request that was passed on; a request moves once, at its arrival, when its expected wait exceeds the delay plus the wait there.

--- a/include/wigeoncart/dispatcher.h
+++ b/include/wigeoncart/dispatcher.h
@@ -126,6 +126,22 @@
  */
 uint64_t wc_dispatcher_get_expected_wait_us (const WcDispatcher *dispatcher, uint64_t now_us, uint32_t worth);
 
+/**
+ * struct WcDispatchLoad - load of a dispatcher.
+ * @open: slots open now, taken or not.
+ * @free: open slots without an attempt.
+ * @run_us: moving average of run times, 0 when unknown.
+ */
+typedef struct
+{
+  uint32_t open;
+  uint32_t free;
+  uint32_t queued;
+  uint64_t run_us;
+} WcDispatchLoad;
+
+void wc_dispatcher_get_load (const WcDispatcher *dispatcher, uint64_t now_us, WcDispatchLoad *load);
+
 /** wc_dispatcher_remove() - drop a queued request (cancelled); false when it is not queued. */
 bool wc_dispatcher_remove (WcDispatcher *dispatcher, uint64_t request);
 
--- a/src/core/dispatcher.c
+++ b/src/core/dispatcher.c
@@ -166,24 +166,34 @@
 uint64_t
 wc_dispatcher_get_expected_wait_us (const WcDispatcher *dispatcher, uint64_t now_us, uint32_t worth)
 {
-  uint32_t open = 0;
-  uint32_t busy = 0;
-  uint32_t ahead;
+  WcDispatchLoad load;
+  uint32_t       ahead;
 
   assert (dispatcher != NULL);
 
+  wc_dispatcher_get_load (dispatcher, now_us, &load);
+  ahead = wc_request_queue_count_ahead (dispatcher->queue, worth);
+  if (load.open == 0 || ahead < load.free)
+    return 0;
+  return (ahead - load.free + 1) * load.run_us / load.open;
+}
+
+void
+wc_dispatcher_get_load (const WcDispatcher *dispatcher, uint64_t now_us, WcDispatchLoad *load)
+{
+  assert (dispatcher != NULL);
+  assert (load != NULL);
+
+  *load = (WcDispatchLoad){ .queued = wc_request_queue_get_length (dispatcher->queue),
+                            .run_us = dispatcher->targets.run_us };
   for (guint i = 0; i < dispatcher->targets.states->len; i++)
     {
       const WcTargetState *state = &g_array_index (dispatcher->targets.states, WcTargetState, i);
       uint32_t             limit = wc_target_state_get_limit (state, now_us);
 
-      open += limit;
-      busy += MIN (limit, state->outstanding);
+      load->open += limit;
+      load->free += limit - MIN (limit, state->outstanding);
     }
-  ahead = wc_request_queue_count_ahead (dispatcher->queue, worth);
-  if (open == 0 || ahead < open - busy)
-    return 0;
-  return (ahead - (open - busy) + 1) * dispatcher->targets.run_us / open;
 }
 
 bool
--- /dev/null
+++ b/src/core/spill.c
@@ -0,0 +1,102 @@
+#include <wigeoncart/spill.h>
+
+#include <assert.h>
+
+static WcSpillPeer *find_peer (WcSpill *spill, uint32_t domain);
+
+void
+wc_spill_init (WcSpill *spill, uint64_t report_life_us)
+{
+  assert (spill != NULL);
+
+  *spill = (WcSpill){ .report_life_us = report_life_us };
+}
+
+void
+wc_spill_set_peer (WcSpill *spill, uint32_t domain, uint64_t delay_us)
+{
+  WcSpillPeer *peer;
+
+  assert (spill != NULL);
+  assert (domain != 0);
+
+  peer = find_peer (spill, domain);
+  if (!peer && spill->count == WC_SPILL_MAX_DOMAINS)
+    return;
+  if (!peer)
+    {
+      peer = &spill->peers[spill->count++];
+      *peer = (WcSpillPeer){ .domain = domain };
+    }
+  peer->delay_us = delay_us;
+}
+
+void
+wc_spill_apply (WcSpill *spill, uint64_t now_us, uint32_t domain, const WcSpillReport *report)
+{
+  WcSpillPeer *peer;
+
+  assert (spill != NULL);
+  assert (report != NULL);
+
+  peer = find_peer (spill, domain);
+  if (!peer)
+    return;
+  peer->report = *report;
+  peer->reported_us = now_us;
+}
+
+uint32_t
+wc_spill_choose (WcSpill *spill, uint64_t now_us, uint64_t wait_us)
+{
+  WcSpillPeer *best = NULL;
+  uint64_t     best_us = wait_us;
+
+  assert (spill != NULL);
+
+  for (size_t i = 0; i < spill->count && wait_us > 0; i++)
+    {
+      WcSpillPeer *peer = &spill->peers[i];
+      int64_t      backlog_us = peer->report.backlog_us;
+      uint64_t     there_us = peer->delay_us + (backlog_us > 0 ? (uint64_t)backlog_us : 0);
+
+      if (peer->reported_us == 0 || now_us - peer->reported_us > spill->report_life_us)
+        continue;
+      if (there_us < best_us || (best && there_us == best_us && backlog_us < best->report.backlog_us))
+        {
+          best = peer;
+          best_us = there_us;
+        }
+    }
+  if (!best)
+    return 0;
+  best->report.backlog_us += (int64_t)best->report.step_us;
+  return best->domain;
+}
+
+void
+wc_spill_make_report (const WcDispatcher *dispatcher, uint64_t now_us, WcSpillReport *report)
+{
+  WcDispatchLoad load;
+
+  assert (dispatcher != NULL);
+  assert (report != NULL);
+
+  wc_dispatcher_get_load (dispatcher, now_us, &load);
+  report->step_us = load.open > 0 ? load.run_us / load.open : 0;
+  report->backlog_us = ((int64_t)load.queued - (int64_t)load.free + 1) * (int64_t)report->step_us;
+  /* Without an open slot nothing can be taken over. */
+  if (load.open == 0)
+    report->backlog_us = INT64_MAX / 2;
+}
+
+/* local functions */
+
+static WcSpillPeer *
+find_peer (WcSpill *spill, uint32_t domain)
+{
+  for (size_t i = 0; i < spill->count; i++)
+    if (spill->peers[i].domain == domain)
+      return &spill->peers[i];
+  return NULL;
+}
--- a/src/emulator/experiment.c
+++ b/src/emulator/experiment.c
@@ -179,6 +179,13 @@
       if (current)
         wc_experiment_list (experiment, event->place);
       break;
+    case WC_EXPERIMENT_REPORT_SEND:
+      if (current)
+        wc_experiment_report_timer (experiment, event->place);
+      break;
+    case WC_EXPERIMENT_REPORT:
+      wc_experiment_report (experiment, event);
+      break;
     case WC_EXPERIMENT_LOAD_POLL:
       wc_experiment_load_poll (experiment, event->place);
       break;
--- a/src/emulator/experiment.h
+++ b/src/emulator/experiment.h
@@ -68,6 +68,7 @@
 /**
  * struct WcExperimentPolicy - what is compared.
  * @choice: name of the core policy.
+ * @spills: owners pass requests on to other domains.
  * @polls_load: reads the load endpoints of the targets.
  */
 typedef struct
@@ -77,6 +78,7 @@
   WcExperimentRouting routing;
   bool                late_binding;
   bool                polls_load;
+  bool                spills;
 } WcExperimentPolicy;
 
 /**
--- a/src/emulator/experiment_events.h
+++ b/src/emulator/experiment_events.h
@@ -24,6 +24,9 @@
   WC_EXPERIMENT_HEARTBEAT_SEND,
   WC_EXPERIMENT_HEARTBEAT,
   WC_EXPERIMENT_LIST,
+  WC_EXPERIMENT_REPORT_SEND,
+  /* The value is the backlog, the epoch the step, the request the sender's domain. */
+  WC_EXPERIMENT_REPORT,
   WC_EXPERIMENT_LOAD_POLL,
   WC_EXPERIMENT_HOST_FAIL,
   WC_EXPERIMENT_HOST_RETURN,
--- a/src/emulator/experiment_fleet.c
+++ b/src/emulator/experiment_fleet.c
@@ -14,6 +14,7 @@
 
 static void new_dispatcher (WcExperiment *experiment, uint32_t instance);
 static void submit (WcExperiment *experiment, uint32_t request, uint32_t instance);
+static void submit_to_owner (WcExperiment *experiment, uint32_t request, uint32_t instance);
 static void pump (WcExperiment *experiment, uint32_t instance);
 static void dispatch (WcExperiment *experiment, uint32_t request, uint32_t instance, uint32_t host);
 static void relay_to_domain (WcExperiment *experiment, uint32_t request, uint32_t instance, uint32_t domain);
@@ -42,6 +43,8 @@
       new_dispatcher (experiment, i);
       if (experiment->config->policy->routing == WC_ROUTING_OWNER)
         wc_experiment_views_init (experiment, i);
+      if (experiment->config->policy->spills)
+        wc_experiment_reports_init (experiment, i);
       if (experiment->config->policy->polls_load)
         wc_experiment_load_poll (experiment, i);
     }
@@ -86,8 +89,13 @@
 void
 wc_experiment_relayed (WcExperiment *experiment, uint32_t request, uint32_t instance)
 {
-  if (experiment->instances[instance].alive)
-    submit (experiment, request, instance);
+  WcExperimentRequest *entry = &experiment->requests[request];
+
+  if (!experiment->instances[instance].alive)
+    return;
+  if (entry->spilled)
+    wc_experiment_report_feedback (experiment, instance, entry->spilled_from);
+  submit_to_owner (experiment, request, instance);
 }
 
 void
@@ -198,6 +206,8 @@
   new_dispatcher (experiment, instance);
   if (experiment->config->policy->routing == WC_ROUTING_OWNER)
     wc_experiment_views_init (experiment, instance);
+  if (experiment->config->policy->spills)
+    wc_experiment_reports_init (experiment, instance);
 }
 
 /* local functions */
@@ -250,6 +260,27 @@
   pump (experiment, instance);
 }
 
+/* Queues a request here, or passes it on to another domain. */
+static void
+submit_to_owner (WcExperiment *experiment, uint32_t request, uint32_t instance)
+{
+  WcExperimentInstance *self = &experiment->instances[instance];
+  WcExperimentRequest  *entry = &experiment->requests[request];
+  uint32_t              domain = 0;
+
+  if (experiment->config->policy->spills && !entry->spilled)
+    domain = wc_spill_choose (&self->spill, experiment->now_us,
+                              wc_dispatcher_get_expected_wait_us (self->dispatcher, experiment->now_us, entry->worth));
+  if (domain == 0)
+    {
+      submit (experiment, request, instance);
+      return;
+    }
+  entry->spilled = true;
+  entry->spilled_from = (uint8_t)self->domain;
+  relay_to_domain (experiment, request, instance, domain);
+}
+
 /* Carries out the dispatcher's decisions and sets its timer. */
 static void
 pump (WcExperiment *experiment, uint32_t instance)
@@ -310,7 +341,7 @@
     return;
   if (owner->id == self->id)
     {
-      submit (experiment, request, instance);
+      submit_to_owner (experiment, request, instance);
       return;
     }
   entry->instance = WC_EXPERIMENT_NOWHERE;
--- /dev/null
+++ b/src/emulator/experiment_reports.c
@@ -0,0 +1,79 @@
+#include "emulator/experiment_state.h"
+
+enum
+{
+  REPORT_INTERVAL_US = 100000,
+  FEEDBACK_INTERVAL_US = 5000,
+  REPORT_LIFE_US = 500000,
+  REPORT_BYTES = 80
+};
+
+static void send_report (WcExperiment *experiment, uint32_t instance, uint32_t domain);
+
+void
+wc_experiment_reports_init (WcExperiment *experiment, uint32_t instance)
+{
+  WcExperimentInstance *self = &experiment->instances[instance];
+
+  wc_spill_init (&self->spill, REPORT_LIFE_US);
+  for (uint32_t domain = 0; domain < WC_EXPERIMENT_DOMAINS; domain++)
+    if (domain != self->domain)
+      wc_spill_set_peer (&self->spill, domain + 1, experiment->config->workload->domain_delay_us);
+  wc_experiment_report_timer (experiment, instance);
+}
+
+/* The owner reports to the owners of the other domains. */
+void
+wc_experiment_report_timer (WcExperiment *experiment, uint32_t instance)
+{
+  const WcExperimentInstance *self = &experiment->instances[instance];
+  const WcMember             *owner;
+
+  if (!self->alive)
+    return;
+  owner = wc_ownership_find_owner (self->table, self->domain + 1, WC_EXPERIMENT_SERVICE, 0);
+  for (uint32_t domain = 0; domain < WC_EXPERIMENT_DOMAINS && owner && owner->id == self->id; domain++)
+    if (domain != self->domain)
+      send_report (experiment, instance, domain);
+  wc_experiment_at (experiment, experiment->now_us + REPORT_INTERVAL_US, WC_EXPERIMENT_REPORT_SEND, 0, instance,
+                    (uint32_t)self->incarnation, 0);
+}
+
+/* A request that was passed on is answered with a report, so that the sender learns what its requests have caused. */
+void
+wc_experiment_report_feedback (WcExperiment *experiment, uint32_t instance, uint32_t domain)
+{
+  if (experiment->now_us >= experiment->instances[instance].report_sent_us[domain] + FEEDBACK_INTERVAL_US)
+    send_report (experiment, instance, domain);
+}
+
+void
+wc_experiment_report (WcExperiment *experiment, const WcExperimentEvent *event)
+{
+  WcExperimentInstance *receiver = &experiment->instances[event->place];
+  WcSpillReport         report = { .backlog_us = (int64_t)event->value, .step_us = event->epoch };
+
+  if (receiver->alive)
+    wc_spill_apply (&receiver->spill, experiment->now_us, event->request, &report);
+}
+
+/* local functions */
+
+static void
+send_report (WcExperiment *experiment, uint32_t instance, uint32_t domain)
+{
+  WcExperimentInstance *self = &experiment->instances[instance];
+  const WcMember       *owner = wc_ownership_find_owner (self->table, domain + 1, WC_EXPERIMENT_SERVICE, 0);
+  WcSpillReport         report;
+
+  if (!owner)
+    return;
+  wc_spill_make_report (self->dispatcher, experiment->now_us, &report);
+  self->report_sent_us[domain] = experiment->now_us;
+  experiment->control_bytes += REPORT_BYTES;
+  for (uint32_t i = 0; i < experiment->instance_count; i++)
+    if (experiment->instances[i].id == owner->id)
+      wc_experiment_at (experiment, experiment->now_us + wc_experiment_draw_delay_us (experiment, self->domain, domain),
+                        WC_EXPERIMENT_REPORT, self->domain + 1, i, (uint32_t)report.step_us,
+                        (uint64_t)report.backlog_us);
+}
--- a/src/emulator/experiment_state.h
+++ b/src/emulator/experiment_state.h
@@ -5,6 +5,7 @@
 
 #include <wigeoncart/dispatcher.h>
 #include <wigeoncart/ownership.h>
+#include <wigeoncart/spill.h>
 
 #include "emulator/experiment.h"
 #include "emulator/experiment_events.h"
@@ -61,6 +62,7 @@
   uint8_t             resends;
   bool                crossed;
   bool                spilled;
+  uint8_t             spilled_from;
   bool                sent_to_owner;
   bool                lost;
   WcExperimentVerdict verdict;
@@ -105,6 +107,8 @@
   uint64_t       generation;
   WcDomainShares shares;
   WcDispatcher  *dispatcher;
+  WcSpill        spill;
+  uint64_t       report_sent_us[WC_EXPERIMENT_DOMAINS];
   uint64_t       wake_us;
 } WcExperimentInstance;
 
@@ -178,6 +182,12 @@
   return id >> 16;
 }
 
+/* Load reports between owners: experiment_reports.c */
+void wc_experiment_reports_init (WcExperiment *experiment, uint32_t instance);
+void wc_experiment_report_timer (WcExperiment *experiment, uint32_t instance);
+void wc_experiment_report_feedback (WcExperiment *experiment, uint32_t instance, uint32_t domain);
+void wc_experiment_report (WcExperiment *experiment, const WcExperimentEvent *event);
+
 /* Hosts: experiment_hosts.c */
 void     wc_experiment_hosts_init (WcExperiment *experiment);
 void     wc_experiment_hosts_finish (WcExperiment *experiment);
--- a/src/emulator/experiment_workload.c
+++ b/src/emulator/experiment_workload.c
@@ -55,14 +55,15 @@
 
 static const WcExperimentPolicy POLICIES[] = {
   /* The limit comes first, because the other rows are compared with it. */
-  { "omniscient", NULL, WC_ROUTING_OMNISCIENT, true, false },
-  { "product", "product", WC_ROUTING_OWNER, true, false },
-  { "random", "random", WC_ROUTING_INSTANCE, false, false },
-  { "round-robin", "round-robin", WC_ROUTING_INSTANCE, false, false },
-  { "hash", "hash", WC_ROUTING_INSTANCE, false, false },
-  { "least-outstanding", "least-outstanding", WC_ROUTING_INSTANCE, false, false },
-  { "two-choices", "two-choices", WC_ROUTING_INSTANCE, false, false },
-  { "least-reported", "least-reported", WC_ROUTING_INSTANCE, false, true },
+  { "omniscient", NULL, WC_ROUTING_OMNISCIENT, true, false, false },
+  { "product", "product", WC_ROUTING_OWNER, true, false, true },
+  { "owners-alone", "product", WC_ROUTING_OWNER, true, false, false },
+  { "random", "random", WC_ROUTING_INSTANCE, false, false, false },
+  { "round-robin", "round-robin", WC_ROUTING_INSTANCE, false, false, false },
+  { "hash", "hash", WC_ROUTING_INSTANCE, false, false, false },
+  { "least-outstanding", "least-outstanding", WC_ROUTING_INSTANCE, false, false, false },
+  { "two-choices", "two-choices", WC_ROUTING_INSTANCE, false, false, false },
+  { "least-reported", "least-reported", WC_ROUTING_INSTANCE, false, true, false },
 };
 
 const WcExperimentWorkload *
