Report backlogs to other domains only when they have changed

Cause: a report every 100 ms and after each request that was passed on costs up to 2.9 KB/s per node, most of it without news. Now a report is due when the backlog has changed by more than the delay between domains, checked every 100 ms, or when the last one is half expired (1 s); a request that was passed on is answered with a report only when it has to wait, at most every 50 ms.

--- a/include/wigeoncart/spill.h
+++ b/include/wigeoncart/spill.h
@@ -44,9 +44,11 @@
  */
 typedef struct
 {
-  WcSpillPeer peers[WC_SPILL_MAX_DOMAINS];
-  size_t      count;
-  uint64_t    report_life_us;
+  WcSpillPeer   peers[WC_SPILL_MAX_DOMAINS];
+  size_t        count;
+  uint64_t      report_life_us;
+  uint64_t      sent_us;
+  WcSpillReport sent;
 } WcSpill;
 
 /** wc_spill_init() - @report_life_us: age at which a report is no longer used. */
@@ -68,4 +70,12 @@
 /** wc_spill_make_report() - report on an owner's own dispatcher. */
 void wc_spill_make_report (const WcDispatcher *dispatcher, uint64_t now_us, WcSpillReport *report);
 
+/**
+ * wc_spill_is_report_due() - whether @report, made now, is worth sending to the other domains.
+ *
+ * It is when the last one sent is about to expire there, or when a choice based on that one may turn out wrong by
+ * more than the delay to the nearest domain. Return: true, and @report counts as sent.
+ */
+bool wc_spill_is_report_due (WcSpill *spill, uint64_t now_us, const WcSpillReport *report);
+
 #endif
--- a/src/core/spill.c
+++ b/src/core/spill.c
@@ -1,7 +1,14 @@
 #include <wigeoncart/spill.h>
 
 #include <assert.h>
+#include <stdlib.h>
 
+enum
+{
+  SPARE_STEPS = 2
+};
+
+static int64_t      relevant_backlog (const WcSpillReport *report);
 static WcSpillPeer *find_peer (WcSpill *spill, uint32_t domain);
 
 void
@@ -90,8 +97,37 @@
     report->backlog_us = INT64_MAX / 2;
 }
 
+bool
+wc_spill_is_report_due (WcSpill *spill, uint64_t now_us, const WcSpillReport *report)
+{
+  uint64_t threshold_us = UINT64_MAX;
+  int64_t  change_us;
+
+  assert (spill != NULL);
+  assert (report != NULL);
+
+  for (size_t i = 0; i < spill->count; i++)
+    threshold_us = MIN (threshold_us, spill->peers[i].delay_us);
+  change_us = relevant_backlog (report) - relevant_backlog (&spill->sent);
+  if (spill->sent_us != 0 && now_us - spill->sent_us < spill->report_life_us / 2 &&
+      (uint64_t)llabs (change_us) <= threshold_us)
+    return false;
+  spill->sent_us = now_us;
+  spill->sent = *report;
+  return true;
+}
+
 /* local functions */
 
+/* How much capacity is left beyond a few slots makes no difference to the others' choice. */
+static int64_t
+relevant_backlog (const WcSpillReport *report)
+{
+  int64_t floor_us = -SPARE_STEPS * (int64_t)report->step_us;
+
+  return report->backlog_us > floor_us ? report->backlog_us : floor_us;
+}
+
 static WcSpillPeer *
 find_peer (WcSpill *spill, uint32_t domain)
 {
--- a/src/emulator/experiment_reports.c
+++ b/src/emulator/experiment_reports.c
@@ -2,9 +2,9 @@
 
 enum
 {
-  REPORT_INTERVAL_US = 100000,
-  FEEDBACK_INTERVAL_US = 5000,
-  REPORT_LIFE_US = 500000,
+  REPORT_CHECK_US = 100000,
+  FEEDBACK_INTERVAL_US = 50000,
+  REPORT_LIFE_US = 1000000,
   REPORT_BYTES = 80
 };
 
@@ -26,24 +26,31 @@
 void
 wc_experiment_report_timer (WcExperiment *experiment, uint32_t instance)
 {
-  const WcExperimentInstance *self = &experiment->instances[instance];
-  const WcMember             *owner;
+  WcExperimentInstance *self = &experiment->instances[instance];
+  const WcMember       *owner;
+  WcSpillReport         report;
 
   if (!self->alive)
     return;
   owner = wc_ownership_find_owner (self->table, self->domain + 1, WC_EXPERIMENT_SERVICE, 0);
-  for (uint32_t domain = 0; domain < WC_EXPERIMENT_DOMAINS && owner && owner->id == self->id; domain++)
-    if (domain != self->domain)
-      send_report (experiment, instance, domain);
-  wc_experiment_at (experiment, experiment->now_us + REPORT_INTERVAL_US, WC_EXPERIMENT_REPORT_SEND, 0, instance,
+  wc_spill_make_report (self->dispatcher, experiment->now_us, &report);
+  if (owner && owner->id == self->id && wc_spill_is_report_due (&self->spill, experiment->now_us, &report))
+    for (uint32_t domain = 0; domain < WC_EXPERIMENT_DOMAINS; domain++)
+      if (domain != self->domain)
+        send_report (experiment, instance, domain);
+  wc_experiment_at (experiment, experiment->now_us + REPORT_CHECK_US, WC_EXPERIMENT_REPORT_SEND, 0, instance,
                     (uint32_t)self->incarnation, 0);
 }
 
-/* A request that was passed on is answered with a report, so that the sender learns what its requests have caused. */
+/* A request that was passed on and has to wait is answered with a report, so that no more follow it. */
 void
 wc_experiment_report_feedback (WcExperiment *experiment, uint32_t instance, uint32_t domain)
 {
-  if (experiment->now_us >= experiment->instances[instance].report_sent_us[domain] + FEEDBACK_INTERVAL_US)
+  WcExperimentInstance *self = &experiment->instances[instance];
+  WcSpillReport         report;
+
+  wc_spill_make_report (self->dispatcher, experiment->now_us, &report);
+  if (report.backlog_us > 0 && experiment->now_us >= self->report_sent_us[domain] + FEEDBACK_INTERVAL_US)
     send_report (experiment, instance, domain);
 }
 
--- a/tests/test_spill.c
+++ b/tests/test_spill.c
@@ -107,6 +107,27 @@
 }
 END_TEST
 
+/* Guards against control traffic without news, and against owners that choose by figures that have changed. */
+START_TEST (test_report_due)
+{
+  WcSpill       spill;
+  WcSpillReport report = { .backlog_us = -5 * STEP_US, .step_us = STEP_US };
+
+  init_two_peers (&spill);
+  ck_assert (wc_spill_is_report_due (&spill, 1, &report));
+  ck_assert (!wc_spill_is_report_due (&spill, 2, &report));
+  /* More than two spare slots are as good as two. */
+  report.backlog_us = -2 * STEP_US;
+  ck_assert (!wc_spill_is_report_due (&spill, 3, &report));
+  report.backlog_us = -2 * STEP_US + DELAY_US;
+  ck_assert (!wc_spill_is_report_due (&spill, 4, &report));
+  report.backlog_us++;
+  ck_assert (wc_spill_is_report_due (&spill, 5, &report));
+  ck_assert (!wc_spill_is_report_due (&spill, 4 + LIFE_US / 2, &report));
+  ck_assert (wc_spill_is_report_due (&spill, 5 + LIFE_US / 2, &report));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -116,5 +137,6 @@
   tcase_add_test (cases, test_only_when_faster);
   tcase_add_test (cases, test_counts_own_requests);
   tcase_add_test (cases, test_report);
+  tcase_add_test (cases, test_report_due);
   return run_cases ("spill", cases);
 }
