Keep the time of a long run before the deadline of an order

A request marked once is now started only with the 99th percentile of the run times left (estimated on line), at most half of its time; others keep the mean. A request is always tried when nothing is in progress, because run times that are too long would otherwise never be measured again.

--- a/include/wigeoncart/dispatcher.h
+++ b/include/wigeoncart/dispatcher.h
@@ -55,6 +55,8 @@
  * @preferred_target: target of the flow's token, 0 for none.
  * @worth: value to its customer if delivered once and on time.
  * @attempts: attempts made so far; more than 0 draws on the retry budget.
+ * @once: not idempotent; started only with time left for a long run, because one that is stopped at its deadline ends
+ * with an unknown outcome.
  */
 typedef struct
 {
@@ -64,6 +66,7 @@
   uint32_t preferred_target;
   uint32_t attempts;
   uint32_t flow_hash;
+  bool     once;
 } WcDispatchRequest;
 
 /** struct WcDispatchDecision - one step to take: dispatch @request to @target, or refuse it when @refusal is set. */
--- a/src/core/dispatcher.c
+++ b/src/core/dispatcher.c
@@ -38,10 +38,10 @@
   GArray *candidate_states;
 };
 
-static bool has_target (const WcDispatcher *dispatcher);
-static bool is_too_late (const WcDispatcher *dispatcher, uint64_t now_us, uint64_t wait_us, uint64_t deadline_us);
-static bool refuse_one (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision);
-static void collect_candidates (WcDispatcher *dispatcher, uint64_t now_us, bool open_only);
+static bool     has_target (const WcDispatcher *dispatcher);
+static uint64_t get_latest_start (const WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
+static bool     refuse_one (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision);
+static void     collect_candidates (WcDispatcher *dispatcher, uint64_t now_us, bool open_only);
 static WcTargetState *choose_target (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
 
 WcDispatcher *
@@ -90,6 +90,7 @@
 wc_dispatcher_submit (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request)
 {
   const WcDispatchRequest *worst;
+  uint64_t                 latest_start_us;
 
   assert (dispatcher != NULL);
   assert (request != NULL);
@@ -98,12 +99,12 @@
     wc_retry_budget_earn (&dispatcher->budget);
   if (!has_target (dispatcher))
     return WC_REFUSAL_NO_TARGET;
-  if (is_too_late (dispatcher, now_us, wc_dispatcher_get_expected_wait_us (dispatcher, now_us, request->worth),
-                   request->deadline_us))
+  latest_start_us = get_latest_start (dispatcher, now_us, request);
+  if (now_us + wc_dispatcher_get_expected_wait_us (dispatcher, now_us, request->worth) >= latest_start_us)
     return WC_REFUSAL_TOO_LATE;
   if (request->attempts > 0 && !wc_retry_budget_spend (&dispatcher->budget, now_us))
     return WC_REFUSAL_RETRY_BUDGET;
-  if (wc_request_queue_push (dispatcher->queue, request))
+  if (wc_request_queue_push (dispatcher->queue, request, latest_start_us))
     return WC_REFUSAL_NONE;
 
   worst = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_WORST);
@@ -111,7 +112,7 @@
     return WC_REFUSAL_QUEUE_FULL;
   dispatcher->evicted[dispatcher->evicted_count++] = worst->request;
   wc_request_queue_pop (dispatcher->queue, WC_QUEUE_WORST);
-  wc_request_queue_push (dispatcher->queue, request);
+  wc_request_queue_push (dispatcher->queue, request, latest_start_us);
   return WC_REFUSAL_NONE;
 }
 
@@ -226,17 +227,15 @@
 uint64_t
 wc_dispatcher_get_wake_us (const WcDispatcher *dispatcher)
 {
-  const WcDispatchRequest *first;
-  uint64_t                 wake_us;
+  uint64_t wake_us;
 
   assert (dispatcher != NULL);
 
   if (dispatcher->evicted_count > 0)
     return 0;
-  first = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_DEADLINE);
-  if (!first)
+  wake_us = wc_request_queue_get_earliest_start (dispatcher->queue);
+  if (wake_us == UINT64_MAX)
     return UINT64_MAX;
-  wake_us = first->deadline_us - MIN (first->deadline_us, dispatcher->targets.run_us);
   for (guint i = 0; i < dispatcher->targets.states->len; i++)
     {
       const WcTargetState *state = &g_array_index (dispatcher->targets.states, WcTargetState, i);
@@ -257,10 +256,22 @@
   return false;
 }
 
-static bool
-is_too_late (const WcDispatcher *dispatcher, uint64_t now_us, uint64_t wait_us, uint64_t deadline_us)
+/* When it becomes too late to start a request: when less than a mean run time is left. A request that must not be
+ * repeated keeps the time of a long run, because stopping it leaves an unknown outcome, though never more than half of
+ * what is left: a deadline that is short for the mix of requests would otherwise never be accepted. */
+static uint64_t
+get_latest_start (const WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request)
 {
-  return now_us + wait_us + dispatcher->targets.run_us >= deadline_us;
+  uint64_t deadline_us = request->deadline_us;
+  uint64_t margin_us = dispatcher->targets.run_us;
+
+  /* With nothing in progress the run times cannot be measured again, so a request is tried. Without late binding the
+   * targets' own queues are part of the measured times, which say nothing about a run. */
+  if (dispatcher->targets.outstanding == 0 || !dispatcher->config.late_binding)
+    return deadline_us;
+  if (request->once)
+    margin_us = MAX (margin_us, MIN (dispatcher->targets.long_run_us, (deadline_us - MIN (deadline_us, now_us)) / 2));
+  return deadline_us - MIN (deadline_us, margin_us);
 }
 
 /* Reports evicted requests and queued ones that can no longer be run in time. */
@@ -276,17 +287,17 @@
                                         .refusal = WC_REFUSAL_LOW_WORTH };
       return true;
     }
-  first = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_DEADLINE);
+  first = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_START);
   if (!first)
     return false;
   if (!has_target (dispatcher))
     refusal = WC_REFUSAL_NO_TARGET;
-  else if (is_too_late (dispatcher, now_us, 0, first->deadline_us))
+  else if (now_us >= wc_request_queue_get_earliest_start (dispatcher->queue))
     refusal = WC_REFUSAL_TOO_LATE;
   if (refusal == WC_REFUSAL_NONE)
     return false;
   *decision = (WcDispatchDecision){ .request = first->request, .refusal = refusal };
-  wc_request_queue_pop (dispatcher->queue, WC_QUEUE_DEADLINE);
+  wc_request_queue_pop (dispatcher->queue, WC_QUEUE_START);
   return true;
 }
 
--- a/src/core/request_queue.c
+++ b/src/core/request_queue.c
@@ -11,6 +11,7 @@
 typedef struct
 {
   WcDispatchRequest request;
+  uint64_t          latest_start_us;
   uint64_t          sequence;
   uint32_t          position[WC_QUEUE_ORDER_COUNT];
 } Entry;
@@ -69,7 +70,7 @@
 }
 
 bool
-wc_request_queue_push (WcRequestQueue *queue, const WcDispatchRequest *request)
+wc_request_queue_push (WcRequestQueue *queue, const WcDispatchRequest *request, uint64_t latest_start_us)
 {
   uint32_t index;
   Entry   *entry;
@@ -83,6 +84,7 @@
   index = queue->free_entries[queue->capacity - 1 - queue->length];
   entry = &queue->entries[index];
   entry->request = *request;
+  entry->latest_start_us = latest_start_us;
   entry->sequence = queue->sequence++;
   queue->length++;
   queue->class_counts[worth_class (request->worth)]++;
@@ -103,6 +105,14 @@
   return queue->length > 0 ? &queue->entries[queue->heaps[order][0]].request : NULL;
 }
 
+uint64_t
+wc_request_queue_get_earliest_start (const WcRequestQueue *queue)
+{
+  assert (queue != NULL);
+
+  return queue->length > 0 ? queue->entries[queue->heaps[WC_QUEUE_START][0]].latest_start_us : UINT64_MAX;
+}
+
 void
 wc_request_queue_pop (WcRequestQueue *queue, WcQueueOrder order)
 {
@@ -168,9 +178,9 @@
 static bool
 comes_first (const Entry *a, const Entry *b, WcQueueOrder order)
 {
-  if (order == WC_QUEUE_DEADLINE && a->request.deadline_us != b->request.deadline_us)
-    return a->request.deadline_us < b->request.deadline_us;
-  if (order == WC_QUEUE_DEADLINE)
+  if (order == WC_QUEUE_START && a->latest_start_us != b->latest_start_us)
+    return a->latest_start_us < b->latest_start_us;
+  if (order == WC_QUEUE_START)
     return a->sequence < b->sequence;
   if (order == WC_QUEUE_WORST)
     {
--- a/src/core/request_queue.h
+++ b/src/core/request_queue.h
@@ -7,13 +7,13 @@
  * enum WcQueueOrder - orders in which the queue can be read.
  * @WC_QUEUE_BEST: highest worth first, then earliest deadline, then first in.
  * @WC_QUEUE_WORST: the reverse of BEST.
- * @WC_QUEUE_DEADLINE: earliest deadline first, then first in.
+ * @WC_QUEUE_START: earliest latest start first, then first in.
  */
 typedef enum
 {
   WC_QUEUE_BEST = 0,
   WC_QUEUE_WORST,
-  WC_QUEUE_DEADLINE,
+  WC_QUEUE_START,
   WC_QUEUE_ORDER_COUNT
 } WcQueueOrder;
 
@@ -23,8 +23,11 @@
 WcRequestQueue *wc_request_queue_new (uint32_t capacity);
 void            wc_request_queue_delete (WcRequestQueue *queue);
 
-/** wc_request_queue_push() - false when the queue is full. */
-bool wc_request_queue_push (WcRequestQueue *queue, const WcDispatchRequest *request);
+/** wc_request_queue_push() - false when the queue is full. @latest_start_us: when it is too late to run it. */
+bool wc_request_queue_push (WcRequestQueue *queue, const WcDispatchRequest *request, uint64_t latest_start_us);
+
+/** wc_request_queue_get_earliest_start() - when the first request becomes too late; UINT64_MAX when empty. */
+uint64_t wc_request_queue_get_earliest_start (const WcRequestQueue *queue);
 
 /** wc_request_queue_peek() - first request in @order, NULL when empty; valid until the queue changes. */
 const WcDispatchRequest *wc_request_queue_peek (const WcRequestQueue *queue, WcQueueOrder order);
--- a/src/core/target_set.c
+++ b/src/core/target_set.c
@@ -13,12 +13,15 @@
   MAX_DECAY_STEPS = 64,
   /* The backoff doubles at most 5 times. */
   MAX_BACKOFF_SHIFT = 5,
-  RAMP_MIN_PERCENT = 10
+  RAMP_MIN_PERCENT = 10,
+  LONG_RUN_PERCENT = 99,
+  LONG_RUN_STEP_DIVISOR = 16
 };
 
 static void     add_target (WcTargetSet *set, uint64_t now_us, const WcDispatchTarget *target, bool ramp);
 static void     drop_unused (WcTargetSet *set);
 static uint64_t average (uint64_t mean, uint64_t sample, int shift);
+static void     update_long_run (WcTargetSet *set, uint64_t run_us);
 static uint64_t mean_work (const WcTargetSet *set, uint64_t now_us, uint32_t weight);
 static uint32_t ramp_percent (const WcTargetState *state, uint64_t now_us);
 static uint32_t full_limit (const WcTargetState *state);
@@ -30,6 +33,8 @@
 
   set->states = g_array_sized_new (FALSE, TRUE, sizeof (WcTargetState), 32);
   set->run_us = 0;
+  set->long_run_us = 0;
+  set->outstanding = 0;
   set->decay_us = 0;
 }
 
@@ -87,6 +92,7 @@
   assert (state != NULL);
 
   state->outstanding++;
+  set->outstanding++;
   state->dispatched++;
   state->charged_us += set->run_us;
 }
@@ -106,6 +112,7 @@
   charge = state->charged_us / state->outstanding;
   state->charged_us -= charge;
   state->outstanding--;
+  set->outstanding--;
   switch (outcome)
     {
     case WC_OUTCOME_DONE:
@@ -115,6 +122,7 @@
         {
           state->run_us = average (state->run_us, run_us, TARGET_AVERAGE_SHIFT);
           set->run_us = average (set->run_us, run_us, SET_AVERAGE_SHIFT);
+          update_long_run (set, run_us);
         }
       break;
     /* A failure closes the slots too: a dead target fails fast and would otherwise attract all requests. */
@@ -234,6 +242,21 @@
   return mean + (sample >> shift) - (mean >> shift);
 }
 
+/* Moves the estimate up by 99 parts for a longer run and down by 1 part for a shorter one, so that it settles where 1
+ * run in 100 is longer. A part is 1/1600 of the mean run time. */
+static void
+update_long_run (WcTargetSet *set, uint64_t run_us)
+{
+  uint64_t step_us = set->run_us / LONG_RUN_STEP_DIVISOR;
+
+  if (set->long_run_us == 0)
+    set->long_run_us = run_us;
+  else if (run_us > set->long_run_us)
+    set->long_run_us += step_us * LONG_RUN_PERCENT / 100;
+  else
+    set->long_run_us -= MIN (set->long_run_us, step_us * (100 - LONG_RUN_PERCENT) / 100);
+}
+
 static uint64_t
 mean_work (const WcTargetSet *set, uint64_t now_us, uint32_t weight)
 {
--- a/src/core/target_set.h
+++ b/src/core/target_set.h
@@ -29,11 +29,18 @@
   uint64_t         done_us;
 } WcTargetState;
 
-/** struct WcTargetSet - targets of a dispatcher. */
+/**
+ * struct WcTargetSet - targets of a dispatcher.
+ * @run_us: mean run time.
+ * @long_run_us: run time that few attempts exceed.
+ * @outstanding: attempts on all targets.
+ */
 typedef struct
 {
   GArray  *states;
   uint64_t run_us;
+  uint64_t long_run_us;
+  uint32_t outstanding;
   uint64_t decay_us;
 } WcTargetSet;
 
--- a/src/emulator/experiment_fleet.c
+++ b/src/emulator/experiment_fleet.c
@@ -245,7 +245,8 @@
                                      .deadline_us = entry->deadline_us,
                                      .worth = entry->worth,
                                      .attempts = entry->attempts,
-                                     .flow_hash = (uint32_t)wc_mix64 (entry->flow) };
+                                     .flow_hash = (uint32_t)wc_mix64 (entry->flow),
+                                     .once = !experiment->config->workload->classes[entry->class].idempotent };
   WcRefusal            refusal;
 
   /* The nearest-first policy gets the domain that the request came from. */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -211,6 +211,44 @@
 }
 END_TEST
 
+/* Guards against orders that are stopped at their deadline with an unknown outcome, and against the same caution where
+ * a repetition does no harm. */
+START_TEST (test_late_order)
+{
+  WcDispatchRequest order = { .request = 1, .worth = 1, .deadline_us = 15000, .once = true };
+  WcDispatchRequest view = { .request = 2, .worth = 1, .deadline_us = 15000 };
+
+  occupy_one_target (0);
+  /* One run in 10 takes 9 times as long. */
+  for (uint64_t request = 1000; request < 4000; request++)
+    {
+      wc_dispatcher_end (dispatcher, 0, 1, WC_OUTCOME_DONE, request % 10 == 0 ? 9000 : 1000);
+      ck_assert_int_eq (submit (0, request, 1, FAR_US, 0), WC_REFUSAL_NONE);
+      expect_dispatch (0, request);
+    }
+  ck_assert_int_eq (wc_dispatcher_submit (dispatcher, 0, &order), WC_REFUSAL_NONE);
+  ck_assert_int_eq (wc_dispatcher_submit (dispatcher, 0, &view), WC_REFUSAL_NONE);
+  /* The long run takes more than half of the time left, so half is kept. */
+  expect_nothing (7499);
+  expect_refusal (7500, 1, WC_REFUSAL_TOO_LATE);
+  expect_nothing (12000);
+  expect_refusal (14000, 2, WC_REFUSAL_TOO_LATE);
+}
+END_TEST
+
+/* Guards against a dispatcher that refuses everything for good after run times that were too long: without attempts
+ * they are never measured again. */
+START_TEST (test_long_runs_are_forgotten)
+{
+  occupy_one_target (0);
+  for (int i = 0; i < 2; i++)
+    wc_dispatcher_end (dispatcher, 0, 1, WC_OUTCOME_DONE, 50000);
+  ck_assert_int_eq (submit (0, 1, 1, 1000, 0), WC_REFUSAL_NONE);
+  expect_dispatch (0, 1);
+  ck_assert_int_eq (submit (0, 2, 1, 1000, 0), WC_REFUSAL_TOO_LATE);
+}
+END_TEST
+
 /* Guards against urgent requests that wait behind those of less worth. */
 START_TEST (test_worth_order)
 {
@@ -437,6 +475,8 @@
   tcase_add_test (cases, test_removed_and_added_again);
   tcase_add_test (cases, test_end_of_unknown_target);
   tcase_add_test (cases, test_refused_early);
+  tcase_add_test (cases, test_late_order);
+  tcase_add_test (cases, test_long_runs_are_forgotten);
   tcase_add_test (cases, test_worth_order);
   tcase_add_test (cases, test_full_queue);
   tcase_add_test (cases, test_retry_budget);
