Serve the queue in order of arrival unless a request may become late

The order by worth now applies while twice the time to empty the queue exceeds the time to the earliest latest start.

The random operations moved to test_request_queue, which checks all four orders.

--- a/src/core/dispatcher.c
+++ b/src/core/dispatcher.c
@@ -11,6 +11,8 @@
   /* Requests that were evicted and not yet reported; the caller is expected to call wc_dispatcher_next() after each
    * submit. */
   MAX_EVICTED = 16,
+  /* Estimates of the time to empty the queue are off by about this factor at times. */
+  OVERLOAD_FACTOR = 2,
   /* A preferred target may have 1/8 more recent work than the mean of the free ones. */
   PREFERENCE_EXCESS_DIVISOR = 8
 };
@@ -40,6 +42,7 @@
 
 static bool     has_target (const WcDispatcher *dispatcher);
 static uint64_t get_latest_start (const WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
+static bool     is_overloaded (const WcDispatcher *dispatcher, uint64_t now_us);
 static bool     refuse_one (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision);
 static void     collect_candidates (WcDispatcher *dispatcher, uint64_t now_us, bool open_only);
 static WcTargetState *choose_target (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
@@ -121,6 +124,7 @@
 {
   const WcDispatchRequest *best;
   WcTargetState           *state;
+  WcQueueOrder             order;
 
   assert (dispatcher != NULL);
   assert (decision != NULL);
@@ -129,7 +133,8 @@
   wc_target_set_tick (&dispatcher->targets, now_us);
   if (refuse_one (dispatcher, now_us, decision))
     return true;
-  best = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_BEST);
+  order = is_overloaded (dispatcher, now_us) ? WC_QUEUE_BEST : WC_QUEUE_ARRIVAL;
+  best = wc_request_queue_peek (dispatcher->queue, order);
   if (!best)
     return false;
   state = choose_target (dispatcher, now_us, best);
@@ -137,7 +142,7 @@
     return false;
   *decision = (WcDispatchDecision){ .request = best->request, .target = state->target.id };
   wc_target_set_start (&dispatcher->targets, state);
-  wc_request_queue_pop (dispatcher->queue, WC_QUEUE_BEST);
+  wc_request_queue_pop (dispatcher->queue, order);
   return true;
 }
 
@@ -173,7 +178,7 @@
   assert (dispatcher != NULL);
 
   wc_dispatcher_get_load (dispatcher, now_us, &load);
-  ahead = wc_request_queue_count_ahead (dispatcher->queue, worth);
+  ahead = is_overloaded (dispatcher, now_us) ? wc_request_queue_count_ahead (dispatcher->queue, worth) : load.queued;
   if (load.open == 0 || ahead < load.free)
     return 0;
   return (ahead - load.free + 1) * load.run_us / load.open;
@@ -274,6 +279,20 @@
   return deadline_us - MIN (deadline_us, margin_us);
 }
 
+/* Whether serving the queue in order of arrival might let a request become too late. As long as it does not, that order
+ * keeps the longest wait short; an order by worth would let the requests of little worth wait for no gain. */
+static bool
+is_overloaded (const WcDispatcher *dispatcher, uint64_t now_us)
+{
+  uint64_t       start_us = wc_request_queue_get_earliest_start (dispatcher->queue);
+  WcDispatchLoad load;
+
+  if (start_us == UINT64_MAX)
+    return false;
+  wc_dispatcher_get_load (dispatcher, now_us, &load);
+  return load.open == 0 || now_us + OVERLOAD_FACTOR * load.queued * load.run_us / load.open >= start_us;
+}
+
 /* Reports evicted requests and queued ones that can no longer be run in time. */
 static bool
 refuse_one (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision)
--- a/src/core/request_queue.c
+++ b/src/core/request_queue.c
@@ -180,7 +180,7 @@
 {
   if (order == WC_QUEUE_START && a->latest_start_us != b->latest_start_us)
     return a->latest_start_us < b->latest_start_us;
-  if (order == WC_QUEUE_START)
+  if (order == WC_QUEUE_START || order == WC_QUEUE_ARRIVAL)
     return a->sequence < b->sequence;
   if (order == WC_QUEUE_WORST)
     {
--- a/src/core/request_queue.h
+++ b/src/core/request_queue.h
@@ -7,6 +7,7 @@
  * enum WcQueueOrder - orders in which the queue can be read.
  * @WC_QUEUE_BEST: highest worth first, then earliest deadline, then first in.
  * @WC_QUEUE_WORST: the reverse of BEST.
+ * @WC_QUEUE_ARRIVAL: first in first.
  * @WC_QUEUE_START: earliest latest start first, then first in.
  */
 typedef enum
@@ -14,10 +15,11 @@
   WC_QUEUE_BEST = 0,
   WC_QUEUE_WORST,
   WC_QUEUE_START,
+  WC_QUEUE_ARRIVAL,
   WC_QUEUE_ORDER_COUNT
 } WcQueueOrder;
 
-/** struct WcRequestQueue - bounded queue, readable in three orders; allocates only in _new(). */
+/** struct WcRequestQueue - bounded queue, readable in four orders; allocates only in _new(). */
 typedef struct WcRequestQueue WcRequestQueue;
 
 WcRequestQueue *wc_request_queue_new (uint32_t capacity);
--- /dev/null
+++ b/tests/test_request_queue.c
@@ -0,0 +1,148 @@
+#include "core/request_queue.h"
+
+#include "check_main.h"
+
+enum
+{
+  CAPACITY = 32
+};
+
+typedef struct
+{
+  WcDispatchRequest request;
+  uint64_t          latest_start_us;
+} Entry;
+
+static Entry  entries[CAPACITY];
+static size_t length;
+
+/* Whether @a is read before @b, where @a arrived first. */
+static bool
+comes_first (const Entry *a, const Entry *b, WcQueueOrder order)
+{
+  switch (order)
+    {
+    case WC_QUEUE_BEST:
+      if (a->request.worth != b->request.worth)
+        return a->request.worth > b->request.worth;
+      return a->request.deadline_us <= b->request.deadline_us;
+    case WC_QUEUE_WORST:
+      if (a->request.worth != b->request.worth)
+        return a->request.worth < b->request.worth;
+      return a->request.deadline_us > b->request.deadline_us;
+    case WC_QUEUE_START:
+      return a->latest_start_us <= b->latest_start_us;
+    default:
+      return true;
+    }
+}
+
+/* The list keeps the order of arrival, so a later entry only wins when it is strictly ahead. */
+static size_t
+find_first (WcQueueOrder order)
+{
+  size_t first = 0;
+
+  for (size_t i = 1; i < length; i++)
+    if (!comes_first (&entries[first], &entries[i], order))
+      first = i;
+  return first;
+}
+
+static void
+drop (size_t index)
+{
+  length--;
+  for (size_t i = index; i < length; i++)
+    entries[i] = entries[i + 1];
+}
+
+static void
+check_all (const WcRequestQueue *queue)
+{
+  uint64_t start_us = UINT64_MAX;
+
+  ck_assert_uint_eq (wc_request_queue_get_length (queue), length);
+  for (int order = 0; order < WC_QUEUE_ORDER_COUNT; order++)
+    if (length == 0)
+      ck_assert_ptr_null (wc_request_queue_peek (queue, order));
+    else
+      ck_assert_uint_eq (wc_request_queue_peek (queue, order)->request, entries[find_first (order)].request.request);
+  if (length > 0)
+    start_us = entries[find_first (WC_QUEUE_START)].latest_start_us;
+  ck_assert_uint_eq (wc_request_queue_get_earliest_start (queue), start_us);
+}
+
+/* Guards against heaps that lose track of entries: random operations against a plain list, in all orders. */
+START_TEST (test_random_operations)
+{
+  GRand          *random = g_rand_new_with_seed ((guint32)_i + 1);
+  WcRequestQueue *queue = wc_request_queue_new (CAPACITY);
+  uint64_t        next_request = 1;
+
+  length = 0;
+  for (int step = 0; step < 5000; step++)
+    {
+      gint32 action = g_rand_int_range (random, 0, 10);
+
+      if (action < 5)
+        {
+          Entry entry = { .request = { .request = next_request++,
+                                       .worth = (uint32_t)g_rand_int_range (random, 0, 4),
+                                       .deadline_us = (uint64_t)g_rand_int_range (random, 0, 10) },
+                          .latest_start_us = (uint64_t)g_rand_int_range (random, 0, 10) };
+          bool  pushed = wc_request_queue_push (queue, &entry.request, entry.latest_start_us);
+
+          ck_assert (pushed == (length < CAPACITY));
+          if (pushed)
+            entries[length++] = entry;
+        }
+      else if (length == 0)
+        ck_assert (!wc_request_queue_remove (queue, next_request));
+      else if (action < 7)
+        {
+          size_t index = (size_t)g_rand_int_range (random, 0, (gint32)length);
+
+          ck_assert (wc_request_queue_remove (queue, entries[index].request.request));
+          ck_assert (!wc_request_queue_remove (queue, entries[index].request.request));
+          drop (index);
+        }
+      else
+        {
+          WcQueueOrder order = (WcQueueOrder)g_rand_int_range (random, 0, WC_QUEUE_ORDER_COUNT);
+
+          drop (find_first (order));
+          wc_request_queue_pop (queue, order);
+        }
+      check_all (queue);
+    }
+  wc_request_queue_delete (queue);
+  g_rand_free (random);
+}
+END_TEST
+
+/* Guards against an estimate that counts cheap requests as an obstacle to valuable ones. */
+START_TEST (test_count_ahead)
+{
+  WcRequestQueue *queue = wc_request_queue_new (CAPACITY);
+
+  for (uint64_t i = 1; i <= 10; i++)
+    wc_request_queue_push (queue, &(WcDispatchRequest){ .request = i, .worth = i <= 4 ? 1 : 8 }, 0);
+  ck_assert_uint_eq (wc_request_queue_count_ahead (queue, 0), 10);
+  ck_assert_uint_eq (wc_request_queue_count_ahead (queue, 1), 10);
+  ck_assert_uint_eq (wc_request_queue_count_ahead (queue, 2), 6);
+  ck_assert_uint_eq (wc_request_queue_count_ahead (queue, 8), 6);
+  ck_assert_uint_eq (wc_request_queue_count_ahead (queue, UINT32_MAX), 0);
+  wc_request_queue_delete (queue);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *cases = tcase_create ("request_queue");
+
+  tcase_add_loop_test (cases, test_random_operations, 0, 5);
+  tcase_add_test (cases, test_count_ahead);
+  return run_cases ("request_queue", cases);
+}
