--- a/src/emulator/experiment.h
+++ b/src/emulator/experiment.h
@@ -56,12 +56,14 @@
  * enum WcExperimentRouting - where a request is queued.
  * @WC_ROUTING_INSTANCE: at the instance that it reached; all targets are candidates.
  * @WC_ROUTING_OWNER: at the owner of (service, domain).
+ * @WC_ROUTING_ONE_OWNER: at one owner that has the targets of all domains.
  * @WC_ROUTING_OMNISCIENT: in one queue that knows all slots without delay.
  */
 typedef enum
 {
   WC_ROUTING_INSTANCE = 0,
   WC_ROUTING_OWNER,
+  WC_ROUTING_ONE_OWNER,
   WC_ROUTING_OMNISCIENT
 } WcExperimentRouting;
 
@@ -69,6 +71,7 @@
  * struct WcExperimentPolicy - what is compared.
  * @choice: name of the core policy.
  * @spills: owners pass requests on to other domains.
+ * @sessions: a request goes to the domain that answered its flow last, and prefers the target that did.
  * @polls_load: reads the load endpoints of the targets.
  */
 typedef struct
@@ -79,6 +82,7 @@
   bool                late_binding;
   bool                polls_load;
   bool                spills;
+  bool                sessions;
 } WcExperimentPolicy;
 
 /**
--- a/src/emulator/experiment_fleet.c
+++ b/src/emulator/experiment_fleet.c
@@ -41,7 +41,7 @@
   for (uint32_t i = 0; i < experiment->instance_count; i++)
     {
       new_dispatcher (experiment, i);
-      if (experiment->config->policy->routing == WC_ROUTING_OWNER)
+      if (wc_experiment_has_owners (experiment))
         wc_experiment_views_init (experiment, i);
       if (experiment->config->policy->spills)
         wc_experiment_reports_init (experiment, i);
@@ -63,8 +63,10 @@
 void
 wc_experiment_ingress (WcExperiment *experiment, uint32_t request, uint32_t instance)
 {
-  WcExperimentRequest  *entry = &experiment->requests[request];
-  WcExperimentInstance *self = &experiment->instances[instance];
+  WcExperimentRequest    *entry = &experiment->requests[request];
+  WcExperimentInstance   *self = &experiment->instances[instance];
+  const WcExperimentFlow *flow;
+  uint32_t                domain;
 
   if (!self->alive)
     return;
@@ -79,9 +81,16 @@
     case WC_ROUTING_OMNISCIENT:
       submit (experiment, request, 0);
       break;
+    case WC_ROUTING_ONE_OWNER:
+      relay_to_domain (experiment, request, instance, 1);
+      break;
     default:
-      relay_to_domain (experiment, request, instance,
-                       wc_ownership_shares_pick (&self->shares, self->domain + 1, g_rand_int (experiment->choices)));
+      flow = &experiment->flows[entry->flow];
+      domain = wc_ownership_shares_pick (&self->shares, self->domain + 1, g_rand_int (experiment->choices));
+      /* A resent request goes to the local owner, because that of the flow may have failed. */
+      if (experiment->config->policy->sessions && flow->domain != 0 && entry->resends == 0)
+        domain = flow->domain;
+      relay_to_domain (experiment, request, instance, domain);
       break;
     }
 }
@@ -111,6 +120,8 @@
     {
     case WC_OUTCOME_DONE:
       wc_experiment_answer (experiment, request, WC_VERDICT_DONE);
+      experiment->flows[entry->flow] =
+          (WcExperimentFlow){ experiment->instances[instance].domain + 1, experiment->hosts[host].id };
       if (experiment->config->policy->routing == WC_ROUTING_OMNISCIENT)
         entry->end_us += entry->travel_us + wc_experiment_draw_delay_us (experiment, experiment->hosts[host].domain,
                                                                          experiment->instances[entry->ingress].domain);
@@ -204,7 +215,7 @@
     return;
   self->incarnation += WC_EXPERIMENT_MAX_INSTANCES;
   new_dispatcher (experiment, instance);
-  if (experiment->config->policy->routing == WC_ROUTING_OWNER)
+  if (wc_experiment_has_owners (experiment))
     wc_experiment_views_init (experiment, instance);
   if (experiment->config->policy->spills)
     wc_experiment_reports_init (experiment, instance);
@@ -249,6 +260,8 @@
                                      .once = !experiment->config->workload->classes[entry->class].idempotent };
   WcRefusal            refusal;
 
+  if (experiment->config->policy->sessions)
+    submitted.preferred_target = experiment->flows[entry->flow].target;
   /* The nearest-first policy gets the domain that the request came from. */
   if (experiment->config->policy->routing == WC_ROUTING_OMNISCIENT)
     submitted.flow_hash = experiment->instances[entry->ingress].domain;
--- a/src/emulator/experiment_state.h
+++ b/src/emulator/experiment_state.h
@@ -95,6 +95,13 @@
   uint64_t reported_us;
 } WcExperimentHost;
 
+/** struct WcExperimentFlow - what a flow's token says; domains and target ids start at 1, 0 for a new flow. */
+typedef struct
+{
+  uint32_t domain;
+  uint32_t target;
+} WcExperimentFlow;
+
 typedef struct
 {
   uint64_t       id;
@@ -123,6 +130,7 @@
   GRand                    *choices;
   WcExperimentRequest      *requests;
   uint32_t                  request_count;
+  WcExperimentFlow          flows[WC_EXPERIMENT_FLOWS];
   double                    interval_us;
   double                    burst_interval_us;
   uint64_t                  next_burst_us;
@@ -188,6 +196,15 @@
 void wc_experiment_report_feedback (WcExperiment *experiment, uint32_t instance, uint32_t domain);
 void wc_experiment_report (WcExperiment *experiment, const WcExperimentEvent *event);
 
+/** wc_experiment_has_owners() - whether requests are relayed to an owner. */
+static inline bool
+wc_experiment_has_owners (const WcExperiment *experiment)
+{
+  WcExperimentRouting routing = experiment->config->policy->routing;
+
+  return routing == WC_ROUTING_OWNER || routing == WC_ROUTING_ONE_OWNER;
+}
+
 /* Hosts: experiment_hosts.c */
 void     wc_experiment_hosts_init (WcExperiment *experiment);
 void     wc_experiment_hosts_finish (WcExperiment *experiment);
--- a/src/emulator/experiment_workload.c
+++ b/src/emulator/experiment_workload.c
@@ -55,15 +55,23 @@
 
 static const WcExperimentPolicy POLICIES[] = {
   /* The limit comes first, because the other rows are compared with it. */
-  { "omniscient", NULL, WC_ROUTING_OMNISCIENT, true, false, false },
-  { "product", "product", WC_ROUTING_OWNER, true, false, true },
-  { "owners-alone", "product", WC_ROUTING_OWNER, true, false, false },
-  { "random", "random", WC_ROUTING_INSTANCE, false, false, false },
-  { "round-robin", "round-robin", WC_ROUTING_INSTANCE, false, false, false },
-  { "hash", "hash", WC_ROUTING_INSTANCE, false, false, false },
-  { "least-outstanding", "least-outstanding", WC_ROUTING_INSTANCE, false, false, false },
-  { "two-choices", "two-choices", WC_ROUTING_INSTANCE, false, false, false },
-  { "least-reported", "least-reported", WC_ROUTING_INSTANCE, false, true, false },
+  { .name = "omniscient", .routing = WC_ROUTING_OMNISCIENT, .late_binding = true },
+  { .name = "product", .choice = "product", .routing = WC_ROUTING_OWNER, .late_binding = true, .spills = true },
+  { .name = "random", .choice = "random" },
+  { .name = "round-robin", .choice = "round-robin" },
+  { .name = "hash", .choice = "hash" },
+  { .name = "least-outstanding", .choice = "least-outstanding" },
+  { .name = "two-choices", .choice = "two-choices" },
+  { .name = "least-reported", .choice = "least-reported", .polls_load = true },
+  /* Other forms of the product's routing, for the record in docs/decisions/balancing.md. */
+  { .name = "owners-alone", .choice = "product", .routing = WC_ROUTING_OWNER, .late_binding = true },
+  { .name = "one-owner", .choice = "product", .routing = WC_ROUTING_ONE_OWNER, .late_binding = true },
+  { .name = "product-sessions",
+    .choice = "product",
+    .routing = WC_ROUTING_OWNER,
+    .late_binding = true,
+    .spills = true,
+    .sessions = true },
 };
 
 const WcExperimentWorkload *
