--- a/src/cli/cmd_bench.c
+++ b/src/cli/cmd_bench.c
@@ -156,21 +156,21 @@
 {
   printf ("\n%s %s, load %.0f%%%s, %u requests\n", workload->deployment, workload->service, load * 100,
           failures ? ", a host and an instance fail" : "", workload->requests);
-  printf ("%-18s %6s %6s %8s %8s %8s %8s %7s %6s %6s %6s %6s %7s %6s %6s %6s\n", "policy", "imbal", "im 1s", "p50wait",
-          "p99wait", "p50resp", "p99resp", "worth", "late", "early-", "late-", "un-", "retries", "broken", "other",
-          "ctl");
-  printf ("%-18s %6s %6s %8s %8s %8s %8s %7s %6s %6s %6s %6s %7s %6s %6s %6s\n", "", "", "", "ms", "ms", "ms", "ms",
-          "on time", "", "refus", "refus", "known", "/req", "flows", "domain", "B/s");
+  printf ("%-18s %6s %6s %8s %8s %8s %8s %7s %6s %6s %6s %6s %6s %7s %6s %6s %6s\n", "policy", "imbal", "im 1s",
+          "p50wait", "p99wait", "p50resp", "p99resp", "worth", "late", "early-", "late-", "un-", "un-", "retries",
+          "broken", "other", "ctl");
+  printf ("%-18s %6s %6s %8s %8s %8s %8s %7s %6s %6s %6s %6s %6s %7s %6s %6s %6s\n", "", "", "", "ms", "ms", "ms", "ms",
+          "on time", "", "refus", "refus", "known", "answd", "/req", "flows", "domain", "B/s");
 }
 
 static void
 print_row (const WcExperimentConfig *config, const WcExperimentResult *result)
 {
-  printf ("%-18s %6.3f %6.3f %8.2f %8.2f %8.2f %8.2f %7.4f %6u %6u %6u %6u %7.4f %6u %6.3f %6.0f\n",
+  printf ("%-18s %6.3f %6.3f %8.2f %8.2f %8.2f %8.2f %7.4f %6u %6u %6u %6u %6u %7.4f %6u %6.3f %6.0f\n",
           config->policy->name, result->imbalance, result->imbalance_1s, (double)result->p50_wait_us / 1000,
           (double)result->p99_wait_us / 1000, (double)result->p50_response_us / 1000,
           (double)result->p99_response_us / 1000, result->worth_on_time, result->late, result->refused_early,
-          result->refused_late, result->unknown, result->retries_per_request, result->broken_flows,
+          result->refused_late, result->unknown, result->unanswered, result->retries_per_request, result->broken_flows,
           result->cross_domain, result->control_bytes_per_node_s);
 }
 
@@ -202,6 +202,7 @@
   json_object_object_add (line, "refused_early", json_object_new_int64 (result->refused_early));
   json_object_object_add (line, "refused_late", json_object_new_int64 (result->refused_late));
   json_object_object_add (line, "unknown", json_object_new_int64 (result->unknown));
+  json_object_object_add (line, "unanswered", json_object_new_int64 (result->unanswered));
   json_object_object_add (line, "retries_per_request", json_object_new_double (result->retries_per_request));
   json_object_object_add (line, "cross_domain", json_object_new_double (result->cross_domain));
   json_object_object_add (line, "control_bytes_per_node_s", json_object_new_double (result->control_bytes_per_node_s));
--- a/src/emulator/experiment.h
+++ b/src/emulator/experiment.h
@@ -99,6 +99,13 @@
   uint32_t                    seed;
 } WcExperimentConfig;
 
+/**
+ * struct WcExperimentResult - measures of one run.
+ * @late: answered after the deadline, or stopped by the target at the deadline.
+ * @unknown: orders whose outcome the caller cannot know.
+ * @unanswered: no reply before the deadline, and nothing was given to a target.
+ * @cross_domain: share of requests that left their domain.
+ */
 typedef struct
 {
   uint32_t requests;
@@ -107,6 +114,7 @@
   uint32_t refused_early;
   uint32_t refused_late;
   uint32_t unknown;
+  uint32_t unanswered;
   uint32_t broken_flows;
   double   imbalance;
   double   imbalance_1s;
--- a/src/emulator/experiment_stats.c
+++ b/src/emulator/experiment_stats.c
@@ -141,9 +141,11 @@
     case WC_VERDICT_REFUSED_LATE:
       result->refused_late++;
       break;
-    default:
-      /* Orders with an unknown outcome, and requests that got no reply at all. */
+    case WC_VERDICT_UNKNOWN:
       result->unknown++;
       break;
+    default:
+      result->unanswered++;
+      break;
     }
 }
--- a/tests/test_experiment.c
+++ b/tests/test_experiment.c
@@ -52,10 +52,12 @@
   for (int i = 0; i < 3; i++)
     {
       run (name, LOADS[i], false, 1, &result);
-      ck_assert_uint_eq (result.done + result.refused_early + result.refused_late + result.unknown, result.requests);
+      ck_assert_uint_eq (result.done + result.refused_early + result.refused_late + result.unknown + result.unanswered,
+                         result.requests);
       ck_assert_uint_eq (result.broken_flows, 0);
       run (name, LOADS[i], true, 1, &result);
-      ck_assert_uint_eq (result.done + result.refused_early + result.refused_late + result.unknown, result.requests);
+      ck_assert_uint_eq (result.done + result.refused_early + result.refused_late + result.unknown + result.unanswered,
+                         result.requests);
     }
 }
 END_TEST
