--- a/docs/bench.gnuplot
+++ b/docs/bench.gnuplot
@@ -2,7 +2,8 @@
 set terminal svg size 1100,760 dynamic font "sans,11"
 set output "docs/bench.svg"
 set datafile separator "\t"
-set key outside right
+set key below maxrows 3
+set xtics (50, 70, 85, 95, 130)
 set grid
 set multiplot layout 2,2
 policies = "omniscient product random round-robin hash least-outstanding two-choices"
--- a/src/emulator/experiment_fleet.c
+++ b/src/emulator/experiment_fleet.c
@@ -269,8 +269,12 @@
   entry->sent_to_owner = !experiment->config->workload->classes[entry->class].idempotent;
   refusal = wc_dispatcher_submit (experiment->instances[instance].dispatcher, experiment->now_us, &submitted);
   if (refusal != WC_REFUSAL_NONE)
-    wc_experiment_answer (experiment, request,
-                          entry->attempts == 0 ? WC_VERDICT_REFUSED_EARLY : WC_VERDICT_REFUSED_LATE);
+    {
+      wc_experiment_answer (experiment, request,
+                            entry->attempts == 0 ? WC_VERDICT_REFUSED_EARLY : WC_VERDICT_REFUSED_LATE);
+      /* A retry that was refused here was not made. */
+      entry->attempts -= entry->attempts > 0;
+    }
   pump (experiment, instance);
 }
 
--- a/tests/test_experiment.c
+++ b/tests/test_experiment.c
@@ -74,6 +74,17 @@
 }
 END_TEST
 
+/* Guards against retries beyond the budget of 10% and the floor of one a second on each instance. */
+START_TEST (test_retry_budget)
+{
+  WcExperimentResult result;
+
+  run ("random", 1.3, false, 1, &result);
+  ck_assert_double_gt (result.retries_per_request, 0);
+  ck_assert_double_lt (result.retries_per_request, 0.12);
+}
+END_TEST
+
 /* Guards against a limit that is none: it has to be ahead of a random choice. */
 START_TEST (test_limit)
 {
@@ -100,6 +111,7 @@
   tcase_add_loop_test (cases, test_deterministic, 0, policies);
   tcase_add_loop_test (cases, test_every_request_counted, 0, policies);
   tcase_add_loop_test (cases, test_light_load, 0, policies);
+  tcase_add_test (cases, test_retry_budget);
   tcase_add_test (cases, test_limit);
   return run_cases ("experiment", cases);
 }
