--- a/src/emulator/experiment.h
+++ b/src/emulator/experiment.h
@@ -104,6 +104,7 @@
  * @late: answered after the deadline, or stopped by the target at the deadline.
  * @unknown: orders whose outcome the caller cannot know.
  * @unanswered: no reply before the deadline, and nothing was given to a target.
+ * @broken_flows: flows with a request that was unanswered or whose outcome a failure made unknown.
  * @cross_domain: share of requests that left their domain.
  */
 typedef struct
--- a/src/emulator/experiment_stats.c
+++ b/src/emulator/experiment_stats.c
@@ -35,7 +35,7 @@
       worth += request->worth;
       retries += request->attempts + request->resends;
       crossed += request->crossed;
-      if (request->lost && (request->verdict == WC_VERDICT_UNKNOWN || request->verdict == WC_VERDICT_NONE))
+      if (request->verdict == WC_VERDICT_NONE || (request->lost && request->verdict == WC_VERDICT_UNKNOWN))
         broken[request->flow] = true;
       if (request->verdict != WC_VERDICT_DONE)
         continue;
