--- a/src/core/dispatcher.c
+++ b/src/core/dispatcher.c
@@ -11,6 +11,8 @@
   /* Requests that were evicted and not yet reported; the caller is expected to call wc_dispatcher_next() after each
    * submit. */
   MAX_EVICTED = 16,
+  /* Estimates of the time to empty the queue are off by about this factor at times. */
+  OVERLOAD_FACTOR = 2,
   /* A preferred target may have 1/8 more recent work than the mean of the free ones. */
   PREFERENCE_EXCESS_DIVISOR = 8
 };
@@ -38,11 +40,11 @@
   GArray *candidate_states;
 };
 
-static bool has_target (const WcDispatcher *dispatcher);
-static bool is_too_late (const WcDispatcher *dispatcher, uint64_t now_us, uint64_t wait_us, uint64_t deadline_us);
-static bool is_running (const WcDispatcher *dispatcher);
-static bool refuse_one (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision);
-static void collect_candidates (WcDispatcher *dispatcher, uint64_t now_us, bool open_only);
+static bool     has_target (const WcDispatcher *dispatcher);
+static uint64_t get_latest_start (const WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
+static bool     is_overloaded (const WcDispatcher *dispatcher, uint64_t now_us);
+static bool     refuse_one (WcDispatcher *dispatcher, uint64_t now_us, WcDispatchDecision *decision);
+static void     collect_candidates (WcDispatcher *dispatcher, uint64_t now_us, bool open_only);
 static WcTargetState *choose_target (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request);
 
 WcDispatcher *
@@ -91,6 +93,7 @@
 wc_dispatcher_submit (WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request)
 {
   const WcDispatchRequest *worst;
+  uint64_t                 latest_start_us;
 
   assert (dispatcher != NULL);
   assert (request != NULL);
@@ -99,12 +102,12 @@
     wc_retry_budget_earn (&dispatcher->budget);
   if (!has_target (dispatcher))
     return WC_REFUSAL_NO_TARGET;
-  if (is_too_late (dispatcher, now_us, wc_dispatcher_get_expected_wait_us (dispatcher, now_us, request->worth),
-                   request->deadline_us))
+  latest_start_us = get_latest_start (dispatcher, now_us, request);
+  if (now_us + wc_dispatcher_get_expected_wait_us (dispatcher, now_us, request->worth) >= latest_start_us)
     return WC_REFUSAL_TOO_LATE;
   if (request->attempts > 0 && !wc_retry_budget_spend (&dispatcher->budget, now_us))
     return WC_REFUSAL_RETRY_BUDGET;
-  if (wc_request_queue_push (dispatcher->queue, request))
+  if (wc_request_queue_push (dispatcher->queue, request, latest_start_us))
     return WC_REFUSAL_NONE;
 
   worst = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_WORST);
@@ -112,7 +115,7 @@
     return WC_REFUSAL_QUEUE_FULL;
   dispatcher->evicted[dispatcher->evicted_count++] = worst->request;
   wc_request_queue_pop (dispatcher->queue, WC_QUEUE_WORST);
-  wc_request_queue_push (dispatcher->queue, request);
+  wc_request_queue_push (dispatcher->queue, request, latest_start_us);
   return WC_REFUSAL_NONE;
 }
 
@@ -121,6 +124,7 @@
 {
   const WcDispatchRequest *best;
   WcTargetState           *state;
+  WcQueueOrder             order;
 
   assert (dispatcher != NULL);
   assert (decision != NULL);
@@ -129,7 +133,8 @@
   wc_target_set_tick (&dispatcher->targets, now_us);
   if (refuse_one (dispatcher, now_us, decision))
     return true;
-  best = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_BEST);
+  order = is_overloaded (dispatcher, now_us) ? WC_QUEUE_BEST : WC_QUEUE_ARRIVAL;
+  best = wc_request_queue_peek (dispatcher->queue, order);
   if (!best)
     return false;
   state = choose_target (dispatcher, now_us, best);
@@ -137,7 +142,7 @@
     return false;
   *decision = (WcDispatchDecision){ .request = best->request, .target = state->target.id };
   wc_target_set_start (&dispatcher->targets, state);
-  wc_request_queue_pop (dispatcher->queue, WC_QUEUE_BEST);
+  wc_request_queue_pop (dispatcher->queue, order);
   return true;
 }
 
@@ -154,35 +159,47 @@
 void
 wc_dispatcher_hint (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, uint32_t running)
 {
+  WcTargetState *state;
+
   assert (dispatcher != NULL);
 
-  /* Load figures of targets may be stale or wrong; the counts kept here are exact, so nothing depends on them. */
   (void)now_us;
-  (void)target;
-  (void)running;
+  state = wc_target_set_find (&dispatcher->targets, target);
+  if (state)
+    state->reported = running;
 }
 
 uint64_t
 wc_dispatcher_get_expected_wait_us (const WcDispatcher *dispatcher, uint64_t now_us, uint32_t worth)
 {
-  uint32_t open = 0;
-  uint32_t busy = 0;
-  uint32_t ahead;
+  WcDispatchLoad load;
+  uint32_t       ahead;
+
+  assert (dispatcher != NULL);
+
+  wc_dispatcher_get_load (dispatcher, now_us, &load);
+  ahead = is_overloaded (dispatcher, now_us) ? wc_request_queue_count_ahead (dispatcher->queue, worth) : load.queued;
+  if (load.open == 0 || ahead < load.free)
+    return 0;
+  return (ahead - load.free + 1) * load.run_us / load.open;
+}
 
+void
+wc_dispatcher_get_load (const WcDispatcher *dispatcher, uint64_t now_us, WcDispatchLoad *load)
+{
   assert (dispatcher != NULL);
+  assert (load != NULL);
 
+  *load = (WcDispatchLoad){ .queued = wc_request_queue_get_length (dispatcher->queue),
+                            .run_us = dispatcher->targets.run_us };
   for (guint i = 0; i < dispatcher->targets.states->len; i++)
     {
       const WcTargetState *state = &g_array_index (dispatcher->targets.states, WcTargetState, i);
       uint32_t             limit = wc_target_state_get_limit (state, now_us);
 
-      open += limit;
-      busy += MIN (limit, state->outstanding);
+      load->open += limit;
+      load->free += limit - MIN (limit, state->outstanding);
     }
-  ahead = wc_request_queue_count_ahead (dispatcher->queue, worth);
-  if (open == 0 || ahead < open - busy)
-    return 0;
-  return (ahead - (open - busy) + 1) * dispatcher->targets.run_us / open;
 }
 
 bool
@@ -215,17 +232,15 @@
 uint64_t
 wc_dispatcher_get_wake_us (const WcDispatcher *dispatcher)
 {
-  const WcDispatchRequest *first;
-  uint64_t                 wake_us;
+  uint64_t wake_us;
 
   assert (dispatcher != NULL);
 
   if (dispatcher->evicted_count > 0)
     return 0;
-  first = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_DEADLINE);
-  if (!first)
+  wake_us = wc_request_queue_get_earliest_start (dispatcher->queue);
+  if (wake_us == UINT64_MAX)
     return UINT64_MAX;
-  wake_us = first->deadline_us - MIN (first->deadline_us, dispatcher->targets.run_us);
   for (guint i = 0; i < dispatcher->targets.states->len; i++)
     {
       const WcTargetState *state = &g_array_index (dispatcher->targets.states, WcTargetState, i);
@@ -246,23 +261,36 @@
   return false;
 }
 
-static bool
-is_too_late (const WcDispatcher *dispatcher, uint64_t now_us, uint64_t wait_us, uint64_t deadline_us)
+/* When it becomes too late to start a request: when less than a mean run time is left. A request that must not be
+ * repeated keeps the time of a long run, because stopping it leaves an unknown outcome, though never more than half of
+ * what is left: a deadline that is short for the mix of requests would otherwise never be accepted. */
+static uint64_t
+get_latest_start (const WcDispatcher *dispatcher, uint64_t now_us, const WcDispatchRequest *request)
 {
-  /* Only finished runs correct the estimate. If it refused requests while none runs, it would refuse all of them for
-   * ever after a few long runs. */
-  uint64_t run_us = is_running (dispatcher) ? dispatcher->targets.run_us : 0;
-
-  return now_us + wait_us + run_us >= deadline_us;
+  uint64_t deadline_us = request->deadline_us;
+  uint64_t margin_us = dispatcher->targets.run_us;
+
+  /* With nothing in progress the run times cannot be measured again, so a request is tried. Without late binding the
+   * targets' own queues are part of the measured times, which say nothing about a run. */
+  if (dispatcher->targets.outstanding == 0 || !dispatcher->config.late_binding)
+    return deadline_us;
+  if (request->once)
+    margin_us = MAX (margin_us, MIN (dispatcher->targets.long_run_us, (deadline_us - MIN (deadline_us, now_us)) / 2));
+  return deadline_us - MIN (deadline_us, margin_us);
 }
 
+/* Whether serving the queue in order of arrival might let a request become too late. As long as it does not, that order
+ * keeps the longest wait short; an order by worth would let the requests of little worth wait for no gain. */
 static bool
-is_running (const WcDispatcher *dispatcher)
+is_overloaded (const WcDispatcher *dispatcher, uint64_t now_us)
 {
-  for (guint i = 0; i < dispatcher->targets.states->len; i++)
-    if (g_array_index (dispatcher->targets.states, WcTargetState, i).outstanding > 0)
-      return true;
-  return false;
+  uint64_t       start_us = wc_request_queue_get_earliest_start (dispatcher->queue);
+  WcDispatchLoad load;
+
+  if (start_us == UINT64_MAX)
+    return false;
+  wc_dispatcher_get_load (dispatcher, now_us, &load);
+  return load.open == 0 || now_us + OVERLOAD_FACTOR * load.queued * load.run_us / load.open >= start_us;
 }
 
 /* Reports evicted requests and queued ones that can no longer be run in time. */
@@ -278,17 +306,17 @@
                                         .refusal = WC_REFUSAL_LOW_WORTH };
       return true;
     }
-  first = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_DEADLINE);
+  first = wc_request_queue_peek (dispatcher->queue, WC_QUEUE_START);
   if (!first)
     return false;
   if (!has_target (dispatcher))
     refusal = WC_REFUSAL_NO_TARGET;
-  else if (is_too_late (dispatcher, now_us, 0, first->deadline_us))
+  else if (now_us >= wc_request_queue_get_earliest_start (dispatcher->queue))
     refusal = WC_REFUSAL_TOO_LATE;
   if (refusal == WC_REFUSAL_NONE)
     return false;
   *decision = (WcDispatchDecision){ .request = first->request, .refusal = refusal };
-  wc_request_queue_pop (dispatcher->queue, WC_QUEUE_DEADLINE);
+  wc_request_queue_pop (dispatcher->queue, WC_QUEUE_START);
   return true;
 }
 
@@ -313,6 +341,7 @@
                                     .limit = limit,
                                     .slots = state->target.slots,
                                     .weight = state->target.weight,
+                                    .reported = state->reported,
                                     .run_us = state->run_us,
                                     .dispatched = state->dispatched,
                                     .work_us = wc_target_state_get_work (state, now_us) };
--- a/src/core/node_request.c
+++ b/src/core/node_request.c
@@ -115,6 +115,7 @@
     .preferred_target = request->preferred_target,
     .attempts = request->attempts,
     .flow_hash = (uint32_t)request->flow,
+    .once = request->kind == WC_REQUEST_ORDER,
   };
   WcRefusal refusal;
 
--- /dev/null
+++ b/src/core/spill.c
@@ -0,0 +1,140 @@
+#include <wigeoncart/spill.h>
+
+#include <assert.h>
+#include <stdlib.h>
+
+enum
+{
+  SPARE_STEPS = 2,
+  /* Links between domains are costly, so a transfer has to be faster by 4 times the delay that it adds. */
+  MIN_GAIN_DELAYS = 5
+};
+
+static int64_t      relevant_backlog (const WcSpillReport *report);
+static WcSpillPeer *find_peer (WcSpill *spill, uint32_t domain);
+
+void
+wc_spill_init (WcSpill *spill, uint64_t report_life_us)
+{
+  assert (spill != NULL);
+
+  *spill = (WcSpill){ .report_life_us = report_life_us };
+}
+
+void
+wc_spill_set_peer (WcSpill *spill, uint32_t domain, uint64_t delay_us)
+{
+  WcSpillPeer *peer;
+
+  assert (spill != NULL);
+  assert (domain != 0);
+
+  peer = find_peer (spill, domain);
+  if (!peer && spill->count == WC_SPILL_MAX_DOMAINS)
+    return;
+  if (!peer)
+    {
+      peer = &spill->peers[spill->count++];
+      *peer = (WcSpillPeer){ .domain = domain };
+    }
+  peer->delay_us = delay_us;
+}
+
+void
+wc_spill_apply (WcSpill *spill, uint64_t now_us, uint32_t domain, const WcSpillReport *report)
+{
+  WcSpillPeer *peer;
+
+  assert (spill != NULL);
+  assert (report != NULL);
+
+  peer = find_peer (spill, domain);
+  if (!peer)
+    return;
+  peer->report = *report;
+  peer->reported_us = now_us;
+}
+
+uint32_t
+wc_spill_choose (WcSpill *spill, uint64_t now_us, uint64_t wait_us)
+{
+  WcSpillPeer *best = NULL;
+  uint64_t     best_us = wait_us;
+
+  assert (spill != NULL);
+
+  for (size_t i = 0; i < spill->count && wait_us > 0; i++)
+    {
+      WcSpillPeer *peer = &spill->peers[i];
+      int64_t      backlog_us = peer->report.backlog_us;
+      uint64_t     there_us = MIN_GAIN_DELAYS * peer->delay_us + (backlog_us > 0 ? (uint64_t)backlog_us : 0);
+
+      if (peer->reported_us == 0 || now_us - peer->reported_us > spill->report_life_us)
+        continue;
+      if (there_us < best_us || (best && there_us == best_us && backlog_us < best->report.backlog_us))
+        {
+          best = peer;
+          best_us = there_us;
+        }
+    }
+  if (!best)
+    return 0;
+  best->report.backlog_us += (int64_t)best->report.step_us;
+  return best->domain;
+}
+
+void
+wc_spill_make_report (const WcDispatcher *dispatcher, uint64_t now_us, WcSpillReport *report)
+{
+  WcDispatchLoad load;
+
+  assert (dispatcher != NULL);
+  assert (report != NULL);
+
+  wc_dispatcher_get_load (dispatcher, now_us, &load);
+  report->step_us = load.open > 0 ? load.run_us / load.open : 0;
+  report->backlog_us = ((int64_t)load.queued - (int64_t)load.free + 1) * (int64_t)report->step_us;
+  /* Without an open slot nothing can be taken over. */
+  if (load.open == 0)
+    report->backlog_us = INT64_MAX / 2;
+}
+
+bool
+wc_spill_is_report_due (WcSpill *spill, uint64_t now_us, const WcSpillReport *report)
+{
+  uint64_t threshold_us = UINT64_MAX;
+  int64_t  change_us;
+
+  assert (spill != NULL);
+  assert (report != NULL);
+
+  for (size_t i = 0; i < spill->count; i++)
+    threshold_us = MIN (threshold_us, spill->peers[i].delay_us);
+  change_us = relevant_backlog (report) - relevant_backlog (&spill->sent);
+  if (spill->sent_us != 0 && now_us - spill->sent_us < spill->report_life_us / 2 &&
+      (uint64_t)llabs (change_us) <= threshold_us)
+    return false;
+  spill->sent_us = now_us;
+  spill->sent = *report;
+  return true;
+}
+
+/* local functions */
+
+/* How much capacity is left beyond a few slots makes no difference to the others' choice. */
+static int64_t
+relevant_backlog (const WcSpillReport *report)
+{
+  int64_t floor_us = -SPARE_STEPS * (int64_t)report->step_us;
+
+  return report->backlog_us > floor_us ? report->backlog_us : floor_us;
+}
+
+static WcSpillPeer *
+find_peer (WcSpill *spill, uint32_t domain)
+{
+  for (size_t i = 0; i < spill->count; i++)
+    if (spill->peers[i].domain == domain)
+      return &spill->peers[i];
+  return NULL;
+}
