Add the speed command: the packet path beside a bare relay

'wigeoncart speed run' alternates between a running instance and a bare relay with the same batched socket calls ('speed bare'), and measures rates with a bounded number of datagrams under way, rates per second of the process's own processor time, latencies at a moderate rate, flows opened, and requests answered. 'speed memory' measures state. tests/process/speed.sh starts the processes. The program takes the place of the owner: it binds the peer address of an instance that the emulated platform lists as live in another failure domain, so the relays leave by the normal socket path.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, prove, bench, proto, clean.
+# Targets: all, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, prove, bench, speed, proto, clean.
 
 CC       ?= gcc
 BUILD    ?= build
@@ -20,7 +20,7 @@
 CLI_OBJECTS  = $(patsubst %.c,$(BUILD)/%.o,$(CLI_SOURCES))
 TEST_PROGRAMS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SOURCES))
 
-.PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke prove bench proto clean
+.PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke prove bench speed proto clean
 .SECONDARY:
 
 all: $(BUILD)/wigeoncart $(TEST_PROGRAMS)
@@ -70,6 +70,10 @@
 	@$(MAKE) --no-print-directory $(BUILD)/wigeoncart
 	@tests/process/demo.sh
 
+# Measures the packet path of a real instance beside a bare relay.
+speed: $(BUILD)/wigeoncart
+	@tests/process/speed.sh
+
 sanitize:
 	$(MAKE) BUILD=build/sanitize CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" test
 
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -32,5 +32,6 @@
 extern const WcCommand WC_COMMAND_EXPORT;
 extern const WcCommand WC_COMMAND_EMULATE;
 extern const WcCommand WC_COMMAND_CALL;
+extern const WcCommand WC_COMMAND_SPEED;
 
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -7,7 +7,13 @@
 
 /* Ended by NULL. */
 static const WcCommand *const COMMANDS[] = {
-  &WC_COMMAND_SERVE, &WC_COMMAND_CALL, &WC_COMMAND_CHECK, &WC_COMMAND_EXPORT, &WC_COMMAND_EMULATE, NULL,
+  &WC_COMMAND_SERVE,
+  &WC_COMMAND_CALL,
+  &WC_COMMAND_CHECK,
+  &WC_COMMAND_EXPORT,
+  &WC_COMMAND_EMULATE,
+  &WC_COMMAND_SPEED,
+  NULL,
 };
 
 static void print_usage (FILE *stream);
--- /dev/null
+++ b/tests/test_speed_probe.c
@@ -0,0 +1,100 @@
+#include "emulator/speed_probe.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "edge/socket_address.h"
+#include "test_main.h"
+
+static WcKeyring *
+make_keyring (void)
+{
+  WcKey key = { .epoch = 1, .secret = { 1 } };
+
+  return wc_keyring_new (&key, 1);
+}
+
+static int
+open_sink (WcAddress *address)
+{
+  struct sockaddr_storage storage = { 0 };
+  socklen_t               length = sizeof storage;
+  int                     fd;
+
+  ck_assert (wc_address_parse ("127.0.0.1:0", address));
+  fd = wc_socket_open_udp (address, false, NULL);
+  ck_assert_int_ge (fd, 0);
+  getsockname (fd, (struct sockaddr *)&storage, &length);
+  wc_socket_address_to (&storage, address);
+  return fd;
+}
+
+/* Guards against a probe that does not count what it sends itself, and one that reports delays of an earlier run. */
+START_TEST (test_without_a_relay)
+{
+  WcSpeedPacketsConfig packets_config = { .service = "s", .domain = "d", .flows = 400 };
+  WcKeyring           *keyring = make_keyring ();
+  WcSpeedProbeConfig   config = { .window = 64, .generator_core = -1, .sink_core = -1, .keyring = keyring };
+  WcSpeedRate          rate;
+  WcSpeedDelay         delay;
+  WcSpeedPackets      *packets;
+
+  config.sink = open_sink (&config.destination);
+  packets = wc_speed_packets_new (&packets_config, keyring);
+  config.packets = packets;
+  wc_speed_probe_run_rate (&config, 10, 50, &rate);
+  ck_assert_uint_gt (rate.arrived, 0);
+  ck_assert (rate.per_second > 0);
+  ck_assert_uint_eq (rate.invalid, 0);
+  wc_speed_probe_run_delay (&config, 50000, 1000, &delay);
+  ck_assert_uint_eq (delay.sent, 400);
+  ck_assert_uint_le (delay.arrived, delay.sent);
+  ck_assert_uint_le (delay.p50_ns, delay.p99_ns);
+  wc_speed_packets_delete (packets);
+  wc_keyring_unref (keyring);
+  close (config.sink);
+}
+END_TEST
+
+/* Guards against a generator that waits for ever when everything that it sent is lost, and one that reports delays of
+ * datagrams that it cannot tell apart. */
+START_TEST (test_lost_and_foreign)
+{
+  WcSpeedPacketsConfig packets_config = { .service = "s", .domain = "d", .flows = 400 };
+  WcKeyring           *keyring = make_keyring ();
+  WcSpeedProbeConfig   config = { .window = 64, .generator_core = -1, .sink_core = -1, .keyring = keyring };
+  WcSpeedRate          rate;
+  WcSpeedDelay         delay;
+  WcSpeedPackets      *packets = wc_speed_packets_new (&packets_config, keyring);
+  WcAddress            nowhere;
+  int                  unread = open_sink (&nowhere);
+
+  config.sink = open_sink (&config.destination);
+  config.destination = nowhere;
+  config.packets = packets;
+  wc_speed_probe_run_rate (&config, 0, 100, &rate);
+  ck_assert_uint_eq (rate.arrived, 0);
+  ck_assert_uint_gt (rate.lost, 0);
+  wc_speed_probe_run_delay (&config, 50000, 100, &delay);
+  ck_assert_uint_eq (delay.sent, 100);
+  ck_assert_uint_eq (delay.arrived, 0);
+  ck_assert_uint_eq (delay.p99_ns, 0);
+  wc_speed_packets_delete (packets);
+  wc_keyring_unref (keyring);
+  close (config.sink);
+  close (unread);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, test_without_a_relay);
+  tcase_add_test (tests, test_lost_and_foreign);
+}
+
+int
+main (void)
+{
+  return wc_test_run ("speed_probe", add_tests);
+}
--- /dev/null
+++ b/tests/test_state_size.c
@@ -0,0 +1,41 @@
+#include "emulator/state_size.h"
+
+#include <stdbool.h>
+
+#include "test_main.h"
+
+/* Guards against sizes that leave out what is allocated while a table fills, or that count less than what it holds. */
+START_TEST (test_sizes)
+{
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+  /* The sanitizers' allocators keep no such counts; there the tables are only built and freed. */
+  const bool counted = false;
+#else
+  const bool counted = true;
+#endif
+  WcStateSize size;
+
+  wc_state_size_tickets (1000, &size);
+  ck_assert_uint_eq (size.count, 1000);
+  ck_assert (!counted || size.full_bytes >= 1000 * sizeof (uint64_t));
+  /* The ledger allocates nothing after its start. */
+  ck_assert_uint_eq (size.full_bytes, size.empty_bytes);
+  wc_state_size_waiters (1000, &size);
+  ck_assert (!counted || size.full_bytes > 1000 * sizeof (uint64_t));
+  wc_state_size_answers (100, 3000, &size);
+  ck_assert (!counted || size.full_bytes > size.empty_bytes + 100 * 3000);
+  ck_assert (!counted || size.full_bytes < size.empty_bytes + 100 * 6000);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, test_sizes);
+}
+
+int
+main (void)
+{
+  return wc_test_run ("state_size", add_tests);
+}
