--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,9 @@
 speed: $(BUILD)/wigeoncart
 	@tests/process/speed.sh
 
+prove: $(BUILD)/wigeoncart
+	@tests/process/prove.sh
+
 sanitize:
 	$(MAKE) BUILD=build/sanitize CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" test
 
--- a/src/cli/cmd_call.c
+++ b/src/cli/cmd_call.c
@@ -1,9 +1,8 @@
-#include "cli/cmd_call.h"
-
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "cli/arguments.h"
 #include "cli/cli_options.h"
 #include "cli/command.h"
 #include "cli/load.h"
@@ -44,20 +43,21 @@
   int exit_status;
 } SingleCall;
 
+static int  run (int argc, char **argv);
 static int  run_load (const Options *options, const WcAddress *fabric);
 static int  run_single (const Options *options, const WcAddress *fabric);
 static void print_answer (void *user_data, uint64_t call, const WcClientAnswer *answer);
 static void print_events (void *user_data, uint64_t call, uint64_t cursor, const uint8_t *data, size_t size_bytes);
 static bool check_numbers (const Options *options);
 
-const WcCommand WC_COMMAND_CALL = {
-  .name = "call",
-  .summary = "Call a service, or run a mixed load of calls.",
-  .run = wc_cmd_call_run,
-};
+const WcCommand WC_COMMAND_CALL = { .name = "call",
+                                    .summary = "Call a service through a fleet, or run a mixed load.",
+                                    .run = run };
+
+/* local functions */
 
-int
-wc_cmd_call_run (int argc, char **argv)
+static int
+run (int argc, char **argv)
 {
   Options o = {
     .cursor = 0,
@@ -102,15 +102,10 @@
     { 0 },
   };
   WcAddress fabric;
-  int       result;
-
-  result = wc_cli_parse (
-      "call",
-      "Calls a service through a fleet. The answer goes to stdout and the result to stderr; a load prints one line of\n"
-      "JSON. The exit status is 0 when the call is done with an HTTP status below 400, and 1 otherwise.",
-      entries, argc, argv);
-  if (result >= 0)
-    return result;
+  int       exit_code;
+
+  if (!wc_arguments_parse (&WC_COMMAND_CALL, NULL, entries, &argc, &argv, &exit_code))
+    return exit_code;
   if (!o.fabric || !o.service || !wc_cli_address ("fabric", o.fabric, &fabric))
     return wc_cli_error (WC_EXIT_USAGE, "call", "--fabric and --service are required");
   if (o.customer && o.customer[0] == 0)
@@ -120,8 +115,6 @@
   return o.load + o.orders + o.downloads + o.streams > 0 ? run_load (&o, &fabric) : run_single (&o, &fabric);
 }
 
-/* local functions */
-
 static int
 run_load (const Options *options, const WcAddress *fabric)
 {
--- a/src/cli/cmd_speed.c
+++ b/src/cli/cmd_speed.c
@@ -1,11 +1,10 @@
-#include "cli/cmd_speed.h"
-
 #include <inttypes.h>
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "cli/arguments.h"
 #include "cli/cli_options.h"
 #include "cli/command.h"
 #include "emulator/speed_run.h"
@@ -20,6 +19,7 @@
   LONG_ANSWERS = 2000
 };
 
+static int  run (int argc, char **argv);
 static int  run_measurement (int argc, char **argv);
 static int  run_bare (int argc, char **argv);
 static int  run_memory (int argc, char **argv);
@@ -32,11 +32,13 @@
 const WcCommand WC_COMMAND_SPEED = {
   .name = "speed",
   .summary = "Measure the packet path of a running instance.",
-  .run = wc_cmd_speed_run,
+  .run = run,
 };
 
-int
-wc_cmd_speed_run (int argc, char **argv)
+/* local functions */
+
+static int
+run (int argc, char **argv)
 {
   const char *part = argc > 1 ? argv[1] : "";
 
@@ -60,11 +62,14 @@
   return WC_EXIT_USAGE;
 }
 
-/* local functions */
-
 static int
 run_measurement (int argc, char **argv)
 {
+  const WcCommand command = {
+    .name = "speed run",
+    .summary = "Alternates between an instance and a bare relay, both started before. The exit status is 1\n"
+               "when the target is missed."
+  };
   char              *served = NULL;
   char              *bare = NULL;
   char              *sink = NULL;
@@ -111,11 +116,7 @@
     { 0 },
   };
 
-  status = wc_cli_parse ("speed run",
-                         "Alternates between an instance and a bare relay, both started before. The exit status is 1\n"
-                         "when the target is missed.",
-                         entries, argc, argv);
-  if (status >= 0)
+  if (!wc_arguments_parse (&command, NULL, entries, &argc, &argv, &status))
     return status;
   if (!served || !bare || !sink || !reg || !relay_service || !relay_domain || !own_service != !own_domain)
     return wc_cli_error (WC_EXIT_USAGE, "speed run",
@@ -153,6 +154,7 @@
 static int
 run_bare (int argc, char **argv)
 {
+  const WcCommand    command = { .name = "speed bare", .summary = "Relays datagrams unchanged, for comparison." };
   char              *listen_text = NULL;
   char              *to_text = NULL;
   int                seconds = 120;
@@ -168,8 +170,7 @@
     { 0 },
   };
 
-  status = wc_cli_parse ("speed bare", "Relays datagrams unchanged, for comparison.", entries, argc, argv);
-  if (status >= 0)
+  if (!wc_arguments_parse (&command, NULL, entries, &argc, &argv, &status))
     return status;
   if (!listen_text || !to_text || seconds < 1)
     return wc_cli_error (WC_EXIT_USAGE, "speed bare", "--listen and --to are required and --seconds is at least 1");
@@ -189,6 +190,11 @@
 static int
 run_memory (int argc, char **argv)
 {
+  const WcCommand command = {
+    .name = "speed memory",
+    .summary = "Prints the heap bytes per remembered ticket, waiting stream caller, and held answers of\n"
+               "1,000 and 20,000 bytes, in full tables."
+  };
   gboolean           json = FALSE;
   WcStateSize        sizes[4];
   const char *const  names[] = { "ticket", "waiter", "short_answer", "long_answer" };
@@ -198,11 +204,7 @@
     { 0 },
   };
 
-  status = wc_cli_parse ("speed memory",
-                         "Prints the heap bytes per remembered ticket, waiting stream caller, and held answers of\n"
-                         "1,000 and 20,000 bytes, in full tables.",
-                         entries, argc, argv);
-  if (status >= 0)
+  if (!wc_arguments_parse (&command, NULL, entries, &argc, &argv, &status))
     return status;
   wc_state_size_tickets (STATE_ENTRIES, &sizes[0]);
   wc_state_size_waiters (STATE_ENTRIES, &sizes[1]);
