Keep owners of shards until the view changes

Cause: rendezvous hashing ran over all live members of the owner's domain for each datagram, and targets were searched four times. Ruled out: a cheaper hash, since the work would still grow with the domain. Every answer follows from the view alone, so that dropping all of them with the view keeps decisions as they were.

--- a/src/core/node.c
+++ b/src/core/node.c
@@ -71,6 +71,7 @@
   node->ledger = wc_ledger_new (config->ledger_max_entries);
   node->answers = wc_answer_store_new (config->answers_max_bytes, config->answers_max);
   node->streams = wc_stream_table_new (config->stream_max_waiters);
+  node->routes = wc_route_cache_new ();
   node->requests = wc_request_table_new (config->requests_max);
   node->services =
       g_hash_table_new_full (service_key_hash, service_key_equal, NULL, (GDestroyNotify)wc_service_state_delete);
@@ -89,6 +90,7 @@
   wc_stream_table_delete (node->streams);
   wc_answer_store_delete (node->answers);
   wc_ledger_delete (node->ledger);
+  wc_route_cache_delete (node->routes);
   wc_view_unref (node->view);
   g_rand_free (node->random);
   g_free (node);
@@ -107,6 +109,7 @@
 
   note_time (node, now_us);
   node->view = wc_view_ref (view);
+  wc_route_cache_set_view (node->routes, view);
   wc_view_unref (old);
   if (new_register && view->reg)
     {
--- a/src/core/node_private.h
+++ b/src/core/node_private.h
@@ -11,6 +11,7 @@
 #include <wigeoncart/token.h>
 
 #include "core/request_table.h"
+#include "core/route_cache.h"
 #include "core/service_state.h"
 #include "core/ticket_window.h"
 #include "wigeoncart.pb-c.h"
@@ -36,6 +37,7 @@
   GRand           *random;
   WcSealer         sealer;
   WcView          *view;
+  WcRouteCache    *routes;
   WcLedger        *ledger;
   WcAnswerStore   *answers;
   WcStreamTable   *streams;
--- a/src/core/node_route.c
+++ b/src/core/node_route.c
@@ -1,7 +1,5 @@
 #include "core/node_private.h"
 
-#include <wigeoncart/ownership.h>
-
 #include "core/relay_packet.h"
 
 enum
@@ -15,8 +13,6 @@
 static void     route_to_holder (WcNode *node, WcNodePacket *packet);
 static void     handle_as_owner (WcNode *node, const WcNodePacket *packet, uint32_t shard);
 static uint32_t choose_domain (WcNode *node, const WcNodePacket *packet);
-static bool     domain_has_targets (const WcNode *node, uint32_t service, uint32_t domain);
-static uint32_t find_shard (const WcNode *node, uint32_t service, uint32_t domain, uint64_t flow);
 static bool     key_is_newer (const WcNode *node, const uint8_t *sealed);
 static void     relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker);
 
@@ -60,33 +56,30 @@
 static void
 route_to_owner (WcNode *node, WcNodePacket *packet, uint64_t flow)
 {
-  const WcMemberTable *members = node->view->members;
-  uint32_t             service = packet->service->id;
-  bool                 draining = node->view->lifecycle == WC_LIFECYCLE_DRAINING;
-  const WcMember      *owner;
-  uint32_t             domain;
-  uint32_t             shard;
-  uint32_t             worker;
+  uint32_t service = packet->service->id;
+  bool     draining = node->view->lifecycle == WC_LIFECYCLE_DRAINING;
+  WcRoute  route;
+  uint32_t domain;
+  uint32_t shard;
 
   /* The relaying worker decided by its own view; a second opinion could send the packet in circles. */
   if (packet->hops > 0 && !(draining && packet->hops < WC_RELAY_MAX_HOPS))
     {
-      handle_as_owner (node, packet, find_shard (node, service, node->config.domain, flow));
+      handle_as_owner (node, packet, wc_route_cache_find_shard (node->routes, service, node->config.domain, flow));
       return;
     }
   domain = packet->hops > 0 ? node->config.domain : choose_domain (node, packet);
-  shard = find_shard (node, service, domain, flow);
-  owner = wc_ownership_find_owner (members, domain, service, shard);
-  if (!owner)
+  shard = wc_route_cache_find_shard (node->routes, service, domain, flow);
+  route = wc_route_cache_find (node->routes, service, domain, shard);
+  if (!route.owner)
     {
-      handle_as_owner (node, packet, find_shard (node, service, node->config.domain, flow));
+      handle_as_owner (node, packet, wc_route_cache_find_shard (node->routes, service, node->config.domain, flow));
       return;
     }
-  worker = wc_ownership_get_worker (service, shard, MAX (owner->workers, 1));
-  if (owner->id == node->config.instance && worker == node->config.worker)
+  if (route.owner->id == node->config.instance && route.worker == node->config.worker)
     handle_as_owner (node, packet, shard);
   else
-    relay (node, packet, owner, worker);
+    relay (node, packet, route.owner, route.worker);
 }
 
 static void
@@ -190,34 +183,13 @@
   bool     has_token = packet->message->kind != WC__CALLER_PACKET__KIND__OPEN;
 
   /* A repeated packet may have been lost on the way to a domain that is cut off or to an owner that died. */
-  if (retried && domain_has_targets (node, service, here))
+  if (retried && wc_route_cache_has_targets (node->routes, service, here))
     return here;
   if (!retried && has_token && packet->service->affinity == WC_AFFINITY_SESSION &&
-      domain_has_targets (node, service, packet->token.domain) &&
-      wc_ownership_find_owner (node->view->members, packet->token.domain, service, 0))
+      wc_route_cache_has_targets (node->routes, service, packet->token.domain) &&
+      wc_route_cache_find (node->routes, service, packet->token.domain, 0).owner)
     return packet->token.domain;
-  return wc_ownership_pick_domain (node->view->members, node->view->reg, service, here, g_rand_int (node->random));
-}
-
-static bool
-domain_has_targets (const WcNode *node, uint32_t service, uint32_t domain)
-{
-  size_t          count;
-  const WcTarget *targets = wc_register_get_service_targets (node->view->reg, service, domain, &count);
-
-  for (size_t i = 0; i < count; i++)
-    if (!targets[i].leaving && targets[i].weight > 0)
-      return true;
-  return false;
-}
-
-static uint32_t
-find_shard (const WcNode *node, uint32_t service, uint32_t domain, uint64_t flow)
-{
-  size_t count;
-
-  wc_register_get_service_targets (node->view->reg, service, domain, &count);
-  return (uint32_t)(flow % wc_ownership_get_shard_count (count));
+  return wc_route_cache_pick_domain (node->routes, service, here, g_rand_int (node->random));
 }
 
 static bool
