--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: all, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, prove, bench, bench-plot,
-# proto, clean.
+# speed, proto, clean.
 
 CC       ?= gcc
 BUILD    ?= build
@@ -21,7 +21,7 @@
 CLI_OBJECTS  = $(patsubst %.c,$(BUILD)/%.o,$(CLI_SOURCES))
 TEST_PROGRAMS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SOURCES))
 
-.PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke prove bench bench-plot proto clean
+.PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke prove bench bench-plot speed proto clean
 .SECONDARY:
 
 all: $(BUILD)/wigeoncart $(TEST_PROGRAMS)
@@ -71,6 +71,10 @@
 	@$(MAKE) --no-print-directory $(BUILD)/wigeoncart
 	@tests/process/demo.sh
 
+# Measures the packet path of a real instance beside a bare relay.
+speed: $(BUILD)/wigeoncart
+	@tests/process/speed.sh
+
 prove: $(BUILD)/wigeoncart
 	@tests/process/prove.sh
 
