--- a/include/wigeoncart/counters.h
+++ b/include/wigeoncart/counters.h
@@ -41,6 +41,11 @@
   X (PEER_FRAMES_REJECTED, "peer_frames_rejected_total", "Peer frames that were malformed or not authentic.")          \
   X (PEER_BYTES_SENT, "peer_bytes_sent_total", "Bytes sent to peers.")                                                 \
   X (PEER_BYTES_RECEIVED, "peer_bytes_received_total", "Bytes received from peers.")                                   \
+  X (REPORTS_SENT, "reports_sent_total", "Backlog reports sent to owners in other domains.")                           \
+  X (REPORT_BYTES_SENT, "report_bytes_sent_total", "Bytes of backlog reports sent, with UDP and IPv4 headers.")        \
+  X (REPORTS_RECEIVED, "reports_received_total", "Backlog reports received.")                                          \
+  X (REPORTS_REJECTED, "reports_rejected_total", "Backlog reports that were forged, stale or not of the owner.")       \
+  X (PACKETS_PASSED_ON, "packets_passed_on_total", "Requests and ticket requests passed on to another domain.")        \
   X (PAUSES_DETECTED, "pauses_detected_total", "Gaps in the process's own clock that made it reconfirm its view.")     \
   X (EVENTS_RECORDED, "events_recorded_total", "Events recorded for the time line.")
 
--- a/include/wigeoncart/keyring.h
+++ b/include/wigeoncart/keyring.h
@@ -13,6 +13,7 @@
   WC_KEY_USE_TICKET,
   WC_KEY_USE_RELAY,
   WC_KEY_USE_PEER,
+  WC_KEY_USE_REPORT,
   WC_KEY_USE_COUNT
 } WcKeyUse;
 
--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &wc__relay_packet__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wc__backlog_report__init
+                     (Wc__BacklogReport         *message)
+{
+  static const Wc__BacklogReport init_value = WC__BACKLOG_REPORT__INIT;
+  *message = init_value;
+}
+size_t wc__backlog_report__get_packed_size
+                     (const Wc__BacklogReport *message)
+{
+  assert(message->base.descriptor == &wc__backlog_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wc__backlog_report__pack
+                     (const Wc__BacklogReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wc__backlog_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wc__backlog_report__pack_to_buffer
+                     (const Wc__BacklogReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wc__backlog_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wc__BacklogReport *
+       wc__backlog_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wc__BacklogReport *)
+     protobuf_c_message_unpack (&wc__backlog_report__descriptor,
+                                allocator, len, data);
+}
+void   wc__backlog_report__free_unpacked
+                     (Wc__BacklogReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wc__backlog_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wc__token_body__init
                      (Wc__TokenBody         *message)
 {
@@ -1013,7 +1058,7 @@
   (ProtobufCMessageInit) wc__instance_packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__relay_packet__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wc__relay_packet__field_descriptors[7] =
 {
   {
     "caller_ip",
@@ -1087,6 +1132,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "passed_from",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__RelayPacket, passed_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__relay_packet__field_indices_by_name[] = {
   0,   /* field[0] = caller_ip */
@@ -1095,11 +1152,12 @@
   2,   /* field[2] = hops */
   5,   /* field[5] = mac */
   3,   /* field[3] = packet */
+  6,   /* field[6] = passed_from */
 };
 static const ProtobufCIntRange wc__relay_packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wc__relay_packet__descriptor =
 {
@@ -1109,13 +1167,207 @@
   "Wc__RelayPacket",
   "wc",
   sizeof(Wc__RelayPacket),
-  6,
+  7,
   wc__relay_packet__field_descriptors,
   wc__relay_packet__field_indices_by_name,
   1,  wc__relay_packet__number_ranges,
   (ProtobufCMessageInit) wc__relay_packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wc__backlog_report__field_descriptors[13] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backlog_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, backlog_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, step_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_held_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, echo_held_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_incarnation",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, echo_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "active",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, active),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mac",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__BacklogReport, mac),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wc__backlog_report__field_indices_by_name[] = {
+  10,   /* field[10] = active */
+  5,   /* field[5] = backlog_us */
+  8,   /* field[8] = echo_held_us */
+  9,   /* field[9] = echo_incarnation */
+  7,   /* field[7] = echo_us */
+  11,   /* field[11] = epoch */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = instance */
+  12,   /* field[12] = mac */
+  4,   /* field[4] = sent_us */
+  2,   /* field[2] = service */
+  3,   /* field[3] = shard */
+  6,   /* field[6] = step_us */
+};
+static const ProtobufCIntRange wc__backlog_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor wc__backlog_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wc.BacklogReport",
+  "BacklogReport",
+  "Wc__BacklogReport",
+  "wc",
+  sizeof(Wc__BacklogReport),
+  13,
+  wc__backlog_report__field_descriptors,
+  wc__backlog_report__field_indices_by_name,
+  1,  wc__backlog_report__number_ranges,
+  (ProtobufCMessageInit) wc__backlog_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wc__token_body__field_descriptors[9] =
 {
   {
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Wc__CallerPacket Wc__CallerPacket;
 typedef struct Wc__InstancePacket Wc__InstancePacket;
 typedef struct Wc__RelayPacket Wc__RelayPacket;
+typedef struct Wc__BacklogReport Wc__BacklogReport;
 typedef struct Wc__TokenBody Wc__TokenBody;
 typedef struct Wc__TicketBody Wc__TicketBody;
 typedef struct Wc__ConfigId Wc__ConfigId;
@@ -150,10 +151,42 @@
   ProtobufCBinaryData packet;
   uint32_t epoch;
   uint64_t mac;
+  /*
+   * Domain of the owner that passed the request on; 0 for a relay to the owner itself. 
+   */
+  uint32_t passed_from;
 };
 #define WC__RELAY_PACKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__relay_packet__descriptor) \
-    , {0,NULL}, 0, 0, {0,NULL}, 0, 0 }
+    , {0,NULL}, 0, 0, {0,NULL}, 0, 0, 0 }
+
+
+/*
+ * Backlog of the owner of a shard of a service, for the shard's owner in another domain. It shares the relay port; its
+ *first byte differs from that of a RelayPacket. The MAC covers the other fields. Times are on the sender's clock, but
+ *for echo_us, which is the time of the newest report received from the incarnation whose low half is
+ *echo_incarnation. 
+ */
+struct  Wc__BacklogReport
+{
+  ProtobufCMessage base;
+  uint64_t instance;
+  uint64_t incarnation;
+  uint32_t service;
+  uint32_t shard;
+  uint64_t sent_us;
+  int64_t backlog_us;
+  uint64_t step_us;
+  uint64_t echo_us;
+  uint32_t echo_held_us;
+  uint32_t echo_incarnation;
+  protobuf_c_boolean active;
+  uint32_t epoch;
+  uint64_t mac;
+};
+#define WC__BACKLOG_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wc__backlog_report__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -338,6 +371,25 @@
 void   wc__relay_packet__free_unpacked
                      (Wc__RelayPacket *message,
                       ProtobufCAllocator *allocator);
+/* Wc__BacklogReport methods */
+void   wc__backlog_report__init
+                     (Wc__BacklogReport         *message);
+size_t wc__backlog_report__get_packed_size
+                     (const Wc__BacklogReport   *message);
+size_t wc__backlog_report__pack
+                     (const Wc__BacklogReport   *message,
+                      uint8_t             *out);
+size_t wc__backlog_report__pack_to_buffer
+                     (const Wc__BacklogReport   *message,
+                      ProtobufCBuffer     *buffer);
+Wc__BacklogReport *
+       wc__backlog_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wc__backlog_report__free_unpacked
+                     (Wc__BacklogReport *message,
+                      ProtobufCAllocator *allocator);
 /* Wc__TokenBody methods */
 void   wc__token_body__init
                      (Wc__TokenBody         *message);
@@ -447,6 +499,9 @@
 typedef void (*Wc__RelayPacket_Closure)
                  (const Wc__RelayPacket *message,
                   void *closure_data);
+typedef void (*Wc__BacklogReport_Closure)
+                 (const Wc__BacklogReport *message,
+                  void *closure_data);
 typedef void (*Wc__TokenBody_Closure)
                  (const Wc__TokenBody *message,
                   void *closure_data);
@@ -475,6 +530,7 @@
 extern const ProtobufCEnumDescriptor    wc__instance_packet__kind__descriptor;
 extern const ProtobufCEnumDescriptor    wc__instance_packet__result__descriptor;
 extern const ProtobufCMessageDescriptor wc__relay_packet__descriptor;
+extern const ProtobufCMessageDescriptor wc__backlog_report__descriptor;
 extern const ProtobufCMessageDescriptor wc__token_body__descriptor;
 extern const ProtobufCMessageDescriptor wc__ticket_body__descriptor;
 extern const ProtobufCMessageDescriptor wc__config_id__descriptor;
--- a/src/core/keyring.c
+++ b/src/core/keyring.c
@@ -21,10 +21,8 @@
 
 /* Contexts of the key derivation. A change makes all tokens and tickets of the fleet invalid. */
 static const char CONTEXTS[WC_KEY_USE_COUNT][crypto_kdf_CONTEXTBYTES + 1] = {
-  [WC_KEY_USE_TOKEN] = "wc-token",
-  [WC_KEY_USE_TICKET] = "wc-tickt",
-  [WC_KEY_USE_RELAY] = "wc-relay",
-  [WC_KEY_USE_PEER] = "wc-peers",
+  [WC_KEY_USE_TOKEN] = "wc-token", [WC_KEY_USE_TICKET] = "wc-tickt", [WC_KEY_USE_RELAY] = "wc-relay",
+  [WC_KEY_USE_PEER] = "wc-peers",  [WC_KEY_USE_REPORT] = "wc-reprt",
 };
 
 _Static_assert(WC_KEY_BYTES == crypto_kdf_KEYBYTES, "a published key is the master key of the derivation");
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -6,7 +6,6 @@
 #include <wigeoncart/ownership.h>
 
 #include "core/arena.h"
-#include "core/relay_packet.h"
 
 enum
 {
@@ -118,6 +117,9 @@
         wc_service_state_apply (value, now_us, view->reg, node->config.domain);
       wc_node_feed_apply_view (node, now_us);
     }
+  g_hash_table_iter_init (&iter, node->services);
+  while (view->reg && g_hash_table_iter_next (&iter, NULL, &value))
+    wc_node_spill_apply_view (node, value);
   if (view->lifecycle >= WC_LIFECYCLE_DRAINING && before < WC_LIFECYCLE_DRAINING)
     flush_waiters (node);
   wc_node_pump_all (node, now_us);
@@ -147,8 +149,13 @@
   WcArena      arena;
   WcRelay      relay;
 
-  wc_node_count (node, WC_COUNTER_RELAYS_RECEIVED);
   note_time (node, now_us);
+  if (wc_backlog_report_is (data, size_bytes))
+    {
+      wc_node_handle_report (node, now_us, data, size_bytes);
+      return;
+    }
+  wc_node_count (node, WC_COUNTER_RELAYS_RECEIVED);
   if (!node->view || !node->view->keyring)
     return;
   wc_arena_init (&arena, memory, sizeof memory);
@@ -159,6 +166,7 @@
     }
   packet.caller = relay.caller;
   packet.hops = relay.hops;
+  packet.passed_from = relay.passed_from;
   packet.data = relay.packet;
   packet.size_bytes = relay.packet_bytes;
   receive (node, &packet);
@@ -307,6 +315,7 @@
   wc_answer_store_expire (node->answers, now_us);
   wc_node_pump_all (node, now_us);
   wc_node_feed_tick (node, now_us);
+  wc_node_spill_tick (node, now_us);
 }
 
 bool
@@ -344,6 +353,7 @@
   state = wc_service_state_new (service, shard, &node->config, node->random);
   wc_service_state_apply (state, now_us, node->view->reg, node->config.domain);
   g_hash_table_insert (node->services, state, state);
+  wc_node_spill_apply_view (node, state);
   return state;
 }
 
--- a/src/core/node_order.c
+++ b/src/core/node_order.c
@@ -5,7 +5,7 @@
 static void handle_repeat (WcNode *node, const WcNodePacket *packet, const WcLedgerEntry *entry);
 
 void
-wc_node_handle_ticket (WcNode *node, const WcNodePacket *packet)
+wc_node_handle_ticket (WcNode *node, const WcNodePacket *packet, uint32_t shard)
 {
   const Wc__CallerPacket *message = packet->message;
   Wc__InstancePacket      reply = WC__INSTANCE_PACKET__INIT;
@@ -24,6 +24,9 @@
    * its view may be draining as well. */
   if (node->view->lifecycle != WC_LIFECYCLE_SERVING)
     return;
+  /* The order runs where its ticket was issued, so the domain is chosen now. */
+  if (wc_node_pass_on (node, packet, shard))
+    return;
   if (!wc_ticket_window_issue (&node->tickets, packet->now_us))
     {
       wc_node_reply_result (node, &packet->caller, message->request_id, WC__INSTANCE_PACKET__RESULT__BUSY,
--- a/src/core/node_private.h
+++ b/src/core/node_private.h
@@ -10,6 +10,9 @@
 #include <wigeoncart/ticket.h>
 #include <wigeoncart/token.h>
 
+#include "core/domain_delay.h"
+#include "core/passed_table.h"
+#include "core/relay_packet.h"
 #include "core/request_table.h"
 #include "core/route_cache.h"
 #include "core/service_state.h"
@@ -25,7 +28,11 @@
   WC_NODE_FEED_WAIT_MS = 5000,
   WC_NODE_FEED_RETRY_US = 200 * 1000,
   /* A caller that names a longer deadline is held to this one. */
-  WC_NODE_MAX_REMAINING_MS = 120 * 1000
+  WC_NODE_MAX_REMAINING_MS = 120 * 1000,
+  /* From this attempt on, a caller's packets stay in the failure domain that they arrive in. */
+  WC_NODE_LOCAL_ATTEMPT = 2,
+  WC_NODE_UNKNOWN_CUSTOMER_WORTH = 1,
+  WC_NODE_REPORT_ARENA_BYTES = 1024
 };
 
 struct WcNode
@@ -50,11 +57,18 @@
   /* After a pause of the process, nothing is dispatched until a view is newer than this or the limit has passed. */
   uint64_t resumed_us;
   uint64_t confirm_limit_us;
+  /* Reports between owners: when they were last checked, the first service that the budget left out, and the budget. */
+  uint64_t       report_check_us;
+  uint32_t       report_start;
+  int64_t        report_budget_bytes;
+  WcDomainDelays delays;
+  WcPassedTable  passed;
 };
 
 /**
  * struct WcNodePacket - a parsed datagram together with where it came from.
  * @hops: how often it was relayed.
+ * @passed_from: domain whose owner passed it on, 0 when none did.
  * @data, @size_bytes: the caller's datagram as received, for relaying.
  * @token: valid unless the packet opens a flow.
  */
@@ -63,6 +77,7 @@
   uint64_t                now_us;
   WcAddress               caller;
   uint32_t                hops;
+  uint32_t                passed_from;
   const uint8_t          *data;
   size_t                  size_bytes;
   const Wc__CallerPacket *message;
@@ -73,10 +88,19 @@
 
 /* node_route.c: decides where a datagram is handled. */
 void wc_node_route (WcNode *node, WcNodePacket *packet);
+void wc_node_relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker);
+
+/* node_spill.c: requests that are passed on to the owner in another domain, and the reports that this is based on. */
+void wc_node_spill_apply_view (WcNode *node, WcServiceState *state);
+void wc_node_spill_tick (WcNode *node, uint64_t now_us);
+void wc_node_handle_report (WcNode *node, uint64_t now_us, const uint8_t *data, size_t size_bytes);
+/* Both return true when the packet was passed on. */
+bool wc_node_pass_on (WcNode *node, const WcNodePacket *packet, uint32_t shard);
+bool wc_node_pass_on_cancel (WcNode *node, const WcNodePacket *packet, uint32_t shard);
 
 /* node_request.c: idempotent requests, polls, and what all requests have in common. */
 void       wc_node_handle_request (WcNode *node, const WcNodePacket *packet, uint32_t shard);
-void       wc_node_handle_cancel (WcNode *node, const WcNodePacket *packet);
+void       wc_node_handle_cancel (WcNode *node, const WcNodePacket *packet, uint32_t shard);
 WcRequest *wc_node_accept (WcNode *node, const WcNodePacket *packet, WcRequestKind kind, uint32_t shard);
 WcRefusal  wc_node_submit (WcNode *node, uint64_t now_us, WcRequest *request);
 void       wc_node_finish (WcNode *node, uint64_t now_us, WcRequest *request, Wc__InstancePacket__Result result,
@@ -87,7 +111,7 @@
 bool       wc_node_may_dispatch (const WcNode *node, uint64_t now_us);
 
 /* node_order.c: tickets and orders. */
-void wc_node_handle_ticket (WcNode *node, const WcNodePacket *packet);
+void wc_node_handle_ticket (WcNode *node, const WcNodePacket *packet, uint32_t shard);
 void wc_node_handle_order (WcNode *node, const WcNodePacket *packet, const WcTicket *ticket);
 void wc_node_settle_order (WcNode *node, WcRequest *request, Wc__InstancePacket__Result result);
 
--- a/src/core/node_request.c
+++ b/src/core/node_request.c
@@ -2,11 +2,6 @@
 
 #include <string.h>
 
-enum
-{
-  UNKNOWN_CUSTOMER_WORTH = 1
-};
-
 static bool copy_content (WcRequest *request, const Wc__CallerPacket *message);
 static void start_attempt (WcNode *node, uint64_t now_us, WcRequest *request, uint32_t target_id);
 static void refuse (WcNode *node, uint64_t now_us, WcRequest *request, WcRefusal refusal);
@@ -23,6 +18,8 @@
       request->caller = packet->caller;
       return;
     }
+  if (wc_node_pass_on (node, packet, shard))
+    return;
   request = wc_node_accept (node, packet, WC_REQUEST_IDEMPOTENT, shard);
   if (!request)
     return;
@@ -31,7 +28,7 @@
 }
 
 void
-wc_node_handle_cancel (WcNode *node, const WcNodePacket *packet)
+wc_node_handle_cancel (WcNode *node, const WcNodePacket *packet, uint32_t shard)
 {
   const Wc__CallerPacket    *message = packet->message;
   Wc__InstancePacket__Result result = WC__INSTANCE_PACKET__RESULT__BUSY;
@@ -43,6 +40,8 @@
       return;
     }
   request = wc_request_table_find_id (node->requests, message->request_id);
+  if (!request && wc_node_pass_on_cancel (node, packet, shard))
+    return;
   if (!request || request->service != message->service)
     return;
   if (request->kind == WC_REQUEST_ORDER)
@@ -96,6 +95,7 @@
   request->cursor = message->cursor;
   request->token_domain = packet->token.domain;
   request->refresh_token = packet->token_is_old;
+  request->passed_on = packet->passed_from != 0;
   if (packet->service->affinity == WC_AFFINITY_SESSION && packet->token.domain == node->config.domain)
     request->preferred_target = packet->token.target;
   wc_request_table_set_deadline (node->requests, request, packet->now_us + (uint64_t)remaining_ms * 1000);
@@ -111,7 +111,7 @@
   WcDispatchRequest entry = {
     .request = request->handle,
     .deadline_us = request->last_start_us,
-    .worth = customer ? customer->worth : UNKNOWN_CUSTOMER_WORTH,
+    .worth = customer ? customer->worth : WC_NODE_UNKNOWN_CUSTOMER_WORTH,
     .preferred_target = request->preferred_target,
     .attempts = request->attempts,
     .flow_hash = (uint32_t)request->flow,
@@ -316,8 +316,10 @@
 
   if (request->kind == WC_REQUEST_ORDER || request->flow == 0)
     return false;
+  /* A flow whose request was passed on stays where it is: its domain was busy for a moment only. */
   if (!request->refresh_token &&
-      !(session && (request->token_domain != node->config.domain || request->preferred_target != request->target)))
+      !(session && !request->passed_on &&
+        (request->token_domain != node->config.domain || request->preferred_target != request->target)))
     return false;
   *token = (WcToken){
     .service = request->service,
--- a/src/core/node_route.c
+++ b/src/core/node_route.c
@@ -1,20 +1,11 @@
 #include "core/node_private.h"
 
-#include "core/relay_packet.h"
-
-enum
-{
-  /* From this attempt on, a caller's packets stay in the failure domain that they arrive in. */
-  LOCAL_ATTEMPT = 2
-};
-
 static void     route_to_owner (WcNode *node, WcNodePacket *packet, uint64_t flow);
 static void     route_order (WcNode *node, WcNodePacket *packet);
 static void     route_to_holder (WcNode *node, WcNodePacket *packet);
 static void     handle_as_owner (WcNode *node, const WcNodePacket *packet, uint32_t shard);
 static uint32_t choose_domain (WcNode *node, const WcNodePacket *packet);
 static bool     key_is_newer (const WcNode *node, const uint8_t *sealed);
-static void     relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker);
 
 void
 wc_node_route (WcNode *node, WcNodePacket *packet)
@@ -51,6 +42,36 @@
     }
 }
 
+void
+wc_node_relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker)
+{
+  uint8_t   buffer[WC_RELAY_MAX_BYTES];
+  WcAddress address = member->address;
+  WcRelay   out = {
+      .caller = packet->caller,
+      .hops = packet->hops + 1,
+      .passed_from = packet->passed_from,
+      .packet = packet->data,
+      .packet_bytes = packet->size_bytes,
+  };
+  size_t size;
+
+  if (out.hops > WC_RELAY_MAX_HOPS || address.family == 0)
+    {
+      wc_node_count (node, WC_COUNTER_RELAYS_REJECTED);
+      return;
+    }
+  size = wc_relay_pack (node->view->keyring, &out, buffer);
+  if (size == 0)
+    {
+      wc_node_count (node, WC_COUNTER_RELAYS_REJECTED);
+      return;
+    }
+  address.port = (uint16_t)(address.port + worker);
+  wc_node_count (node, WC_COUNTER_PACKETS_RELAYED);
+  node->ops->relay (node->user_data, &address, buffer, size);
+}
+
 /* local functions */
 
 static void
@@ -79,7 +100,7 @@
   if (route.owner->id == node->config.instance && route.worker == node->config.worker)
     handle_as_owner (node, packet, shard);
   else
-    relay (node, packet, route.owner, route.worker);
+    wc_node_relay (node, packet, route.owner, route.worker);
 }
 
 static void
@@ -112,14 +133,14 @@
       (ticket.incarnation != node->config.incarnation || ticket.worker == node->config.worker))
     {
       if (message->kind == WC__CALLER_PACKET__KIND__CANCEL)
-        wc_node_handle_cancel (node, packet);
+        wc_node_handle_cancel (node, packet, 0);
       else
         wc_node_handle_order (node, packet, &ticket);
       return;
     }
   owner = wc_member_table_find (node->view->members, ticket.owner);
   if (owner)
-    relay (node, packet, owner, ticket.worker);
+    wc_node_relay (node, packet, owner, ticket.worker);
 }
 
 static void
@@ -140,7 +161,7 @@
       if (answer->worker == node->config.worker)
         {
           if (packet->message->kind == WC__CALLER_PACKET__KIND__CANCEL)
-            wc_node_handle_cancel (node, packet);
+            wc_node_handle_cancel (node, packet, 0);
           else
             wc_node_handle_fetch (node, packet);
           return;
@@ -148,7 +169,7 @@
     }
   holder = wc_member_table_find (node->view->members, answer->instance);
   if (holder)
-    relay (node, packet, holder, answer->worker);
+    wc_node_relay (node, packet, holder, answer->worker);
 }
 
 static void
@@ -163,13 +184,13 @@
       wc_node_handle_open (node, packet, shard);
       break;
     case WC__CALLER_PACKET__KIND__TICKET:
-      wc_node_handle_ticket (node, packet);
+      wc_node_handle_ticket (node, packet, shard);
       break;
     case WC__CALLER_PACKET__KIND__POLL:
       wc_node_handle_poll (node, packet, shard);
       break;
     case WC__CALLER_PACKET__KIND__CANCEL:
-      wc_node_handle_cancel (node, packet);
+      wc_node_handle_cancel (node, packet, shard);
       break;
     default:
       wc_node_handle_request (node, packet, shard);
@@ -182,7 +203,7 @@
 {
   uint32_t service = packet->service->id;
   uint32_t here = node->config.domain;
-  bool     retried = packet->message->attempt >= LOCAL_ATTEMPT;
+  bool     retried = packet->message->attempt >= WC_NODE_LOCAL_ATTEMPT;
   bool     has_token = packet->message->kind != WC__CALLER_PACKET__KIND__OPEN;
 
   /* A repeated packet may have been lost on the way to a domain that is cut off or to an owner that died. */
@@ -202,32 +223,3 @@
 
   return epoch > wc_keyring_get_newest_epoch (node->view->keyring);
 }
-
-static void
-relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker)
-{
-  uint8_t   buffer[WC_RELAY_MAX_BYTES];
-  WcAddress address = member->address;
-  WcRelay   out = {
-      .caller = packet->caller,
-      .hops = packet->hops + 1,
-      .packet = packet->data,
-      .packet_bytes = packet->size_bytes,
-  };
-  size_t size;
-
-  if (out.hops > WC_RELAY_MAX_HOPS || address.family == 0)
-    {
-      wc_node_count (node, WC_COUNTER_RELAYS_REJECTED);
-      return;
-    }
-  size = wc_relay_pack (node->view->keyring, &out, buffer);
-  if (size == 0)
-    {
-      wc_node_count (node, WC_COUNTER_RELAYS_REJECTED);
-      return;
-    }
-  address.port = (uint16_t)(address.port + worker);
-  wc_node_count (node, WC_COUNTER_PACKETS_RELAYED);
-  node->ops->relay (node->user_data, &address, buffer, size);
-}
--- /dev/null
+++ b/src/core/node_spill.c
@@ -0,0 +1,252 @@
+#include "core/node_private.h"
+
+#include <wigeoncart/ownership.h>
+
+enum
+{
+  REPORT_CHECK_US = 100 * 1000,
+  /* A request that was passed on and has to wait is answered with a report, though not more often than this. */
+  FEEDBACK_INTERVAL_US = 50 * 1000,
+  /* All reports of a node; the rest of its control traffic is 1.6 to 1.9 KB/s. */
+  REPORT_BYTES_PER_SECOND = 1000,
+  HEADER_BYTES = 28
+};
+
+static bool                 owns (WcNode *node, uint32_t service, uint32_t shard);
+static uint32_t             get_shard_count (const WcNode *node, uint32_t service, uint32_t domain);
+static uint32_t             choose (WcNode *node, const WcNodePacket *packet, WcServiceState *state);
+static bool                 pass_to (WcNode *node, const WcNodePacket *packet, uint32_t shard, uint32_t domain);
+static void                 send_report (WcNode *node, uint64_t now_us, WcServiceState *state, WcReportPeer *peer);
+static bool                 report_if_due (WcNode *node, uint64_t now_us, WcServiceState *state);
+static void                 earn_budget (WcNode *node, uint64_t now_us);
+static const WcSpillReport *make_load (const WcServiceState *state, uint64_t now_us, WcSpillReport *load);
+
+void
+wc_node_spill_apply_view (WcNode *node, WcServiceState *state)
+{
+  WcReportPeer    peers[WC_SPILL_MAX_DOMAINS] = { 0 };
+  const WcDomain *domains;
+  size_t          domain_count;
+  size_t          count = 0;
+
+  domains = wc_register_get_domains (node->view->reg, &domain_count);
+  for (size_t i = 0; i < domain_count && count < WC_SPILL_MAX_DOMAINS; i++)
+    {
+      uint32_t domain = domains[i].id;
+      WcRoute  route;
+
+      /* With another number of shards, a flow belongs to a shard there whose load is not known here. */
+      if (domain == node->config.domain || !owns (node, state->service, state->shard) ||
+          !wc_route_cache_has_targets (node->routes, state->service, domain) ||
+          get_shard_count (node, state->service, domain) != get_shard_count (node, state->service, node->config.domain))
+        continue;
+      route = wc_route_cache_find (node->routes, state->service, domain, state->shard);
+      if (!route.owner || route.owner->address.family == 0)
+        continue;
+      peers[count].domain = domain;
+      peers[count].instance = route.owner->id;
+      count++;
+    }
+  wc_report_exchange_set_peers (&state->exchange, peers, count, &node->delays);
+}
+
+void
+wc_node_spill_tick (WcNode *node, uint64_t now_us)
+{
+  uint32_t start = node->report_start;
+
+  if (now_us < node->report_check_us + REPORT_CHECK_US)
+    return;
+  earn_budget (node, now_us);
+  node->report_check_us = now_us;
+  if (!node->view || !node->view->reg || !node->view->keyring || node->view->lifecycle != WC_LIFECYCLE_SERVING)
+    return;
+  /* When the budget does not suffice for all services, the next check begins with the first one left out. */
+  for (int round = 0; round < 2; round++)
+    {
+      GHashTableIter iter;
+      gpointer       value;
+      uint32_t       index = 0;
+
+      g_hash_table_iter_init (&iter, node->services);
+      for (; g_hash_table_iter_next (&iter, NULL, &value); index++)
+        if ((index >= start) == (round == 0) && !report_if_due (node, now_us, value))
+          {
+            node->report_start = index;
+            return;
+          }
+    }
+}
+
+void
+wc_node_handle_report (WcNode *node, uint64_t now_us, const uint8_t *data, size_t size_bytes)
+{
+  uint8_t         memory[WC_NODE_REPORT_ARENA_BYTES];
+  WcArena         arena;
+  WcBacklogReport report;
+  WcServiceState *state;
+
+  wc_node_count (node, WC_COUNTER_REPORTS_RECEIVED);
+  if (!node->view || !node->view->reg || !node->view->keyring)
+    return;
+  wc_arena_init (&arena, memory, sizeof memory);
+  if (wc_backlog_report_open (node->view->keyring, data, size_bytes, &arena, &report) != WC_STATUS_OK ||
+      !wc_register_find_service (node->view->reg, report.service) ||
+      report.shard >= get_shard_count (node, report.service, node->config.domain) ||
+      !owns (node, report.service, report.shard))
+    {
+      wc_node_count (node, WC_COUNTER_REPORTS_REJECTED);
+      return;
+    }
+  state = wc_node_get_service (node, now_us, report.service, report.shard);
+  if (!wc_report_exchange_accept (&state->exchange, now_us, node->config.incarnation, &report, &node->delays))
+    wc_node_count (node, WC_COUNTER_REPORTS_REJECTED);
+}
+
+bool
+wc_node_pass_on (WcNode *node, const WcNodePacket *packet, uint32_t shard)
+{
+  WcServiceState *state = wc_node_get_service (node, packet->now_us, packet->service->id, shard);
+  WcReportPeer   *peer;
+  WcSpillReport   load;
+  uint32_t        domain;
+
+  if (packet->passed_from != 0)
+    {
+      peer = wc_report_exchange_find (&state->exchange, packet->passed_from);
+      if (peer && node->view->lifecycle == WC_LIFECYCLE_SERVING &&
+          packet->now_us >= peer->sent_us + FEEDBACK_INTERVAL_US &&
+          make_load (state, packet->now_us, &load)->backlog_us > 0)
+        send_report (node, packet->now_us, state, peer);
+      return false;
+    }
+  state->exchange.requested_us = packet->now_us;
+  if (packet->hops >= WC_RELAY_MAX_HOPS || packet->message->attempt >= WC_NODE_LOCAL_ATTEMPT ||
+      node->view->lifecycle != WC_LIFECYCLE_SERVING)
+    return false;
+  domain = choose (node, packet, state);
+  return domain != 0 && pass_to (node, packet, shard, domain);
+}
+
+bool
+wc_node_pass_on_cancel (WcNode *node, const WcNodePacket *packet, uint32_t shard)
+{
+  uint32_t domain = wc_passed_table_find (&node->passed, packet->now_us, packet->message->request_id);
+
+  /* A ticket names the owner that knows the order. */
+  if (domain == 0 || packet->message->ticket.len > 0 || packet->passed_from != 0 || packet->hops >= WC_RELAY_MAX_HOPS)
+    return false;
+  return pass_to (node, packet, shard, domain);
+}
+
+/* local functions */
+
+static bool
+owns (WcNode *node, uint32_t service, uint32_t shard)
+{
+  WcRoute route = wc_route_cache_find (node->routes, service, node->config.domain, shard);
+
+  return route.owner && route.owner->id == node->config.instance && route.worker == node->config.worker;
+}
+
+static uint32_t
+get_shard_count (const WcNode *node, uint32_t service, uint32_t domain)
+{
+  size_t count;
+
+  wc_register_get_service_targets (node->view->reg, service, domain, &count);
+  return wc_ownership_get_shard_count (count);
+}
+
+static uint32_t
+choose (WcNode *node, const WcNodePacket *packet, WcServiceState *state)
+{
+  const WcCustomer *customer;
+  uint64_t          wait_us;
+  uint32_t          domain = wc_passed_table_find (&node->passed, packet->now_us, packet->message->request_id);
+
+  /* A resend follows the first datagram, because only that owner recognizes it. */
+  if (domain != 0)
+    return domain;
+  customer = wc_register_find_customer (node->view->reg, packet->token.customer);
+  wait_us = wc_dispatcher_get_expected_wait_us (state->dispatcher, packet->now_us,
+                                                customer ? customer->worth : WC_NODE_UNKNOWN_CUSTOMER_WORTH);
+  return wc_spill_choose (&state->exchange.spill, packet->now_us, wait_us);
+}
+
+static bool
+pass_to (WcNode *node, const WcNodePacket *packet, uint32_t shard, uint32_t domain)
+{
+  WcRoute      route = wc_route_cache_find (node->routes, packet->service->id, domain, shard);
+  WcNodePacket passed = *packet;
+
+  if (!route.owner)
+    return false;
+  passed.passed_from = node->config.domain;
+  wc_passed_table_add (&node->passed, packet->now_us, packet->message->request_id, domain);
+  wc_node_count (node, WC_COUNTER_PACKETS_PASSED_ON);
+  wc_node_relay (node, &passed, route.owner, route.worker);
+  return true;
+}
+
+static void
+send_report (WcNode *node, uint64_t now_us, WcServiceState *state, WcReportPeer *peer)
+{
+  WcRoute         route = wc_route_cache_find (node->routes, state->service, peer->domain, state->shard);
+  uint8_t         buffer[WC_BACKLOG_REPORT_MAX_BYTES];
+  WcBacklogReport report = {
+    .instance = node->config.instance,
+    .incarnation = node->config.incarnation,
+    .service = state->service,
+    .shard = state->shard,
+  };
+  WcAddress address;
+  size_t    size;
+
+  if (!route.owner || route.owner->id != peer->instance)
+    return;
+  make_load (state, now_us, &report.load);
+  wc_report_exchange_fill (&state->exchange, now_us, peer, &report);
+  size = wc_backlog_report_pack (node->view->keyring, &report, buffer);
+  if (size == 0)
+    return;
+  address = route.owner->address;
+  address.port = (uint16_t)(address.port + route.worker);
+  node->report_budget_bytes -= (int64_t)size + HEADER_BYTES;
+  wc_node_count (node, WC_COUNTER_REPORTS_SENT);
+  wc_counters_add (node->counters, WC_COUNTER_REPORT_BYTES_SENT, size + HEADER_BYTES);
+  node->ops->relay (node->user_data, &address, buffer, size);
+}
+
+/* Return: false when a report may be due and the budget is used up. */
+static bool
+report_if_due (WcNode *node, uint64_t now_us, WcServiceState *state)
+{
+  WcSpillReport load;
+
+  if (state->exchange.count == 0 || !wc_report_exchange_is_wanted (&state->exchange, now_us))
+    return true;
+  if (node->report_budget_bytes <= 0)
+    return false;
+  if (!wc_spill_is_report_due (&state->exchange.spill, now_us, make_load (state, now_us, &load)))
+    return true;
+  for (size_t i = 0; i < state->exchange.count; i++)
+    send_report (node, now_us, state, &state->exchange.peers[i]);
+  return true;
+}
+
+static void
+earn_budget (WcNode *node, uint64_t now_us)
+{
+  int64_t limit_bytes = REPORT_BYTES_PER_SECOND / MAX (node->config.worker_count, 1);
+  int64_t passed_us = (int64_t)MIN (now_us - node->report_check_us, 1000 * 1000);
+
+  node->report_budget_bytes = MIN (node->report_budget_bytes + limit_bytes * passed_us / (1000 * 1000), limit_bytes);
+}
+
+static const WcSpillReport *
+make_load (const WcServiceState *state, uint64_t now_us, WcSpillReport *load)
+{
+  wc_spill_make_report (state->dispatcher, now_us, load);
+  return load;
+}
--- a/src/core/relay_packet.c
+++ b/src/core/relay_packet.c
@@ -26,6 +26,7 @@
   message.caller_ip.len = relay->caller.family == 6 ? 16 : 4;
   message.caller_port = relay->caller.port;
   message.hops = relay->hops;
+  message.passed_from = relay->passed_from;
   message.packet.data = (uint8_t *)relay->packet;
   message.packet.len = relay->packet_bytes;
   message.mac = compute_mac (key, &message);
@@ -58,6 +59,7 @@
   relay->caller.family = message->caller_ip.len == 16 ? 6 : 4;
   relay->caller.port = (uint16_t)message->caller_port;
   relay->hops = message->hops;
+  relay->passed_from = message->passed_from;
   relay->packet = message->packet.data;
   relay->packet_bytes = message->packet.len;
   return WC_STATUS_OK;
@@ -68,7 +70,7 @@
 static uint64_t
 compute_mac (const uint8_t *key, const Wc__RelayPacket *message)
 {
-  uint8_t  text[16 + 2 * sizeof (uint32_t) + WC_DATAGRAM_MAX_BYTES];
+  uint8_t  text[16 + 3 * sizeof (uint32_t) + WC_DATAGRAM_MAX_BYTES];
   size_t   used = message->caller_ip.len;
   uint64_t mac;
 
@@ -80,6 +82,8 @@
   used += sizeof message->caller_port;
   memcpy (text + used, &message->hops, sizeof message->hops);
   used += sizeof message->hops;
+  memcpy (text + used, &message->passed_from, sizeof message->passed_from);
+  used += sizeof message->passed_from;
   memcpy (text + used, message->packet.data, message->packet.len);
   used += message->packet.len;
   crypto_shorthash ((unsigned char *)&mac, text, used, key);
--- a/src/core/relay_packet.h
+++ b/src/core/relay_packet.h
@@ -15,12 +15,14 @@
 
 /**
  * struct WcRelay - a caller's datagram on its way between workers.
+ * @passed_from: domain of the owner that passed the request on; 0 for a relay to the owner itself.
  * @packet: after wc_relay_open(), memory of the arena.
  */
 typedef struct
 {
   WcAddress      caller;
   uint32_t       hops;
+  uint32_t       passed_from;
   const uint8_t *packet;
   size_t         packet_bytes;
 } WcRelay;
--- a/src/core/service_state.c
+++ b/src/core/service_state.c
@@ -22,6 +22,7 @@
 
   state->service = service;
   state->shard = shard;
+  wc_report_exchange_init (&state->exchange);
   state->dispatcher = wc_dispatcher_new (&dispatcher_config, config->policy, random);
   return state;
 }
--- a/src/core/service_state.h
+++ b/src/core/service_state.h
@@ -4,8 +4,11 @@
 #include <wigeoncart/dispatcher.h>
 #include <wigeoncart/node.h>
 
+#include "core/report_exchange.h"
+
 /**
  * struct WcServiceState - what a worker keeps of one shard of a service in its failure domain.
+ * @exchange: reports between this owner and those of the other domains.
  * @feed_cursor: newest event known to exist, 0 while unknown.
  * @feed_handle: request of the running long poll, 0 for none.
  * @feed_after: cursor from which that long poll reads.
@@ -13,13 +16,14 @@
  */
 typedef struct
 {
-  uint32_t      service;
-  uint32_t      shard;
-  WcDispatcher *dispatcher;
-  uint64_t      feed_cursor;
-  uint64_t      feed_handle;
-  uint64_t      feed_after;
-  uint64_t      feed_retry_us;
+  uint32_t         service;
+  uint32_t         shard;
+  WcDispatcher    *dispatcher;
+  WcReportExchange exchange;
+  uint64_t         feed_cursor;
+  uint64_t         feed_handle;
+  uint64_t         feed_after;
+  uint64_t         feed_retry_us;
 } WcServiceState;
 
 WcServiceState *wc_service_state_new (uint32_t service, uint32_t shard, const WcNodeConfig *config, GRand *random);
--- /dev/null
+++ b/tests/test_domain_delay.c
@@ -0,0 +1,75 @@
+#include "core/domain_delay.h"
+
+#include "test_main.h"
+
+enum
+{
+  SECOND_US = 1000 * 1000
+};
+
+/* Failure: without a measurement a domain counts as next door, so that every request is passed on. */
+START_TEST (test_default_until_measured)
+{
+  WcDomainDelays delays = { 0 };
+
+  ck_assert_uint_eq (wc_domain_delays_get_us (&delays, 1), 5000);
+  wc_domain_delays_add (&delays, SECOND_US, 2, 8000);
+  ck_assert_uint_eq (wc_domain_delays_get_us (&delays, 1), 5000);
+  ck_assert_uint_eq (wc_domain_delays_get_us (&delays, 2), 4000);
+}
+END_TEST
+
+/* Failure: a report that was delayed or held longer than it says raises the delay. */
+START_TEST (test_smallest_counts)
+{
+  WcDomainDelays delays = { 0 };
+
+  wc_domain_delays_add (&delays, SECOND_US, 1, 60000);
+  wc_domain_delays_add (&delays, 2 * SECOND_US, 1, 8000);
+  wc_domain_delays_add (&delays, 3 * SECOND_US, 1, 90000);
+  ck_assert_uint_eq (wc_domain_delays_get_us (&delays, 1), 4000);
+  wc_domain_delays_add (&delays, 4 * SECOND_US, 1, 10);
+  ck_assert_uint_eq (wc_domain_delays_get_us (&delays, 1), 1000);
+}
+END_TEST
+
+/* Failure: a link that has become slower keeps its old delay for ever. */
+START_TEST (test_old_round_trips_are_dropped)
+{
+  WcDomainDelays delays = { 0 };
+
+  wc_domain_delays_add (&delays, SECOND_US, 1, 8000);
+  for (uint64_t second = 2; second < 22; second++)
+    wc_domain_delays_add (&delays, second * SECOND_US, 1, 20000);
+  ck_assert_uint_eq (wc_domain_delays_get_us (&delays, 1), 10000);
+  wc_domain_delays_add (&delays, 100 * SECOND_US, 1, 30000);
+  ck_assert_uint_eq (wc_domain_delays_get_us (&delays, 1), 15000);
+}
+END_TEST
+
+/* Failure: more domains than there is room for overwrite memory. */
+START_TEST (test_bound)
+{
+  WcDomainDelays delays = { 0 };
+
+  for (uint32_t domain = 1; domain < 100; domain++)
+    wc_domain_delays_add (&delays, SECOND_US, domain, 8000);
+  ck_assert_uint_eq (delays.count, WC_SPILL_MAX_DOMAINS);
+  ck_assert_uint_eq (wc_domain_delays_get_us (&delays, 99), 5000);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, test_default_until_measured);
+  tcase_add_test (tests, test_smallest_counts);
+  tcase_add_test (tests, test_old_round_trips_are_dropped);
+  tcase_add_test (tests, test_bound);
+}
+
+int
+main (void)
+{
+  return wc_test_run ("domain_delay", add_tests);
+}
--- /dev/null
+++ b/tests/test_report_exchange.c
@@ -0,0 +1,196 @@
+#include "core/report_exchange.h"
+
+#include "test_main.h"
+
+enum
+{
+  MS = 1000,
+  SECOND_US = 1000 * MS,
+  START_US = 1000 * SECOND_US,
+  HERE = 11,
+  /* The sender's clock is far from the receiver's. */
+  THERE_US = 5 * SECOND_US
+};
+
+static WcReportExchange exchange;
+static WcDomainDelays   delays;
+
+static void
+set_peer (uint64_t instance)
+{
+  WcReportPeer peer = { .domain = 2, .instance = instance };
+
+  wc_report_exchange_set_peers (&exchange, &peer, 1, &delays);
+}
+
+static void
+setup (void)
+{
+  delays = (WcDomainDelays){ 0 };
+  wc_report_exchange_init (&exchange);
+  set_peer (20);
+}
+
+static WcBacklogReport
+make_report (uint64_t incarnation, uint64_t sent_us, int64_t backlog_us)
+{
+  return (WcBacklogReport){ .instance = 20,
+                            .incarnation = incarnation,
+                            .sent_us = sent_us,
+                            .load = { .backlog_us = backlog_us, .step_us = 1000 },
+                            .active = true };
+}
+
+static bool
+accept (uint64_t now_us, uint64_t incarnation, uint64_t sent_us, int64_t backlog_us)
+{
+  WcBacklogReport report = make_report (incarnation, sent_us, backlog_us);
+
+  return wc_report_exchange_accept (&exchange, now_us, HERE, &report, &delays);
+}
+
+/* Failure: a repeated or late report overrides a newer one, so that requests go to a busy domain. */
+START_TEST (test_repeated_and_reordered_reports_are_ignored)
+{
+  ck_assert (accept (START_US, 1, THERE_US + 200 * MS, 700 * MS));
+  ck_assert (!accept (START_US + 1, 1, THERE_US + 200 * MS, 0));
+  ck_assert (!accept (START_US + 2, 1, THERE_US + 100 * MS, 0));
+  ck_assert_uint_eq (wc_spill_choose (&exchange.spill, START_US + 3, 600 * MS), 0);
+  ck_assert (accept (START_US + 4, 1, THERE_US + 300 * MS, 0));
+  ck_assert_uint_eq (wc_spill_choose (&exchange.spill, START_US + 5, 600 * MS), 2);
+}
+END_TEST
+
+/* Failure: a lost report blocks the later ones, or a domain whose reports are all lost is still chosen. */
+START_TEST (test_lost_reports)
+{
+  ck_assert (accept (START_US, 1, THERE_US, 0));
+  ck_assert (accept (START_US + 900 * MS, 1, THERE_US + 900 * MS, 0));
+  ck_assert_uint_eq (wc_spill_choose (&exchange.spill, START_US + 1900 * MS, 600 * MS), 2);
+  ck_assert_uint_eq (wc_spill_choose (&exchange.spill, START_US + 1900 * MS + 1, 600 * MS), 0);
+}
+END_TEST
+
+/* Failure: after a restart the smaller times of the new incarnation are ignored for ever, or a late report of the old
+ * incarnation replaces a new one. */
+START_TEST (test_incarnations)
+{
+  ck_assert (accept (START_US, 1, THERE_US, 0));
+  ck_assert (accept (START_US + 1100 * MS, 2, MS, 700 * MS));
+  ck_assert (!accept (START_US + 1200 * MS, 1, THERE_US + 10 * MS, 0));
+  ck_assert_uint_eq (wc_spill_choose (&exchange.spill, START_US + 1200 * MS, 600 * MS), 0);
+  ck_assert (accept (START_US + 1300 * MS, 2, 200 * MS, 0));
+}
+END_TEST
+
+/* Failure: a report that was held up on the way for longer than its life counts as fresh. */
+START_TEST (test_report_that_took_too_long_is_ignored)
+{
+  WcBacklogReport report = make_report (1, THERE_US, 0);
+
+  report.echo_us = START_US;
+  report.echo_held_us = 100 * MS;
+  report.echo_incarnation = HERE;
+  ck_assert (!wc_report_exchange_accept (&exchange, START_US + 1200 * MS, HERE, &report, &delays));
+  ck_assert_uint_eq (delays.count, 0);
+}
+END_TEST
+
+/* Failure: the delay is computed from two clocks, includes the time that the report was held, or is taken from an echo
+ * of another incarnation's clock. */
+START_TEST (test_delay_from_echo)
+{
+  WcBacklogReport report = make_report (1, THERE_US, 0);
+
+  report.echo_us = START_US;
+  report.echo_held_us = 300 * MS;
+  report.echo_incarnation = HERE + 1;
+  ck_assert (wc_report_exchange_accept (&exchange, START_US + 308 * MS, HERE, &report, &delays));
+  ck_assert_uint_eq (delays.count, 0);
+  report.sent_us++;
+  report.echo_incarnation = HERE;
+  ck_assert (wc_report_exchange_accept (&exchange, START_US + 308 * MS, HERE, &report, &delays));
+  ck_assert_uint_eq (wc_domain_delays_get_us (&delays, 2), 4 * MS);
+  ck_assert_uint_eq (exchange.spill.peers[0].delay_us, 4 * MS);
+}
+END_TEST
+
+/* Failure: the echo leaves out the time that the report was held, or repeats a report of long ago. */
+START_TEST (test_fill)
+{
+  WcBacklogReport report = { 0 };
+
+  wc_report_exchange_fill (&exchange, START_US, &exchange.peers[0], &report);
+  ck_assert_uint_eq (report.echo_us, 0);
+  ck_assert_uint_eq (report.sent_us, START_US);
+  ck_assert (accept (START_US, 0x700000001, THERE_US, 0));
+  wc_report_exchange_fill (&exchange, START_US, &exchange.peers[0], &report);
+  ck_assert_uint_eq (report.sent_us, START_US + 1);
+  wc_report_exchange_fill (&exchange, START_US + 50 * MS, &exchange.peers[0], &report);
+  ck_assert_uint_eq (report.echo_us, THERE_US);
+  ck_assert_uint_eq (report.echo_held_us, 50 * MS);
+  ck_assert_uint_eq (report.echo_incarnation, 1);
+  wc_report_exchange_fill (&exchange, START_US + 2 * SECOND_US, &exchange.peers[0], &report);
+  ck_assert_uint_eq (report.echo_us, 0);
+}
+END_TEST
+
+/* Failure: reports of an instance that is not the owner are used, or a new owner inherits its predecessor's report. */
+START_TEST (test_owners)
+{
+  WcBacklogReport stranger = make_report (1, THERE_US, 0);
+
+  stranger.instance = 21;
+  ck_assert (!wc_report_exchange_accept (&exchange, START_US, HERE, &stranger, &delays));
+  ck_assert (accept (START_US, 1, THERE_US, 0));
+  set_peer (20);
+  ck_assert_uint_eq (wc_spill_choose (&exchange.spill, START_US, 600 * MS), 2);
+  ck_assert (!accept (START_US + 1, 1, THERE_US, 0));
+  set_peer (21);
+  ck_assert_uint_eq (wc_spill_choose (&exchange.spill, START_US, 600 * MS), 0);
+  ck_assert (wc_report_exchange_accept (&exchange, START_US, HERE, &stranger, &delays));
+  wc_report_exchange_set_peers (&exchange, NULL, 0, &delays);
+  ck_assert_uint_eq (wc_spill_choose (&exchange.spill, START_US, 600 * MS), 0);
+}
+END_TEST
+
+/* Failure: owners without requests keep each other reporting for ever, or an idle owner does not tell a busy one. */
+START_TEST (test_activity)
+{
+  WcBacklogReport report = make_report (1, THERE_US, 0);
+
+  ck_assert (!wc_report_exchange_is_wanted (&exchange, START_US));
+  report.active = false;
+  ck_assert (wc_report_exchange_accept (&exchange, START_US, HERE, &report, &delays));
+  ck_assert (!wc_report_exchange_is_wanted (&exchange, START_US));
+  ck_assert (accept (START_US, 1, THERE_US + 1, 0));
+  ck_assert (wc_report_exchange_is_wanted (&exchange, START_US));
+  ck_assert (!wc_report_exchange_is_active (&exchange, START_US));
+  wc_report_exchange_fill (&exchange, START_US, &exchange.peers[0], &report);
+  ck_assert (!report.active);
+  ck_assert (!wc_report_exchange_is_wanted (&exchange, START_US + SECOND_US));
+  exchange.requested_us = START_US;
+  ck_assert (wc_report_exchange_is_active (&exchange, START_US + SECOND_US));
+  ck_assert (!wc_report_exchange_is_wanted (&exchange, START_US + 2 * SECOND_US));
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_checked_fixture (tests, setup, NULL);
+  tcase_add_test (tests, test_repeated_and_reordered_reports_are_ignored);
+  tcase_add_test (tests, test_lost_reports);
+  tcase_add_test (tests, test_incarnations);
+  tcase_add_test (tests, test_report_that_took_too_long_is_ignored);
+  tcase_add_test (tests, test_delay_from_echo);
+  tcase_add_test (tests, test_fill);
+  tcase_add_test (tests, test_owners);
+  tcase_add_test (tests, test_activity);
+}
+
+int
+main (void)
+{
+  return wc_test_run ("report_exchange", add_tests);
+}
