Spread new flows evenly over the targets

The preferred target of a new flow is the one with the least recent work and recently assigned flows. A flow stays with a target that is merely busy; moving it to whatever target answered made the flows drift.

--- a/include/wigeoncart/dispatcher.h
+++ b/include/wigeoncart/dispatcher.h
@@ -119,6 +119,13 @@
 /** wc_dispatcher_end() - an attempt dispatched to @target has ended; @run_us is 0 when unknown. */
 void wc_dispatcher_end (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, WcOutcome outcome, uint64_t run_us);
 
+/**
+ * wc_dispatcher_assign_flow() - preferred target of a new flow, so that flows spread evenly; it counts as assigned.
+ *
+ * Return: 0 when no target is in service.
+ */
+uint32_t wc_dispatcher_assign_flow (WcDispatcher *dispatcher, uint64_t now_us);
+
 /** wc_dispatcher_hint() - load told in an answer's header; may order the candidates, never admits work. */
 void wc_dispatcher_hint (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, uint32_t running);
 
--- a/src/core/dispatcher.c
+++ b/src/core/dispatcher.c
@@ -156,6 +156,17 @@
   wc_target_set_end (&dispatcher->targets, now_us, target, outcome, run_us, dispatcher->config.refusal_backoff_us);
 }
 
+uint32_t
+wc_dispatcher_assign_flow (WcDispatcher *dispatcher, uint64_t now_us)
+{
+  const WcTargetState *state;
+
+  assert (dispatcher != NULL);
+
+  state = wc_target_set_assign (&dispatcher->targets, now_us, g_rand_int (dispatcher->random));
+  return state ? state->target.id : 0;
+}
+
 void
 wc_dispatcher_hint (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, uint32_t running)
 {
--- a/src/core/node_reply.c
+++ b/src/core/node_reply.c
@@ -2,19 +2,18 @@
 
 #include <assert.h>
 
-static uint32_t choose_target (WcNode *node, uint64_t now_us, uint32_t service, uint32_t shard);
-
 void
 wc_node_handle_open (WcNode *node, const WcNodePacket *packet, uint32_t shard)
 {
   const Wc__CallerPacket *message = packet->message;
   Wc__InstancePacket      reply = WC__INSTANCE_PACKET__INIT;
+  WcServiceState         *state = wc_node_get_service (node, packet->now_us, message->service, shard);
   uint8_t                 sealed[WC_TOKEN_MAX_BYTES];
   WcToken                 token = {
                     .service = message->service,
                     .customer = message->customer,
                     .domain = node->config.domain,
-                    .target = choose_target (node, packet->now_us, message->service, shard),
+                    .target = wc_dispatcher_assign_flow (state->dispatcher, packet->now_us),
                     .owner = node->config.instance,
                     .incarnation = node->config.incarnation,
                     .worker = node->config.worker,
@@ -123,34 +122,3 @@
       reply.token.len = 0;
     }
 }
-
-/* local functions */
-
-/* Preferred target of a new flow: the one with the fewest outstanding requests for its slots. */
-static uint32_t
-choose_target (WcNode *node, uint64_t now_us, uint32_t service, uint32_t shard)
-{
-  WcServiceState *state = wc_node_get_service (node, now_us, service, shard);
-  size_t          count;
-  const WcTarget *targets = wc_register_get_service_targets (node->view->reg, service, node->config.domain, &count);
-  uint32_t        best = 0;
-  uint64_t        best_load = UINT64_MAX;
-  size_t          start = count > 0 ? g_rand_int (node->random) % count : 0;
-
-  for (size_t i = 0; i < count; i++)
-    {
-      const WcTarget *target = &targets[(start + i) % count];
-      uint64_t        load;
-
-      if (target->leaving || target->weight == 0)
-        continue;
-      load = (uint64_t)wc_dispatcher_get_outstanding (state->dispatcher, target->id) * 100000 /
-             ((uint64_t)target->slots * target->weight);
-      if (load < best_load)
-        {
-          best = target->id;
-          best_load = load;
-        }
-    }
-  return best;
-}
--- a/src/core/node_request.c
+++ b/src/core/node_request.c
@@ -6,6 +6,7 @@
 static void start_attempt (WcNode *node, uint64_t now_us, WcRequest *request, uint32_t target_id);
 static void refuse (WcNode *node, uint64_t now_us, WcRequest *request, WcRefusal refusal);
 static void reply_done (WcNode *node, uint64_t now_us, WcRequest *request);
+static bool target_is_lost (const WcNode *node, const WcRequest *request);
 static bool make_fresh_token (const WcNode *node, const WcRequest *request, WcToken *token);
 
 void
@@ -294,9 +295,9 @@
     {
       wc_node_count (node, WC_COUNTER_FLOWS_MOVED);
       wc_node_record (node, WC_EVENT_FLOW_MOVED, request,
-                      request->token_domain != node->config.domain   ? "another failure domain answered"
-                      : request->preferred_target != request->target ? "another target answered"
-                                                                     : "the token was old");
+                      request->token_domain != node->config.domain ? "another failure domain answered"
+                      : target_is_lost (node, request)             ? "the target is out of service"
+                                                                   : "the token was old");
     }
   wc_node_reply_parts (node, &request->caller, request->request_id, request->answer, 0, WC_NODE_FIRST_PARTS,
                        request->cursor, has_token ? &token : NULL);
@@ -308,6 +309,17 @@
     wc_answer_store_release (node->answers, request->answer);
 }
 
+/* Whether the flow needs another preferred target. One that is merely busy remains: its flows would otherwise drift by
+ * chance, which undoes the even spread of new flows. */
+static bool
+target_is_lost (const WcNode *node, const WcRequest *request)
+{
+  const WcTarget *target = wc_register_find_target (node->view->reg, request->preferred_target);
+
+  return !target || target->leaving || target->weight == 0 || target->service != request->service ||
+         target->domain != node->config.domain;
+}
+
 static bool
 make_fresh_token (const WcNode *node, const WcRequest *request, WcToken *token)
 {
@@ -317,15 +329,16 @@
   if (request->kind == WC_REQUEST_ORDER || request->flow == 0)
     return false;
   /* A flow whose request was passed on stays where it is: its domain was busy for a moment only. */
-  if (!request->refresh_token &&
-      !(session && !request->passed_on &&
-        (request->token_domain != node->config.domain || request->preferred_target != request->target)))
+  if (!request->refresh_token && !(session && !request->passed_on &&
+                                   (request->token_domain != node->config.domain || target_is_lost (node, request))))
     return false;
   *token = (WcToken){
     .service = request->service,
     .customer = request->customer,
     .domain = node->config.domain,
-    .target = request->target,
+    .target = request->token_domain != node->config.domain || target_is_lost (node, request)
+                  ? request->target
+                  : request->preferred_target,
     .owner = node->config.instance,
     .incarnation = node->config.incarnation,
     .worker = node->config.worker,
--- a/src/core/target_set.c
+++ b/src/core/target_set.c
@@ -11,6 +11,10 @@
   DECAY_INTERVAL_US = 250000,
   DECAY_SHIFT = 3,
   MAX_DECAY_STEPS = 64,
+  /* A flow shows in the work figures only after several requests, so its count has to last longer: half of it is left
+   * after 52 s. */
+  FLOW_DECAY_INTERVAL_US = 10 * 1000 * 1000,
+  FLOW_UNIT = 1024,
   /* The backoff doubles at most 5 times. */
   MAX_BACKOFF_SHIFT = 5,
   RAMP_MIN_PERCENT = 10,
@@ -20,6 +24,9 @@
 
 static void     add_target (WcTargetSet *set, uint64_t now_us, const WcDispatchTarget *target, bool ramp);
 static void     drop_unused (WcTargetSet *set);
+static uint64_t count_steps (uint64_t *next_us, uint64_t now_us, uint64_t interval_us);
+static uint64_t mean_flows (const WcTargetSet *set, const WcDispatchTarget *target);
+static uint64_t get_capacity (const WcDispatchTarget *target);
 static uint64_t average (uint64_t mean, uint64_t sample, int shift);
 static void     update_long_run (WcTargetSet *set, uint64_t run_us);
 static uint64_t mean_work (const WcTargetSet *set, uint64_t now_us, uint32_t weight);
@@ -36,6 +43,7 @@
   set->long_run_us = 0;
   set->outstanding = 0;
   set->decay_us = 0;
+  set->flow_decay_us = 0;
 }
 
 void
@@ -141,25 +149,70 @@
     drop_unused (set);
 }
 
+WcTargetState *
+wc_target_set_assign (WcTargetSet *set, uint64_t now_us, uint32_t start)
+{
+  WcTargetState    *best = NULL;
+  unsigned __int128 best_load = 0;
+  bool              best_open = false;
+  uint64_t          work_us = 0;
+  uint64_t          flows = 0;
+
+  assert (set != NULL);
+
+  wc_target_set_tick (set, now_us);
+  for (guint i = 0; i < set->states->len; i++)
+    {
+      const WcTargetState *state = &g_array_index (set->states, WcTargetState, i);
+
+      if (!wc_target_state_in_service (state))
+        continue;
+      work_us += state->done_us + state->charged_us;
+      flows += state->flows;
+    }
+  for (guint i = 0; i < set->states->len; i++)
+    {
+      WcTargetState    *state = &g_array_index (set->states, WcTargetState, (start + i) % set->states->len);
+      bool              open = now_us >= state->closed_until_us;
+      unsigned __int128 load;
+
+      if (!wc_target_state_in_service (state))
+        continue;
+      /* Work and flows are added as shares of their sums, so that neither needs a unit of the other. */
+      load = (unsigned __int128)state->flows * MAX (work_us, 1) +
+             (unsigned __int128)(state->done_us + state->charged_us) * MAX (flows, 1);
+      load = load * 100 / (get_capacity (&state->target) * ramp_percent (state, now_us));
+      if (best && (open != best_open ? best_open : load >= best_load))
+        continue;
+      best = state;
+      best_load = load;
+      best_open = open;
+    }
+  if (best)
+    best->flows += FLOW_UNIT;
+  return best;
+}
+
 void
 wc_target_set_tick (WcTargetSet *set, uint64_t now_us)
 {
   uint64_t steps;
+  uint64_t flow_steps;
 
   assert (set != NULL);
 
-  if (now_us < set->decay_us)
+  steps = count_steps (&set->decay_us, now_us, DECAY_INTERVAL_US);
+  flow_steps = count_steps (&set->flow_decay_us, now_us, FLOW_DECAY_INTERVAL_US);
+  if (steps == 0 && flow_steps == 0)
     return;
-  steps = 1 + (now_us - set->decay_us) / DECAY_INTERVAL_US;
-  set->decay_us = now_us + DECAY_INTERVAL_US;
-  if (steps > MAX_DECAY_STEPS)
-    steps = MAX_DECAY_STEPS;
   for (guint i = 0; i < set->states->len; i++)
     {
       WcTargetState *state = &g_array_index (set->states, WcTargetState, i);
 
       for (uint64_t step = 0; step < steps; step++)
         state->done_us -= state->done_us >> DECAY_SHIFT;
+      for (uint64_t step = 0; step < flow_steps; step++)
+        state->flows -= state->flows >> DECAY_SHIFT;
     }
 }
 
@@ -219,6 +272,7 @@
     }
   /* Starting at zero would send the new target everything until it has caught up with the others. */
   state.done_us = mean_work (set, now_us, target->weight);
+  state.flows = mean_flows (set, target);
   g_array_append_val (set->states, state);
 }
 
@@ -234,6 +288,44 @@
     }
 }
 
+/* Steps of a decay that are due now. */
+static uint64_t
+count_steps (uint64_t *next_us, uint64_t now_us, uint64_t interval_us)
+{
+  uint64_t steps;
+
+  if (now_us < *next_us)
+    return 0;
+  steps = 1 + (now_us - *next_us) / interval_us;
+  *next_us = now_us + interval_us;
+  return steps < MAX_DECAY_STEPS ? steps : MAX_DECAY_STEPS;
+}
+
+static uint64_t
+get_capacity (const WcDispatchTarget *target)
+{
+  return (uint64_t)target->slots * target->weight;
+}
+
+/* Flows that a new target would have, had it been in service as long as the others. */
+static uint64_t
+mean_flows (const WcTargetSet *set, const WcDispatchTarget *target)
+{
+  uint64_t flows = 0;
+  uint64_t capacity = 0;
+
+  for (guint i = 0; i < set->states->len; i++)
+    {
+      const WcTargetState *state = &g_array_index (set->states, WcTargetState, i);
+
+      if (!wc_target_state_in_service (state))
+        continue;
+      flows += state->flows;
+      capacity += get_capacity (&state->target);
+    }
+  return capacity > 0 ? flows * get_capacity (target) / capacity : 0;
+}
+
 static uint64_t
 average (uint64_t mean, uint64_t sample, int shift)
 {
--- a/src/core/target_set.h
+++ b/src/core/target_set.h
@@ -12,6 +12,7 @@
  * @failures: refusals and failures in a row.
  * @charged_us: estimated run time of the outstanding attempts.
  * @done_us: run time of the ended attempts; decays.
+ * @flows: new flows that prefer the target, in units of 1/1024; decays more slowly.
  */
 typedef struct
 {
@@ -27,6 +28,7 @@
   uint32_t         failures;
   uint64_t         charged_us;
   uint64_t         done_us;
+  uint64_t         flows;
 } WcTargetState;
 
 /**
@@ -42,6 +44,7 @@
   uint64_t long_run_us;
   uint32_t outstanding;
   uint64_t decay_us;
+  uint64_t flow_decay_us;
 } WcTargetSet;
 
 void wc_target_set_init (WcTargetSet *set);
@@ -60,7 +63,15 @@
 void wc_target_set_end (WcTargetSet *set, uint64_t now_us, uint32_t target, WcOutcome outcome, uint64_t run_us,
                         uint64_t backoff_us);
 
-/** wc_target_set_tick() - age the work figures. */
+/**
+ * wc_target_set_assign() - preferred target of a new flow: the one with the least recent work and recent flows for its
+ * slots and weight. Of equal ones, the first from place @start on.
+ *
+ * Return: NULL when no target is in service.
+ */
+WcTargetState *wc_target_set_assign (WcTargetSet *set, uint64_t now_us, uint32_t start);
+
+/** wc_target_set_tick() - age the work and flow figures. */
 void wc_target_set_tick (WcTargetSet *set, uint64_t now_us);
 
 /** wc_target_state_in_service() - may get new work, now or after a backoff. */
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -27,6 +27,7 @@
   size_t              sent_count;
   size_t              relayed;
   uint64_t            attempt;
+  uint32_t            target;
   size_t              attempts;
   size_t              cancelled;
   uint8_t             token[128];
@@ -63,6 +64,7 @@
 {
   (void)user_data;
   world.attempt = attempt->id;
+  world.target = attempt->target->id;
   world.attempts++;
 }
 
@@ -101,11 +103,16 @@
   size_t         count;
 
   g_string_append_printf (text,
-                          "{\"revision\":%u,\"domains\":[\"d\"],\"services\":[{\"name\":\"a\"},{\"name\":\"b\"}],"
+                          "{\"revision\":%u,\"domains\":[\"d\"],\"services\":[{\"name\":\"a\"},{\"name\":\"b\"},"
+                          "{\"name\":\"c\",\"affinity\":\"session\"}],"
                           "\"hosts\":[{\"name\":\"h\",\"domain\":\"d\",\"targets\":[{\"service\":\"a\","
                           "\"address\":\"127.0.0.1:9001\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]},"
                           "{\"name\":\"i\",\"domain\":\"d\",\"targets\":[{\"service\":\"b\",\"address\":"
-                          "\"127.0.0.1:9002\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]}],\"keys\":[",
+                          "\"127.0.0.1:9002\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]},"
+                          "{\"name\":\"j\",\"domain\":\"d\",\"targets\":[{\"service\":\"c\",\"address\":"
+                          "\"127.0.0.1:9003\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]},"
+                          "{\"name\":\"k\",\"domain\":\"d\",\"targets\":[{\"service\":\"c\",\"address\":"
+                          "\"127.0.0.1:9004\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]}],\"keys\":[",
                           last_epoch);
   for (uint32_t epoch = first_epoch; epoch <= last_epoch; epoch++)
     {
@@ -415,6 +422,34 @@
 }
 END_TEST
 
+/* Failure: a flow moves to whatever target answered while its own was busy, so that flows drift by chance. */
+START_TEST (test_busy_target_keeps_its_flows)
+{
+  Wc__CallerPacket packet = WC__CALLER_PACKET__INIT;
+  uint32_t         preferred;
+
+  packet.service = wc_name_id32 ("c");
+  packet.kind = WC__CALLER_PACKET__KIND__OPEN;
+  packet.request_id = 1;
+  receive (&packet);
+  world.token_bytes = get_last ()->token.len;
+  memcpy (world.token, get_last ()->token.data, world.token_bytes);
+  packet.token.len = 0;
+  packet.kind = WC__CALLER_PACKET__KIND__REQUEST;
+  packet.request_id = 2;
+  receive (&packet);
+  preferred = world.target;
+  run_until (world.now_us + 50 * MS);
+  answer_attempt (10);
+  ck_assert_uint_eq (get_last ()->token.len, 0);
+  packet.request_id = 3;
+  receive (&packet);
+  ck_assert_uint_ne (world.target, preferred);
+  answer_attempt (10);
+  ck_assert_uint_eq (get_last ()->token.len, 0);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -432,6 +467,7 @@
   tcase_add_test (tests, test_nothing_is_sent_after_a_pause_until_the_view_is_confirmed);
   tcase_add_test (tests, test_drain_waits_for_tickets);
   tcase_add_test (tests, test_closing_worker_takes_nothing_in);
+  tcase_add_test (tests, test_busy_target_keeps_its_flows);
 }
 
 int
