--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -7,10 +7,8 @@
 
 /* Ended by NULL. */
 static const WcCommand *const COMMANDS[] = {
-  &WC_COMMAND_SERVE,
-  &WC_COMMAND_STATUS,
-  &WC_COMMAND_TIMELINE,
-  NULL,
+  &WC_COMMAND_SERVE,  &WC_COMMAND_CALL,     &WC_COMMAND_CHECK,   &WC_COMMAND_EXPORT,
+  &WC_COMMAND_STATUS, &WC_COMMAND_TIMELINE, &WC_COMMAND_EMULATE, NULL,
 };
 
 static void print_usage (FILE *stream);
