--- a/src/edge/peer_link.c
+++ b/src/edge/peer_link.c
@@ -39,6 +39,7 @@
   bool           initiator;
   bool           reported;
   bool           unwanted;
+  double         established_s;
   Target        *target;
   WcPeerSession *session;
   GByteArray    *in;
@@ -312,12 +313,16 @@
   WcPeerLinks *links = connection->links;
   uint64_t     peer = wc_peer_session_get_peer (connection->session);
   bool         down = g_hash_table_lookup (links->established, &peer) == connection;
+  Target      *target = g_hash_table_lookup (links->targets, &peer);
 
   if (reason)
     wc_log_limited (connection->reported ? WC_LOG_NOTICE : WC_LOG_DEBUG, "peer", "Link to %s is closed: %s.",
                     wc_peer_session_is_ready (connection->session) ? wc_peer_session_get_peer_name (connection->session)
                                                                    : "an unknown peer",
                     reason);
+  /* A link that the peer closes at once must not be opened again at the highest pace. */
+  if (target && connection->reported && ev_now (links->loop) >= connection->established_s + RETRY_MAX_S)
+    target->delay_s = RETRY_FIRST_S;
   ev_io_stop (links->loop, &connection->reader);
   ev_io_stop (links->loop, &connection->writer);
   ev_clear_pending (links->loop, &connection->limit);
@@ -327,22 +332,15 @@
     g_hash_table_remove (links->established, &peer);
   g_ptr_array_remove_fast (links->connections, connection);
   if (connection->target)
-    {
-      connection->target->connection = NULL;
-      schedule_retry (connection->target);
-    }
+    connection->target->connection = NULL;
+  if (connection->target || (down && target && !target->connection))
+    schedule_retry (connection->target ? connection->target : target);
   wc_peer_session_delete (connection->session);
   g_byte_array_free (connection->in, TRUE);
   g_byte_array_free (connection->out, TRUE);
   g_free (connection);
   if (down)
-    {
-      Target *target = g_hash_table_lookup (links->targets, &peer);
-
-      if (target && !target->connection)
-        schedule_retry (target);
-      links->ops->down (links->user_data, peer);
-    }
+    links->ops->down (links->user_data, peer);
 }
 
 static void
@@ -565,8 +563,7 @@
   key = g_new (uint64_t, 1);
   *key = peer;
   g_hash_table_replace (links->established, key, connection);
-  if (target)
-    target->delay_s = RETRY_FIRST_S;
+  connection->established_s = ev_now (links->loop);
   if (other)
     {
       if (other->target && other->target->connection == other)
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -138,7 +138,7 @@
       wc_peer_links_send (left.links, 2, &frame);
       wc_peer_links_send (right.links, 1, &frame);
       for (int i = 0; i < 20; i++)
-        ev_run (loop, EVRUN_ONCE);
+        ev_run (loop, EVRUN_NOWAIT);
     }
   g_free (content);
   wc_peer_links_delete (left.links);
@@ -196,8 +196,7 @@
   ck_assert_uint_eq (left.downs, 1);
   ck_assert (!wc_peer_links_send (left.links, 2, &frame));
   wc_peer_links_connect (right.links, &left.member);
-  for (int i = 0; i < 50; i++)
-    ev_run (loop, EVRUN_ONCE);
+  RUN_UNTIL (loop, right.downs >= 3);
   ck_assert_uint_eq (left.ups, 1);
   left.blocked = false;
   RUN_UNTIL (loop, left.ups == 2);
