Count a neighbour's silence from the start of its link

A link opened by the peer was monitored with the time of the last contact before it, so a change of the ring made neighbours report live members.

--- a/src/core/control_members.c
+++ b/src/core/control_members.c
@@ -408,8 +408,11 @@
       bool             alive = record->member.state == WC_MEMBER_LIVE || record->member.state == WC_MEMBER_LEAVING;
       bool             fresh_note = record->changed_us > 0 && now_us < record->changed_us + 2 * silence_us;
 
-      if (linked)
-        record->monitored = true;
+      if (linked && !record->monitored)
+        {
+          record->monitored = true;
+          record->direct_us = now_us;
+        }
       if (!alive)
         {
           uint64_t known_us = MAX (record->changed_us, MAX (record->first_us, record->direct_us));
--- a/src/edge/control_thread.c
+++ b/src/edge/control_thread.c
@@ -20,7 +20,8 @@
 
 enum
 {
-  STATUS_US = 500 * 1000
+  STATUS_US = 500 * 1000,
+  NAMES_MAX = 4096
 };
 
 struct WcControlThread
@@ -38,6 +39,7 @@
   WcPeerLinks      *links;
   WcPlatformClient *platform;
   WcKeyring        *keyring;
+  GHashTable       *names;
   uint64_t          status_us;
 
   /* Shared with other threads under the mutex. */
@@ -125,6 +127,7 @@
   thread->worker_count = worker_count;
   thread->loop = ev_loop_new (EVFLAG_AUTO);
   pthread_mutex_init (&thread->mutex, NULL);
+  thread->names = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   thread->new_domains = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   thread->blocked_domains = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   g_strlcpy (thread->reason, "starting", sizeof thread->reason);
@@ -142,6 +145,8 @@
   config.confirm_limit_us = (uint64_t)settings->confirm_limit_ms * 1000;
   config.drain_limit_us = (uint64_t)settings->drain_limit_ms * 1000;
   config.seed = randombytes_random ();
+  g_hash_table_replace (thread->names, g_memdup2 (&config.self.id, sizeof config.self.id),
+                        g_strdup (settings->instance));
 
   link_config.instance = config.self.id;
   link_config.incarnation = incarnation;
@@ -200,6 +205,7 @@
   if (thread->keyring)
     wc_keyring_unref (thread->keyring);
   wc_event_ring_delete (thread->events);
+  g_hash_table_destroy (thread->names);
   ev_loop_destroy (thread->loop);
   g_array_free (thread->new_domains, TRUE);
   g_array_free (thread->blocked_domains, TRUE);
@@ -382,7 +388,8 @@
 
   if (force || ready != thread->ready || now_us >= thread->status_us + STATUS_US)
     {
-      status = wc_status_json (thread->settings, thread->control, now_us, thread->workers, thread->worker_count);
+      status = wc_status_json (thread->settings, thread->control, thread->names, now_us, thread->workers,
+                               thread->worker_count);
       thread->status_us = now_us;
     }
   pthread_mutex_lock (&thread->mutex);
@@ -628,7 +635,7 @@
 {
   WcControlThread *thread = user_data;
 
-  (void)name;
+  g_hash_table_replace (thread->names, g_memdup2 (&peer, sizeof peer), g_strdup (name));
   wc_control_link_up (thread->control, wc_clock_monotonic_us (), peer, incarnation, domain);
 }
 
@@ -694,7 +701,12 @@
 {
   WcError   error;
   size_t    count;
-  WcMember *members = wc_instance_list_parse (body, size_bytes, &count, &error);
+  WcMember *members;
+
+  /* Instances that are gone leave their names behind. */
+  if (g_hash_table_size (thread->names) > NAMES_MAX)
+    g_hash_table_remove_all (thread->names);
+  members = wc_instance_list_parse (body, size_bytes, thread->names, &count, &error);
 
   if (!members)
     {
--- a/src/edge/instance_list.c
+++ b/src/edge/instance_list.c
@@ -12,7 +12,7 @@
 static const char *get_text (struct json_object *entry, const char *key);
 
 WcMember *
-wc_instance_list_parse (const char *text, size_t size_bytes, size_t *count, WcError *error)
+wc_instance_list_parse (const char *text, size_t size_bytes, GHashTable *names, size_t *count, WcError *error)
 {
   struct json_tokener *tokener = json_tokener_new ();
   struct json_object  *root;
@@ -35,7 +35,12 @@
       members = g_new0 (WcMember, length + 1);
       for (size_t i = 0; i < length; i++)
         if (read_entry (json_object_array_get_idx (list, i), &members[*count]))
-          (*count)++;
+          {
+            const char *name = get_text (json_object_array_get_idx (list, i), "name");
+
+            g_hash_table_replace (names, g_memdup2 (&members[*count].id, sizeof (uint64_t)), g_strdup (name));
+            (*count)++;
+          }
     }
   json_object_put (root);
   json_tokener_free (tokener);
--- a/src/edge/status_json.c
+++ b/src/edge/status_json.c
@@ -9,13 +9,14 @@
 static void add_count (struct json_object *object, const char *key, uint64_t value);
 static void add_id (struct json_object *object, const char *key, uint64_t id);
 static void add_config (struct json_object *object, const WcControl *control, uint64_t now_us);
-static void add_members (struct json_object *object, const WcControl *control);
+static void add_members (struct json_object *object, const WcControl *control, GHashTable *names);
+static void add_domain (struct json_object *object, const WcControl *control, uint32_t domain);
 static void add_workers (struct json_object *object, WcWorker *const *workers, size_t worker_count);
 static void add_digest (struct json_object *object, const WcConfigId *id);
 
 char *
-wc_status_json (const WcSettings *settings, const WcControl *control, uint64_t now_us, WcWorker *const *workers,
-                size_t worker_count)
+wc_status_json (const WcSettings *settings, const WcControl *control, GHashTable *names, uint64_t now_us,
+                WcWorker *const *workers, size_t worker_count)
 {
   struct json_object *status = json_object_new_object ();
   size_t              count;
@@ -37,7 +38,7 @@
   add_text (status, "platform", WC_PLATFORM_STATE_STRINGS[wc_control_get_platform_state (control)]);
   json_object_object_add (status, "reader", json_object_new_boolean (wc_control_is_reader (control)));
   add_count (status, "links", wc_control_get_link_count (control));
-  add_members (status, control);
+  add_members (status, control, names);
   add_workers (status, workers, worker_count);
 
   text = g_strdup (json_object_to_json_string_ext (status, JSON_C_TO_STRING_PLAIN));
@@ -101,7 +102,7 @@
 }
 
 static void
-add_members (struct json_object *object, const WcControl *control)
+add_members (struct json_object *object, const WcControl *control, GHashTable *names)
 {
   WcMemberTable      *table = wc_control_snapshot_members (control);
   struct json_object *list = json_object_new_array ();
@@ -113,10 +114,10 @@
       struct json_object *member = json_object_new_object ();
       char                text[WC_ADDRESS_TEXT_BYTES];
 
+      add_text (member, "name", g_hash_table_lookup (names, &members[i].id));
       add_id (member, "id", members[i].id);
       add_id (member, "incarnation", members[i].incarnation);
-      g_snprintf (text, sizeof text, "%08x", members[i].domain);
-      add_text (member, "domain", text);
+      add_domain (member, control, members[i].domain);
       add_text (member, "address", wc_address_format (&members[i].address, text));
       add_text (member, "state", WC_MEMBER_STATE_STRINGS[members[i].state]);
       json_object_array_add (list, member);
@@ -125,6 +126,25 @@
   wc_member_table_unref (table);
 }
 
+/* The name as in the register, or the identifier while there is none. */
+static void
+add_domain (struct json_object *object, const WcControl *control, uint32_t domain)
+{
+  const WcRegister *reg = wc_config_store_get_register (wc_control_get_store (control));
+  size_t            count = 0;
+  const WcDomain   *domains = reg ? wc_register_get_domains (reg, &count) : NULL;
+  char              text[9];
+
+  for (size_t i = 0; i < count; i++)
+    if (domains[i].id == domain)
+      {
+        add_text (object, "domain", domains[i].name);
+        return;
+      }
+  g_snprintf (text, sizeof text, "%08x", domain);
+  add_text (object, "domain", text);
+}
+
 static void
 add_workers (struct json_object *object, WcWorker *const *workers, size_t worker_count)
 {
--- a/src/edge/status_json.h
+++ b/src/edge/status_json.h
@@ -1,12 +1,17 @@
 #ifndef WC_EDGE_STATUS_JSON_H
 #define WC_EDGE_STATUS_JSON_H
 
+#include <glib.h>
+
 #include "core/control.h"
 #include "edge/settings.h"
 #include "edge/worker.h"
 
-/** wc_status_json() - status of an instance as JSON text, to be freed with g_free(). */
-char *wc_status_json (const WcSettings *settings, const WcControl *control, uint64_t now_us, WcWorker *const *workers,
-                      size_t worker_count);
+/**
+ * wc_status_json() - status of an instance as JSON text, to be freed with g_free().
+ * @names: names of instances by id.
+ */
+char *wc_status_json (const WcSettings *settings, const WcControl *control, GHashTable *names, uint64_t now_us,
+                      WcWorker *const *workers, size_t worker_count);
 
 #endif
--- a/tests/control_fleet.h
+++ b/tests/control_fleet.h
@@ -509,6 +509,9 @@
       fleet_answer_reads (fleet, node);
       wc_control_tick (node->control, fleet->now_us);
       fleet_connect (fleet, node);
+      for (guint j = 0; j < fleet->count; j++)
+        if (node->linked[j] && !node->wanted[j] && !fleet->nodes[j].wanted[i])
+          fleet_unlink (fleet, i, j);
       if (node->stopped)
         fleet_kill (fleet, i);
     }
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -483,12 +483,28 @@
 }
 END_TEST
 
+/* Bytes sent by all nodes since the last call, a node. */
+static uint64_t
+take_mean_bytes (ControlFleet *fleet)
+{
+  uint64_t total = 0;
+
+  for (guint i = 0; i < fleet->count; i++)
+    {
+      total += fleet->nodes[i].bytes_sent;
+      fleet->nodes[i].bytes_sent = 0;
+    }
+  return total / fleet->count;
+}
+
 /* Guards against control traffic above 2 KB/s a node at 240 nodes per domain, lost news of members in a domain that is
  * no full mesh, and a revision that does not reach all of it within 5 s. */
 START_TEST (large_domain)
 {
   ControlFleet *fleet = fleet_new (240, 1, 22);
-  uint64_t      total = 0;
+  uint64_t      mean_per_s;
+  uint64_t      change_bytes;
+  uint64_t      restart_bytes;
   uint64_t      most = 0;
   uint64_t      reads = 0;
 
@@ -508,19 +524,23 @@
   fleet_run (fleet, 10000);
   for (guint i = 0; i < fleet->count; i++)
     {
-      total += fleet->nodes[i].bytes_sent;
       most = MAX (most, fleet->nodes[i].bytes_sent);
       reads += fleet->nodes[i].head_reads;
     }
+  mean_per_s = take_mean_bytes (fleet) / 10;
   printf ("control bytes sent per second and node, with TCP/IP headers: mean %" G_GUINT64_FORMAT
           ", highest %" G_GUINT64_FORMAT "; head reads %" G_GUINT64_FORMAT " in 10 s\n",
-          total / fleet->count / 10, most / 10, reads);
+          mean_per_s, most / 10, reads);
   ck_assert_uint_lt (most / 10, 2000);
   ck_assert_uint_lt (reads, 10);
 
   fleet_publish (fleet, 0, 6, 6, true);
   fleet_run (fleet, 5000);
   fleet_assert_revision (fleet, 6);
+  change_bytes = take_mean_bytes (fleet) - 5 * mean_per_s;
+  printf ("bytes sent by a node for a change of the configuration, without its parts: %" G_GUINT64_FORMAT "\n",
+          change_bytes);
+  ck_assert_uint_lt (change_bytes, 2500);
   fleet_kill (fleet, 100);
   fleet_run (fleet, 8000);
   for (guint i = 0; i < fleet->count; i++)
@@ -530,6 +550,21 @@
   fleet_run (fleet, 8000);
   for (guint i = 0; i < fleet->count; i++)
     ck_assert_int_eq (fleet_member_state (fleet, i, 100), WC_MEMBER_LIVE);
+  restart_bytes = take_mean_bytes (fleet) - 16 * mean_per_s;
+  printf ("bytes sent by a node for a member that was killed and restarted: %" G_GUINT64_FORMAT "\n", restart_bytes);
+  /* More means that members are reported as silent by turns. */
+  ck_assert_uint_lt (restart_bytes, 30000);
+
+  /* A rack fails, and a change follows at once. */
+  for (guint i = 20; i < 44; i++)
+    fleet_kill (fleet, i);
+  fleet_publish (fleet, 0, 7, 7, true);
+  fleet_run (fleet, 5000);
+  fleet_assert_revision (fleet, 7);
+  fleet_run (fleet, 5000);
+  for (guint i = 44; i < fleet->count; i++)
+    for (guint j = 0; j < fleet->count; j++)
+      ck_assert_int_eq (fleet_member_state (fleet, i, j), j >= 20 && j < 44 ? WC_MEMBER_SUSPECT : WC_MEMBER_LIVE);
   fleet_delete (fleet);
 }
 END_TEST
--- /dev/null
+++ b/tests/test_instance_list.c
@@ -0,0 +1,81 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <wigeoncart/name_id.h>
+
+#include "edge/instance_list.h"
+
+static WcMember *
+parse (const char *text, GHashTable *names, size_t *count)
+{
+  WcError error;
+
+  return wc_instance_list_parse (text, strlen (text), names, count, &error);
+}
+
+/* Guards against an entry that is read with another state, or one bad entry that hides the others. */
+START_TEST (entries)
+{
+  GHashTable *names = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  size_t      count;
+  WcMember   *members = parse ("{\"instances\": ["
+                                 "{\"name\": \"a\", \"domain\": \"d\", \"address\": \"127.0.0.1:1\", \"workers\": 2, "
+                                 "\"state\": \"live\"},"
+                                 "{\"name\": \"b\", \"domain\": \"d\", \"address\": \"host:1\", \"workers\": 2, "
+                                 "\"state\": \"live\"},"
+                                 "{\"name\": \"c\", \"domain\": \"d\", \"address\": \"127.0.0.1:2\", \"workers\": 0, "
+                                 "\"state\": \"live\"},"
+                                 "{\"name\": \"d\", \"domain\": \"d\", \"address\": \"127.0.0.1:3\", \"workers\": 1, "
+                                 "\"state\": \"gone\"},"
+                                 "7, null, {\"name\": 5},"
+                                 "{\"name\": \"e\", \"domain\": \"d\", \"address\": \"[::1]:4\", \"workers\": 1, "
+                                 "\"state\": \"leaving\"}]}",
+                               names, &count);
+
+  ck_assert_ptr_nonnull (members);
+  ck_assert_uint_eq (count, 2);
+  ck_assert_uint_eq (members[0].id, wc_name_id64 ("a"));
+  ck_assert_uint_eq (members[0].domain, wc_name_id32 ("d"));
+  ck_assert_uint_eq (members[0].workers, 2);
+  ck_assert_uint_eq (members[0].incarnation, 0);
+  ck_assert_int_eq (members[0].state, WC_MEMBER_LISTED);
+  ck_assert_int_eq (members[1].state, WC_MEMBER_LEAVING);
+  ck_assert_uint_eq (members[1].address.port, 4);
+  ck_assert_str_eq (g_hash_table_lookup (names, &members[1].id), "e");
+  g_free (members);
+  g_hash_table_destroy (names);
+}
+END_TEST
+
+/* Guards against text that is no list but is taken for an empty one, which would drop all members. */
+START_TEST (malformed)
+{
+  static const char *const TEXTS[] = {
+    "", "{", "[]", "{}", "{\"instances\": {}}", "{\"instances\": null}", "\"instances\"", "<html>"
+  };
+  GHashTable *names = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  size_t      count;
+
+  ck_assert_ptr_null (parse (TEXTS[_i], names, &count));
+  g_hash_table_destroy (names);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite   *suite = suite_create ("instance_list");
+  TCase   *cases = tcase_create ("instance_list");
+  SRunner *runner;
+  int      failed;
+
+  tcase_add_test (cases, entries);
+  tcase_add_loop_test (cases, malformed, 0, 8);
+  suite_add_tcase (suite, cases);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
