--- /dev/null
+++ b/tests/test_platform_client.c
@@ -0,0 +1,283 @@
+#include <check.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <wigeoncart/register.h>
+
+#include "edge/log.h"
+#include "edge/platform_client.h"
+
+/* A platform that answers each connection with the same bytes and closes it. */
+typedef struct
+{
+  int         listener;
+  ev_io       io;
+  WcAddress   address;
+  const char *answer;
+  size_t      answer_bytes;
+  unsigned    connections;
+  int         descriptor;
+  GThread    *sender;
+} Server;
+
+typedef struct
+{
+  unsigned         calls;
+  WcPlatformRead   read;
+  WcPlatformResult result;
+  uint64_t         version;
+  char            *body;
+} Answer;
+
+/* Long answers do not fit into the socket, and the client reads on the thread of the event loop. */
+static gpointer
+send_answer (gpointer user_data)
+{
+  Server *server = user_data;
+  char    request[1024];
+  size_t  sent = 0;
+  ssize_t step = recv (server->descriptor, request, sizeof request, 0);
+
+  while (step > 0 && sent < server->answer_bytes)
+    {
+      step = send (server->descriptor, server->answer + sent, server->answer_bytes - sent, MSG_NOSIGNAL);
+      sent += step > 0 ? (size_t)step : 0;
+    }
+  close (server->descriptor);
+  return NULL;
+}
+
+static void
+on_connection (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  Server *server = watcher->data;
+
+  (void)loop;
+  (void)events;
+  if (server->sender)
+    g_thread_join (server->sender);
+  server->descriptor = accept (server->listener, NULL, NULL);
+  server->connections++;
+  server->sender = g_thread_new ("platform", send_answer, server);
+}
+
+static void
+server_open (Server *server, struct ev_loop *loop, const char *answer)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t          length = sizeof address;
+
+  memset (server, 0, sizeof *server);
+  server->answer = answer;
+  server->answer_bytes = answer ? strlen (answer) : 0;
+  server->listener = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (bind (server->listener, (struct sockaddr *)&address, sizeof address), 0);
+  ck_assert_int_eq (listen (server->listener, 8), 0);
+  ck_assert_int_eq (getsockname (server->listener, (struct sockaddr *)&address, &length), 0);
+  server->address.family = 4;
+  server->address.ip[0] = 127;
+  server->address.ip[3] = 1;
+  server->address.port = ntohs (address.sin_port);
+  ev_io_init (&server->io, on_connection, server->listener, EV_READ);
+  server->io.data = server;
+  ev_io_start (loop, &server->io);
+}
+
+static void
+server_close (Server *server, struct ev_loop *loop)
+{
+  ev_io_stop (loop, &server->io);
+  if (server->sender)
+    g_thread_join (server->sender);
+  close (server->listener);
+}
+
+static void
+on_answer (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version, const char *body,
+           size_t size_bytes)
+{
+  Answer *answer = user_data;
+
+  answer->calls++;
+  answer->read = read;
+  answer->result = result;
+  answer->version = version;
+  g_free (answer->body);
+  answer->body = g_strndup (body ? body : "", size_bytes);
+}
+
+static void
+run_until_answer (struct ev_loop *loop, Answer *answer)
+{
+  unsigned calls = answer->calls;
+
+  while (answer->calls == calls)
+    ev_run (loop, EVRUN_ONCE);
+}
+
+/* Guards against answers that are read wrongly: versions, chunks, watches that end, and failures taken for values. */
+START_TEST (answers)
+{
+  static const struct
+  {
+    const char      *bytes;
+    WcPlatformResult result;
+    uint64_t         version;
+    const char      *body;
+  } CASES[] = {
+    { "HTTP/1.1 200 OK\r\nx-version: 17\r\nContent-Length: 5\r\n\r\nvalue", WC_PLATFORM_READ_OK, 17, "value" },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Version: 18446744073709551615\r\n\r\n", WC_PLATFORM_READ_OK,
+      UINT64_MAX, "" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nval\r\n2\r\nue\r\n0\r\n\r\n", WC_PLATFORM_READ_OK, 0,
+      "value" },
+    { "HTTP/1.1 200 OK\r\n\r\nuntil the end", WC_PLATFORM_READ_OK, 0, "until the end" },
+    { "HTTP/1.1 304 Not Modified\r\nX-Version: 3\r\n\r\n", WC_PLATFORM_READ_UNCHANGED, 3, "" },
+    { "HTTP/1.1 500 Broken\r\nContent-Length: 5\r\n\r\nvalue", WC_PLATFORM_READ_FAILED, 0, "" },
+    { "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", WC_PLATFORM_READ_FAILED, 0, "" },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nvalue", WC_PLATFORM_READ_FAILED, 0, "" },
+    { "garbage", WC_PLATFORM_READ_FAILED, 0, "" },
+    { "", WC_PLATFORM_READ_FAILED, 0, "" },
+  };
+  struct ev_loop   *loop = ev_loop_new (EVFLAG_AUTO);
+  Answer            answer = { 0 };
+  Server            server;
+  WcPlatformClient *client;
+
+  server_open (&server, loop, CASES[_i].bytes);
+  client = wc_platform_client_new (loop, &server.address, 1, on_answer, &answer);
+  wc_platform_client_get (client, WC_PLATFORM_READ_PART, "/v1/config/part", 0);
+  ck_assert_uint_eq (answer.calls, 0);
+  run_until_answer (loop, &answer);
+  ck_assert_int_eq (answer.read, WC_PLATFORM_READ_PART);
+  ck_assert_int_eq (answer.result, CASES[_i].result);
+  if (answer.result != WC_PLATFORM_READ_FAILED)
+    ck_assert_uint_eq (answer.version, CASES[_i].version);
+  ck_assert_str_eq (answer.body, CASES[_i].body);
+  g_free (answer.body);
+  wc_platform_client_delete (client);
+  server_close (&server, loop);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
+/* Guards against a platform that fails and hides the next one, or is asked first again after another has answered. */
+START_TEST (next_platform)
+{
+  struct ev_loop   *loop = ev_loop_new (EVFLAG_AUTO);
+  Answer            answer = { 0 };
+  Server            broken;
+  Server            works;
+  WcAddress         addresses[3];
+  WcPlatformClient *client;
+
+  server_open (&broken, loop, "HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n");
+  server_open (&works, loop, "HTTP/1.1 200 OK\r\nX-Version: 1\r\nContent-Length: 1\r\n\r\nv");
+  addresses[0] = broken.address;
+  /* Nothing listens on the discard port of this address. */
+  addresses[1] = broken.address;
+  addresses[1].port = 9;
+  addresses[2] = works.address;
+  client = wc_platform_client_new (loop, addresses, 3, on_answer, &answer);
+  for (int i = 0; i < 2; i++)
+    {
+      wc_platform_client_get (client, WC_PLATFORM_READ_HEAD, "/v1/config/head", 0);
+      run_until_answer (loop, &answer);
+      ck_assert_int_eq (answer.result, WC_PLATFORM_READ_OK);
+    }
+  ck_assert_uint_eq (broken.connections, 1);
+  ck_assert_uint_eq (works.connections, 2);
+  g_free (answer.body);
+  wc_platform_client_delete (client);
+  server_close (&broken, loop);
+  server_close (&works, loop);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
+/* Guards against an answer of unlimited length, and against a limit below the longest part. */
+START_TEST (size_limit)
+{
+  struct ev_loop   *loop = ev_loop_new (EVFLAG_AUTO);
+  Answer            answer = { 0 };
+  Server            server;
+  int               size_bytes = WC_REGISTER_PART_MAX_BYTES + _i % 2;
+  GString          *text = g_string_new ("HTTP/1.1 200 OK\r\n");
+  WcPlatformClient *client;
+
+  if (_i < 2)
+    g_string_append_printf (text, "Content-Length: %d\r\n\r\n%0*d", size_bytes, size_bytes, 0);
+  else
+    g_string_append_printf (text, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%0*d\r\n0\r\n\r\n", size_bytes, size_bytes,
+                            0);
+  server_open (&server, loop, text->str);
+  client = wc_platform_client_new (loop, &server.address, 1, on_answer, &answer);
+  wc_platform_client_get (client, WC_PLATFORM_READ_PART, "/v1/config/part", 0);
+  run_until_answer (loop, &answer);
+  ck_assert_int_eq (answer.result, _i % 2 == 0 ? WC_PLATFORM_READ_OK : WC_PLATFORM_READ_FAILED);
+  g_free (answer.body);
+  wc_platform_client_delete (client);
+  server_close (&server, loop);
+  g_string_free (text, TRUE);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
+/* Guards against a read that answers after it was cancelled or replaced, and one that gets through a cut. */
+START_TEST (cancel_and_block)
+{
+  struct ev_loop   *loop = ev_loop_new (EVFLAG_AUTO);
+  Answer            answer = { 0 };
+  Server            server;
+  WcPlatformClient *client;
+
+  server_open (&server, loop, "HTTP/1.1 200 OK\r\nX-Version: 1\r\nContent-Length: 1\r\n\r\nv");
+  client = wc_platform_client_new (loop, &server.address, 1, on_answer, &answer);
+  wc_platform_client_get (client, WC_PLATFORM_READ_HEAD, "/v1/config/head", 0);
+  wc_platform_client_get (client, WC_PLATFORM_READ_HEAD, "/v1/config/head", 0);
+  wc_platform_client_get (client, WC_PLATFORM_READ_LIST, "/v1/instances", 0);
+  wc_platform_client_cancel (client, WC_PLATFORM_READ_LIST);
+  run_until_answer (loop, &answer);
+  for (int i = 0; i < 20; i++)
+    ev_run (loop, EVRUN_NOWAIT);
+  ck_assert_uint_eq (answer.calls, 1);
+  ck_assert_int_eq (answer.read, WC_PLATFORM_READ_HEAD);
+
+  wc_platform_client_get (client, WC_PLATFORM_READ_HEAD, "/v1/config/head", 0);
+  wc_platform_client_set_blocked (client, true);
+  run_until_answer (loop, &answer);
+  ck_assert_int_eq (answer.result, WC_PLATFORM_READ_FAILED);
+  wc_platform_client_set_blocked (client, false);
+  wc_platform_client_get (client, WC_PLATFORM_READ_HEAD, "/v1/config/head", 0);
+  run_until_answer (loop, &answer);
+  ck_assert_int_eq (answer.result, WC_PLATFORM_READ_OK);
+  g_free (answer.body);
+  wc_platform_client_delete (client);
+  server_close (&server, loop);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite   *suite = suite_create ("platform_client");
+  TCase   *cases = tcase_create ("platform_client");
+  SRunner *runner;
+  int      failed;
+
+  wc_log_set_level (WC_LOG_ERROR);
+  tcase_add_loop_test (cases, answers, 0, 10);
+  tcase_add_test (cases, next_platform);
+  tcase_add_loop_test (cases, size_limit, 0, 4);
+  tcase_add_test (cases, cancel_and_block);
+  suite_add_tcase (suite, cases);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
