--- a/include/wigeoncart/dispatcher.h
+++ b/include/wigeoncart/dispatcher.h
@@ -55,6 +55,8 @@
  * @preferred_target: target of the flow's token, 0 for none.
  * @worth: value to its customer if delivered once and on time.
  * @attempts: attempts made so far; more than 0 draws on the retry budget.
+ * @once: not idempotent; started only with time left for a long run, because one that is stopped at its deadline ends
+ * with an unknown outcome.
  */
 typedef struct
 {
@@ -64,6 +66,7 @@
   uint32_t preferred_target;
   uint32_t attempts;
   uint32_t flow_hash;
+  bool     once;
 } WcDispatchRequest;
 
 /** struct WcDispatchDecision - one step to take: dispatch @request to @target, or refuse it when @refusal is set. */
@@ -116,7 +119,7 @@
 /** wc_dispatcher_end() - an attempt dispatched to @target has ended; @run_us is 0 when unknown. */
 void wc_dispatcher_end (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, WcOutcome outcome, uint64_t run_us);
 
-/** wc_dispatcher_hint() - load told in an answer's header; informs estimates, never admits work. */
+/** wc_dispatcher_hint() - load told in an answer's header; may order the candidates, never admits work. */
 void wc_dispatcher_hint (WcDispatcher *dispatcher, uint64_t now_us, uint32_t target, uint32_t running);
 
 /**
@@ -126,6 +129,22 @@
  */
 uint64_t wc_dispatcher_get_expected_wait_us (const WcDispatcher *dispatcher, uint64_t now_us, uint32_t worth);
 
+/**
+ * struct WcDispatchLoad - load of a dispatcher.
+ * @open: slots open now, taken or not.
+ * @free: open slots without an attempt.
+ * @run_us: moving average of run times, 0 when unknown.
+ */
+typedef struct
+{
+  uint32_t open;
+  uint32_t free;
+  uint32_t queued;
+  uint64_t run_us;
+} WcDispatchLoad;
+
+void wc_dispatcher_get_load (const WcDispatcher *dispatcher, uint64_t now_us, WcDispatchLoad *load);
+
 /** wc_dispatcher_remove() - drop a queued request (cancelled); false when it is not queued. */
 bool wc_dispatcher_remove (WcDispatcher *dispatcher, uint64_t request);
 
