Limit the attempts that a caller sends to other owners

An overloaded owner answers late but still runs the request. Attempts from the third on ran it on other owners too, which kept an overload up after its cause had ended.

--- a/include/wigeoncart/client.h
+++ b/include/wigeoncart/client.h
@@ -47,6 +47,10 @@
  * @poll_wait_us: how long one POLL waits for events.
  * @poll_resend_us: wait before a POLL is resent, in case it was lost or its owner stopped.
  * @answer_max_bytes: longest answer that is reassembled.
+ * @reroute_budget: attempts that may go to another owner than the flow's, saved up at most.
+ * @reroute_percent: share of such attempts per answered request that the budget regains. An overloaded owner answers
+ * late but still runs the request; without a limit, each request would then run on several owners and keep the
+ * overload up.
  * @busy_limit: refusals after which an idempotent request, or an order without a ticket, gives up.
  */
 typedef struct
@@ -59,6 +63,8 @@
   uint64_t poll_wait_us;
   uint64_t poll_resend_us;
   uint32_t answer_max_bytes;
+  uint32_t reroute_budget;
+  uint32_t reroute_percent;
   uint32_t busy_limit;
 } WcClientConfig;
 
--- a/src/client/client_call.c
+++ b/src/client/client_call.c
@@ -3,13 +3,14 @@
 
 #include "client/client_private.h"
 
-static void set_request_id (WcClient *client, WcClientCall *call, uint64_t request_id);
-static void send_ticket (WcClient *client, uint64_t now_us, WcClientCall *call);
-static void send_run (WcClient *client, uint64_t now_us, WcClientCall *call);
-static void start_poll (WcClient *client, uint64_t now_us, WcClientCall *call);
-static void pass_deadline (WcClient *client, WcClientCall *call);
-static void refused (WcClient *client, uint64_t now_us, WcClientCall *call, const char *reason);
-static void token_expired (WcClient *client, uint64_t now_us, WcClientCall *call);
+static void     set_request_id (WcClient *client, WcClientCall *call, uint64_t request_id);
+static void     send_ticket (WcClient *client, uint64_t now_us, WcClientCall *call);
+static void     send_run (WcClient *client, uint64_t now_us, WcClientCall *call);
+static uint32_t draw_attempt (WcClient *client, WcClientCall *call);
+static void     start_poll (WcClient *client, uint64_t now_us, WcClientCall *call);
+static void     pass_deadline (WcClient *client, WcClientCall *call);
+static void     refused (WcClient *client, uint64_t now_us, WcClientCall *call, const char *reason);
+static void     token_expired (WcClient *client, uint64_t now_us, WcClientCall *call);
 static void receive_result (WcClient *client, uint64_t now_us, WcClientCall *call, const Wc__InstancePacket *packet);
 static uint32_t remaining_ms (uint64_t now_us, uint64_t deadline_us);
 
@@ -196,6 +197,8 @@
   call->parts = NULL;
   if (call->kind != WC_CALL_POLL)
     {
+      client->reroute_percent_left = MIN (client->reroute_percent_left + client->config.reroute_percent,
+                                          (uint64_t)client->config.reroute_budget * 100);
       answer.request_id = call->request_id;
       answer.http_status = call->http_status;
       answer.data = data;
@@ -301,7 +304,7 @@
     {
     case WC_CALL_REQUEST:
       packet.kind = WC__CALLER_PACKET__KIND__REQUEST;
-      packet.attempt = call->attempt++;
+      packet.attempt = draw_attempt (client, call);
       break;
     case WC_CALL_ORDER:
       /* Resent with the same ticket and content; only the time left and the flow's token change. */
@@ -330,6 +333,21 @@
   wc_client_send_packet (client, &packet);
 }
 
+/* Attempts up to 1 go to the flow's owner, which knows the request if it has it already; later ones go to the local
+ * owner of the instance that they reach, and draw on the budget. */
+static uint32_t
+draw_attempt (WcClient *client, WcClientCall *call)
+{
+  uint32_t attempt = call->attempt++;
+
+  if (attempt < WC_CLIENT_ATTEMPT_LOCAL_OWNER)
+    return attempt;
+  if (client->reroute_percent_left < 100)
+    return WC_CLIENT_ATTEMPT_LOCAL_OWNER - 1;
+  client->reroute_percent_left -= 100;
+  return attempt;
+}
+
 static void
 start_poll (WcClient *client, uint64_t now_us, WcClientCall *call)
 {
--- a/src/client/client_private.h
+++ b/src/client/client_private.h
@@ -121,12 +121,14 @@
   uint64_t      progress_us;
 } WcClientCall;
 
+/** struct WcClient - @reroute_percent_left: budget of attempts to other owners, in hundredths. */
 struct WcClient
 {
   WcClientConfig config;
   WcClientOps    ops;
   void          *user_data;
   GRand         *random;
+  uint64_t       reroute_percent_left;
   uint64_t       last_handle;
   uint64_t       last_serial;
   GTree         *timers;
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -65,6 +65,7 @@
   GHashTable *request_runs;
   uint32_t    opens;
   uint32_t    requests;
+  uint32_t    rerouted;
   uint32_t    order_packets;
   uint32_t    fetches;
   uint32_t    releases;
@@ -263,6 +264,8 @@
   uint64_t *answer;
 
   fleet->requests++;
+  if (packet->attempt >= 2)
+    fleet->rerouted++;
   if (fleet->request_result != WC__INSTANCE_PACKET__RESULT__DONE)
     {
       fake_reply_result (fleet, fleet->now_us, packet->request_id, fleet->request_result);
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -250,6 +250,43 @@
 }
 END_TEST
 
+/* Guards against an overload that callers keep up: an owner that answers late must not get each request run on other
+ * owners as well. Answered requests give the budget back. */
+START_TEST (test_reroute_budget)
+{
+  WcClientRequest request = { .method = "GET", .path = "/x" };
+  WcClientConfig  config;
+  FakeFleet      *fleet;
+  uint64_t        flow;
+
+  wc_client_config_init (&config);
+  config.reroute_budget = 5;
+  config.reroute_percent = 20;
+  fleet = fake_fleet_new (1, &config);
+  flow = wc_client_open (fleet->client, fleet->now_us, "catalogue", "dealer-7");
+  fleet->request_result = WC__INSTANCE_PACKET__RESULT__NO_RESULT;
+  request.deadline_us = fleet->now_us + 10 * (uint64_t)SECOND_US;
+  for (int i = 0; i < 50; i++)
+    wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
+  fake_run (fleet, UINT64_MAX - 1, 50);
+  ck_assert_uint_gt (fleet->requests, 300);
+  ck_assert_uint_eq (fleet->rerouted, 5);
+
+  fleet->request_result = WC__INSTANCE_PACKET__RESULT__DONE;
+  request.deadline_us = fleet->now_us + SECOND_US;
+  for (int i = 0; i < 10; i++)
+    wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
+  fake_run (fleet, UINT64_MAX - 1, 60);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  fleet->request_result = WC__INSTANCE_PACKET__RESULT__NO_RESULT;
+  request.deadline_us = fleet->now_us + 10 * (uint64_t)SECOND_US;
+  wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
+  fake_run (fleet, UINT64_MAX - 1, 61);
+  ck_assert_uint_eq (fleet->rerouted, 7);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
 /* Guards against use of an old token after the fleet has moved the flow. */
 START_TEST (test_takes_over_token)
 {
@@ -557,6 +594,7 @@
   tcase_add_test (cases, test_busy_request);
   tcase_add_test (cases, test_busy_request_recovers);
   tcase_add_test (cases, test_request_times_out);
+  tcase_add_test (cases, test_reroute_budget);
   tcase_add_test (cases, test_takes_over_token);
   tcase_add_test (cases, test_reopens_on_expired_token);
   tcase_add_loop_test (cases, test_stream_resumes, 0, 20);
