--- a/src/cli/cmd_call.c
+++ b/src/cli/cmd_call.c
@@ -8,7 +8,12 @@
 #include "cli/load.h"
 #include "client/client_socket.h"
 
-/* Options; numbers that were not given are negative. */
+enum
+{
+  SOCKETS_MAX = 256
+};
+
+/* Options; 0 sockets means that the load chooses. */
 typedef struct
 {
   char    *fabric;
@@ -35,6 +40,7 @@
   int      limit_ms;
   int      seconds;
   int      seed;
+  int      sockets;
   char    *record;
 } Options;
 
@@ -70,6 +76,7 @@
     .limit_ms = 5000,
     .seconds = 10,
     .seed = 1,
+    .sockets = 0,
   };
   const GOptionEntry entries[] = {
     { "fabric", 0, 0, G_OPTION_ARG_STRING, &o.fabric, "UDP address of the fabric or of an instance", "ADDRESS" },
@@ -99,6 +106,7 @@
     { "limit-ms", 0, 0, G_OPTION_ARG_INT, &o.limit_ms, "Load: time without success that breaks a flow (5000)", "MS" },
     { "seconds", 0, 0, G_OPTION_ARG_INT, &o.seconds, "Load: length of the run (10)", "S" },
     { "seed", 0, 0, G_OPTION_ARG_INT, &o.seed, "Load: seed of the callers' timing (1)", "N" },
+    { "sockets", 0, 0, G_OPTION_ARG_INT, &o.sockets, "Load: sockets of the callers (one for each 32, up to 64)", "N" },
     { "record", 0, 0, G_OPTION_ARG_FILENAME, &o.record, "Load: write one line of JSON for each order", "FILE" },
     { 0 },
   };
@@ -152,6 +160,10 @@
   config.limit_ms = (uint32_t)options->limit_ms;
   config.seconds = (uint32_t)options->seconds;
   config.seed = (uint32_t)options->seed;
+  config.sockets = (uint32_t)options->sockets;
+  if (config.sockets == 0)
+    config.sockets =
+        (uint32_t)MIN ((options->load + options->orders + options->downloads + options->streams + 31) / 32, 64);
   if (options->record)
     {
       config.record = fopen (options->record, "w");
--- a/src/cli/cmd_emulate.c
+++ b/src/cli/cmd_emulate.c
@@ -21,6 +21,7 @@
 static int  add_listed_targets (WcEmulatedTargets *targets, const char *path);
 static int  run_loop (struct ev_loop *loop, const char *part, const WcAddress *address);
 static void stop_loop (struct ev_loop *loop, ev_signal *watcher, int events);
+static bool is_valid_register (const char *path, const char *text);
 static bool parse_addresses (const char *text, GArray *addresses);
 static void print_usage (FILE *stream);
 
@@ -88,6 +89,8 @@
     return WC_EXIT_USAGE;
   if (register_path && !g_file_get_contents (register_path, &register_text, NULL, NULL))
     return wc_cli_error (WC_EXIT_USAGE, "emulate platform", "cannot read %s", register_path);
+  if (register_text && !is_valid_register (register_path, register_text))
+    return WC_EXIT_USAGE;
   if (instances_path && !g_file_get_contents (instances_path, &instances_text, NULL, NULL))
     return wc_cli_error (WC_EXIT_USAGE, "emulate platform", "cannot read %s", instances_path);
 
@@ -97,8 +100,7 @@
   loop = ev_default_loop (0);
   platform = wc_emulated_platform_new (loop, &config, &error);
   if (!platform)
-    return wc_cli_error (error.status == WC_STATUS_PARSE ? WC_EXIT_USAGE : WC_EXIT_ENVIRONMENT, "emulate platform",
-                         "%s", error.message);
+    return wc_cli_error (WC_EXIT_ENVIRONMENT, "emulate platform", "%s", error.message);
   wc_emulated_platform_get_address (platform, &address);
   result = run_loop (loop, "platform", &address);
   wc_emulated_platform_delete (platform);
@@ -250,6 +252,19 @@
   return result;
 }
 
+static bool
+is_valid_register (const char *path, const char *text)
+{
+  WcError     error = { 0 };
+  WcRegister *reg = wc_register_parse (path, text, strlen (text), &error);
+
+  if (!reg)
+    wc_cli_error (WC_EXIT_USAGE, "emulate platform", "%s", error.message);
+  else
+    wc_register_unref (reg);
+  return reg != NULL;
+}
+
 static int
 add_targets (WcEmulatedTargets *targets, const char *register_path, const char *targets_path, const char *domain)
 {
--- a/src/cli/load.c
+++ b/src/cli/load.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <string.h>
 
 #include "cli/cli_options.h"
@@ -26,6 +27,15 @@
   PATH_BYTES = 256
 };
 
+/* One socket of the load; @calls maps the handles of its client to callers. */
+typedef struct
+{
+  struct Load    *load;
+  WcClientSocket *sock;
+  WcClient       *client;
+  GHashTable     *calls;
+} Socket;
+
 /*
  * One caller of the load.
  * @due_us: when it starts its next call; UINT64_MAX while one is in progress.
@@ -38,6 +48,7 @@
   WcLoadKind  kind;
   uint32_t    index;
   const char *customer;
+  Socket     *socket;
   uint64_t    flow;
   uint64_t    call;
   uint64_t    due_us;
@@ -48,20 +59,22 @@
   bool        is_broken;
 } Caller;
 
-typedef struct
+typedef struct Load
 {
   const WcLoadConfig *config;
-  WcClientSocket     *sock;
-  WcClient           *client;
+  GPtrArray          *sockets;
+  struct pollfd      *waiting;
   GRand              *random;
   GPtrArray          *callers;
   GTree              *due;
-  GHashTable         *calls;
   WcLoadReport        report;
 } Load;
 
 static void add_callers (Load *load, uint64_t now_us);
-static void run_until (Load *load, uint64_t end_us);
+static bool open_sockets (Load *load, WcError *error);
+static void free_socket (void *data);
+static void run_until (Load *load, uint64_t end_us, bool finishing);
+static void wait_for_sockets (Load *load, uint64_t now_us, uint64_t until_us);
 static void start_call (Load *load, Caller *caller, uint64_t now_us);
 static void schedule (Load *load, Caller *caller, uint64_t due_us);
 static void call_finished (void *user_data, uint64_t call, const WcClientAnswer *answer);
@@ -76,52 +89,53 @@
 int
 wc_load_run (const WcLoadConfig *config)
 {
-  const WcClientOps ops = { .finished = call_finished, .events = events_arrived };
-  Load              load = { .config = config };
-  WcError           error = { 0 };
-  uint64_t          start_us;
-  uint64_t          longest_us = 0;
+  Load     load = { .config = config };
+  WcError  error = { 0 };
+  uint64_t start_us;
+  uint64_t end_us = 0;
 
   assert (config != NULL);
+  assert (config->sockets > 0);
 
-  load.sock = wc_client_socket_new (&config->fabric, &config->client, &ops, &load, &error);
-  if (!load.sock)
-    return wc_cli_error (WC_EXIT_ENVIRONMENT, "call", "%s", error.message);
-  load.client = wc_client_socket_get_client (load.sock);
+  load.sockets = g_ptr_array_new_with_free_func (free_socket);
+  if (!open_sockets (&load, &error))
+    {
+      g_ptr_array_free (load.sockets, TRUE);
+      return wc_cli_error (WC_EXIT_ENVIRONMENT, "call", "%s", error.message);
+    }
+  load.waiting = g_new0 (struct pollfd, config->sockets);
   load.random = g_rand_new_with_seed (config->seed);
   load.callers = g_ptr_array_new_with_free_func (g_free);
   load.due = g_tree_new_full (compare_due, NULL, NULL, NULL);
-  load.calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, NULL);
   wc_load_report_init (&load.report);
 
   start_us = wc_client_socket_now_us ();
   add_callers (&load, start_us);
-  run_until (&load, start_us + (uint64_t)config->seconds * 1000000);
+  run_until (&load, start_us + (uint64_t)config->seconds * 1000000, false);
 
   /* Calls in progress end by themselves; the outcome of each order belongs into the result. */
-  g_tree_remove_all (load.due);
+  check_broken (&load, wc_client_socket_now_us ());
   for (guint i = 0; i < load.callers->len; i++)
     {
       Caller *caller = g_ptr_array_index (load.callers, i);
 
-      longest_us = MAX (longest_us, (uint64_t)config->deadline_ms[caller->kind] * 1000);
+      end_us = MAX (end_us, (uint64_t)config->deadline_ms[caller->kind] * 1000);
       if (caller->kind == WC_LOAD_STREAM && caller->call != 0)
         {
-          g_hash_table_remove (load.calls, &caller->call);
-          wc_client_cancel (load.client, wc_client_socket_now_us (), caller->call);
+          g_hash_table_remove (caller->socket->calls, &caller->call);
+          wc_client_cancel (caller->socket->client, wc_client_socket_now_us (), caller->call);
           caller->call = 0;
         }
     }
-  check_broken (&load, wc_client_socket_now_us ());
-  wc_client_socket_run (load.sock, wc_client_socket_now_us () + longest_us + GRACE_US);
+  run_until (&load, wc_client_socket_now_us () + end_us + GRACE_US, true);
 
   wc_load_report_print (&load.report, stdout, (double)(wc_client_socket_now_us () - start_us) / 1e6);
   wc_load_report_finish (&load.report);
-  g_hash_table_destroy (load.calls);
+  g_ptr_array_free (load.sockets, TRUE);
   g_tree_destroy (load.due);
   g_ptr_array_free (load.callers, TRUE);
   g_rand_free (load.random);
-  wc_client_socket_delete (load.sock);
+  g_free (load.waiting);
   return WC_EXIT_OK;
 }
 
@@ -148,7 +162,8 @@
         caller->customer = load->config->customers[i % customer_count];
         caller->asked_us = UINT64_MAX;
         caller->due_us = UINT64_MAX;
-        caller->flow = wc_client_open (load->client, now_us, load->config->services[kind], caller->customer);
+        caller->socket = g_ptr_array_index (load->sockets, caller->index % load->sockets->len);
+        caller->flow = wc_client_open (caller->socket->client, now_us, load->config->services[kind], caller->customer);
         g_ptr_array_add (load->callers, caller);
         if (counts[kind] != WC_LOAD_COUNT_COUNT)
           load->report.counts[counts[kind]]++;
@@ -158,8 +173,39 @@
       }
 }
 
+static bool
+open_sockets (Load *load, WcError *error)
+{
+  const WcClientOps ops = { .finished = call_finished, .events = events_arrived };
+
+  for (uint32_t i = 0; i < load->config->sockets; i++)
+    {
+      Socket *sock = g_new0 (Socket, 1);
+
+      sock->load = load;
+      sock->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+      g_ptr_array_add (load->sockets, sock);
+      sock->sock = wc_client_socket_new (&load->config->fabric, &load->config->client, &ops, sock, error);
+      if (!sock->sock)
+        return false;
+      sock->client = wc_client_socket_get_client (sock->sock);
+    }
+  return true;
+}
+
+static void
+free_socket (void *data)
+{
+  Socket *sock = data;
+
+  wc_client_socket_delete (sock->sock);
+  g_hash_table_destroy (sock->calls);
+  g_free (sock);
+}
+
+/* Runs the load; when @finishing, no call is started and the run ends early with the last call. */
 static void
-run_until (Load *load, uint64_t end_us)
+run_until (Load *load, uint64_t end_us, bool finishing)
 {
   uint64_t check_us = 0;
   uint64_t now_us;
@@ -167,28 +213,59 @@
   while ((now_us = wc_client_socket_now_us ()) < end_us)
     {
       GTreeNode *node;
-      uint64_t   until_us;
+      uint64_t   until_us = end_us;
+      size_t     calls = 0;
 
-      while ((node = g_tree_node_first (load->due)) != NULL)
+      while (!finishing && (node = g_tree_node_first (load->due)) != NULL)
         {
           Caller *caller = g_tree_node_key (node);
 
+          until_us = MIN (until_us, caller->due_us);
           if (caller->due_us > now_us)
             break;
           g_tree_remove (load->due, caller);
           caller->due_us = UINT64_MAX;
           start_call (load, caller, now_us);
         }
-      if (now_us >= check_us)
+      if (!finishing && now_us >= check_us)
         {
           check_broken (load, now_us);
           check_us = now_us + CHECK_US;
         }
-      until_us = MIN (check_us, end_us);
-      node = g_tree_node_first (load->due);
-      if (node)
-        until_us = MIN (until_us, ((const Caller *)g_tree_node_key (node))->due_us);
-      wc_client_socket_step (load->sock, until_us);
+      for (guint i = 0; i < load->sockets->len; i++)
+        {
+          const Socket *sock = g_ptr_array_index (load->sockets, i);
+
+          calls += wc_client_get_call_count (sock->client);
+          until_us = MIN (until_us, wc_client_get_due_us (sock->client));
+        }
+      if (finishing && calls == 0)
+        return;
+      wait_for_sockets (load, now_us, MIN (until_us, now_us + CHECK_US));
+    }
+}
+
+static void
+wait_for_sockets (Load *load, uint64_t now_us, uint64_t until_us)
+{
+  uint64_t        wait_us = until_us > now_us ? until_us - now_us : 0;
+  struct timespec wait = { .tv_sec = (time_t)(wait_us / 1000000), .tv_nsec = (long)(wait_us % 1000000 * 1000) };
+
+  for (guint i = 0; i < load->sockets->len; i++)
+    {
+      const Socket *sock = g_ptr_array_index (load->sockets, i);
+
+      load->waiting[i].fd = wc_client_socket_get_fd (sock->sock);
+      load->waiting[i].events = POLLIN;
+    }
+  (void)ppoll (load->waiting, load->sockets->len, &wait, NULL);
+  now_us = wc_client_socket_now_us ();
+  for (guint i = 0; i < load->sockets->len; i++)
+    {
+      Socket *sock = g_ptr_array_index (load->sockets, i);
+
+      if (load->waiting[i].revents != 0 || wc_client_get_due_us (sock->client) <= now_us)
+        wc_client_socket_handle (sock->sock);
     }
 }
 
@@ -197,6 +274,7 @@
 {
   const WcLoadConfig *config = load->config;
   const char         *service = config->services[caller->kind];
+  WcClient           *client = caller->socket->client;
   char                path[PATH_BYTES];
   WcClientRequest     request = { .method = "GET", .path = path };
   WcError             error = { 0 };
@@ -212,7 +290,7 @@
     case WC_LOAD_SESSION:
       g_snprintf (path, sizeof path, "/catalogue/%u?service=%s&tag=%" PRIu64, caller->index, service, caller->tag);
       load->report.counts[WC_LOAD_COUNT_REQUESTS]++;
-      caller->call = wc_client_request (load->client, now_us, caller->flow, &request, &error);
+      caller->call = wc_client_request (client, now_us, caller->flow, &request, &error);
       break;
     case WC_LOAD_ORDER:
       g_snprintf (path, sizeof path, "/orders?service=%s&tag=%" PRIu64, service, caller->tag);
@@ -220,16 +298,16 @@
       request.body = (const uint8_t *)"one bell";
       request.body_bytes = strlen ("one bell");
       load->report.counts[WC_LOAD_COUNT_ORDERS]++;
-      caller->call = wc_client_order (load->client, now_us, caller->flow, &request, &error);
+      caller->call = wc_client_order (client, now_us, caller->flow, &request, &error);
       break;
     case WC_LOAD_DOWNLOAD:
       g_snprintf (path, sizeof path, "/sheet?bytes=%u&service=%s&tag=%" PRIu64, config->sheet_bytes, service,
                   caller->tag);
       load->report.counts[WC_LOAD_COUNT_DOWNLOADS]++;
-      caller->call = wc_client_request (load->client, now_us, caller->flow, &request, &error);
+      caller->call = wc_client_request (client, now_us, caller->flow, &request, &error);
       break;
     case WC_LOAD_STREAM:
-      caller->call = wc_client_poll (load->client, now_us, caller->flow, caller->cursor, &error);
+      caller->call = wc_client_poll (client, now_us, caller->flow, caller->cursor, &error);
       break;
     case WC_LOAD_KIND_COUNT:
       return;
@@ -240,7 +318,7 @@
       schedule (load, caller, now_us + interval_us (load, caller));
       return;
     }
-  g_hash_table_insert (load->calls, &caller->call, caller);
+  g_hash_table_insert (caller->socket->calls, &caller->call, caller);
 }
 
 static void
@@ -253,15 +331,16 @@
 static void
 call_finished (void *user_data, uint64_t call, const WcClientAnswer *answer)
 {
-  Load    *load = user_data;
-  Caller  *caller = g_hash_table_lookup (load->calls, &call);
+  Socket  *sock = user_data;
+  Load    *load = sock->load;
+  Caller  *caller = g_hash_table_lookup (sock->calls, &call);
   uint64_t now_us = wc_client_socket_now_us ();
   bool     is_done = answer->result == WC_CLIENT_DONE && answer->http_status < 400;
   bool     success;
 
   if (!caller)
     return;
-  g_hash_table_remove (load->calls, &call);
+  g_hash_table_remove (sock->calls, &call);
   caller->call = 0;
   success = is_done && is_own_answer (load, caller, answer);
   if (is_done && !success)
@@ -294,8 +373,9 @@
 static void
 events_arrived (void *user_data, uint64_t call, uint64_t cursor, const uint8_t *data, size_t size_bytes)
 {
-  Load       *load = user_data;
-  Caller     *caller = g_hash_table_lookup (load->calls, &call);
+  Socket     *sock = user_data;
+  Load       *load = sock->load;
+  Caller     *caller = g_hash_table_lookup (sock->calls, &call);
   const char *line = (const char *)data;
   const char *end = line ? line + size_bytes : NULL;
 
--- a/src/cli/load.h
+++ b/src/cli/load.h
@@ -27,6 +27,7 @@
  * start of the last one, or at its end if that is later.
  * @customers: names, given to the callers in turn; ended by NULL.
  * @limit_ms: a session or stream is broken when it had no success for this long although it asked.
+ * @sockets: callers share this many sockets; a burst of answers to many callers overflows the buffer of a single one.
  * @record: file for one line of JSON an order, or NULL.
  */
 typedef struct
@@ -41,6 +42,7 @@
   uint32_t       sheet_bytes;
   uint32_t       limit_ms;
   uint32_t       seconds;
+  uint32_t       sockets;
   uint32_t       seed;
   FILE          *record;
 } WcLoadConfig;
--- a/src/client/client_socket.c
+++ b/src/client/client_socket.c
@@ -18,7 +18,8 @@
   /* Answers of many calls may arrive at once; the kernel caps this at its own limit. */
   RECEIVE_BUFFER_BYTES = 4 << 20,
   /* Datagrams handled before due times are looked at again. */
-  RECEIVE_BATCH = 256
+  RECEIVE_BATCH = 256,
+  WAIT_MAX_US = 60000000
 };
 
 struct WcClientSocket
@@ -93,6 +94,36 @@
   return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
 }
 
+int
+wc_client_socket_get_fd (const WcClientSocket *sock)
+{
+  assert (sock != NULL);
+
+  return sock->fd;
+}
+
+void
+wc_client_socket_handle (WcClientSocket *sock)
+{
+  uint8_t data[WC_DATAGRAM_MAX_BYTES + 1];
+
+  assert (sock != NULL);
+
+  for (int i = 0; i < RECEIVE_BATCH; i++)
+    {
+      ssize_t size = recv (sock->fd, data, sizeof data, MSG_DONTWAIT);
+
+      /* An ICMP error is reported once on the socket; the datagrams behind it are still there. */
+      if (size < 0 && errno == ECONNREFUSED)
+        continue;
+      if (size < 0)
+        break;
+      if (size <= WC_DATAGRAM_MAX_BYTES)
+        wc_client_receive (sock->client, wc_client_socket_now_us (), data, (size_t)size);
+    }
+  wc_client_tick (sock->client, wc_client_socket_now_us ());
+}
+
 void
 wc_client_socket_step (WcClientSocket *sock, uint64_t until_us)
 {
@@ -101,29 +132,16 @@
   uint64_t        due_us;
   uint64_t        now_us = wc_client_socket_now_us ();
   uint64_t        wait_us;
-  uint8_t         data[WC_DATAGRAM_MAX_BYTES + 1];
 
   assert (sock != NULL);
 
   due_us = MIN (wc_client_get_due_us (sock->client), until_us);
-  wait_us = due_us > now_us ? due_us - now_us : 0;
-  wait.tv_sec = (time_t)(MIN (wait_us, UINT64_C (3600000000)) / 1000000);
+  wait_us = due_us > now_us ? MIN (due_us - now_us, WAIT_MAX_US) : 0;
+  wait.tv_sec = (time_t)(wait_us / 1000000);
   wait.tv_nsec = (long)(wait_us % 1000000 * 1000);
   waiting.fd = sock->fd;
-  if (ppoll (&waiting, 1, &wait, NULL) > 0)
-    for (int i = 0; i < RECEIVE_BATCH; i++)
-      {
-        ssize_t size = recv (sock->fd, data, sizeof data, MSG_DONTWAIT);
-
-        /* An ICMP error is reported once on the socket; the datagrams behind it are still there. */
-        if (size < 0 && errno == ECONNREFUSED)
-          continue;
-        if (size < 0)
-          break;
-        if (size <= WC_DATAGRAM_MAX_BYTES)
-          wc_client_receive (sock->client, wc_client_socket_now_us (), data, (size_t)size);
-      }
-  wc_client_tick (sock->client, wc_client_socket_now_us ());
+  (void)ppoll (&waiting, 1, &wait, NULL);
+  wc_client_socket_handle (sock);
 }
 
 bool
--- a/src/client/client_socket.h
+++ b/src/client/client_socket.h
@@ -25,6 +25,12 @@
 /** wc_client_socket_step() - handle datagrams and due times; waits for the first one, @until_us at the latest. */
 void wc_client_socket_step (WcClientSocket *sock, uint64_t until_us);
 
+/** wc_client_socket_get_fd() - descriptor for a caller that waits on several sockets. */
+int wc_client_socket_get_fd (const WcClientSocket *sock);
+
+/** wc_client_socket_handle() - handle the datagrams that are there and what is due, without waiting. */
+void wc_client_socket_handle (WcClientSocket *sock);
+
 /** wc_client_socket_run() - step until no call is left or until @until_us. Return: whether no call is left. */
 bool wc_client_socket_run (WcClientSocket *sock, uint64_t until_us);
 
