--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -7,7 +7,8 @@
 
 enum
 {
-  WC_CONTROL_REPLACED_INCARNATIONS = 4
+  WC_CONTROL_REPLACED_INCARNATIONS = 4,
+  WC_CONTROL_PEER_ANSWER_US = 1000000
 };
 
 /**
@@ -44,6 +45,8 @@
  * @tried_config: announced configuration whose head was fetched and not taken over.
  * @heard: a heartbeat has arrived.
  * @echoed: the peer has answered the challenge sent after the last pause.
+ * @doubtful: the link is older than the last pause and the peer has not answered the challenge yet.
+ * @silent: the peer did not answer the last question in time, and nothing has arrived from it since.
  */
 typedef struct
 {
@@ -52,6 +55,8 @@
   uint32_t   domain;
   bool       heard;
   bool       echoed;
+  bool       doubtful;
+  bool       silent;
   uint64_t   heard_us;
   uint64_t   next_heartbeat_us;
   uint32_t   heartbeats;
@@ -90,6 +95,7 @@
   WcLifecycle lifecycle;
   uint64_t    last_us;
   uint64_t    confirmed_us;
+  uint64_t    domain_confirmed_us;
   uint64_t    join_started_us;
   uint64_t    first_peer_us;
   bool        platform_accepted;
@@ -119,6 +125,7 @@
   uint64_t       next_list_us;
   bool           list_pending;
   bool           list_known;
+  bool           list_from_peer;
 
   WcConfigStore  *store;
   WcKeyring      *keyring;
@@ -143,23 +150,36 @@
 
 /* control.c */
 void wc_control_record (WcControl *control, WcEventKind kind, uint64_t value, const char *reason);
-void wc_control_confirm (WcControl *control, uint64_t now_us);
-void wc_control_check_lifecycle (WcControl *control, uint64_t now_us);
+void wc_control_set_lifecycle (WcControl *control, WcLifecycle lifecycle, const char *reason);
 void wc_control_publish (WcControl *control, uint64_t now_us);
 /* wc_control_jitter() - @base_us times a random factor from 0.75 to 1.25. */
 uint64_t wc_control_jitter (WcControl *control, uint64_t base_us);
 
-/* control_config.c */
-void wc_control_config_tick (WcControl *control, uint64_t now_us);
+/* control_lifecycle.c */
+void wc_control_confirm (WcControl *control, uint64_t now_us);
+void wc_control_check_lifecycle (WcControl *control, uint64_t now_us);
+
+/* control_fetch.c */
 void wc_control_fetch (WcControl *control, uint64_t now_us);
+void wc_control_fetch_failed (WcControl *control, uint64_t now_us);
 void wc_control_link_lost_fetch (WcControl *control, uint64_t peer);
+/* wc_control_get_missing() - digest of the @index-th missing part; false when there is none. */
+bool wc_control_get_missing (const WcControl *control, size_t index, uint8_t digest[WC_DIGEST_BYTES]);
+
+/* control_config.c */
+void wc_control_config_tick (WcControl *control, uint64_t now_us);
 void wc_control_config_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
 void wc_control_offer_head (WcControl *control, uint64_t now_us, const char *text, size_t size_bytes);
 void wc_control_accept_platform (WcControl *control, uint64_t now_us);
 /* wc_control_is_newer() - whether @id is above the one in force and not known to be invalid. */
 bool wc_control_is_newer (const WcControl *control, const WcConfigId *id);
+/* wc_control_knows_newer() - whether a linked peer has announced a newer one. */
+bool wc_control_knows_newer (const WcControl *control);
 
 /* control_members.c */
+void wc_control_fill_note (const WcMember *member, uint32_t version, Wc__MemberNote *note);
+/* wc_control_read_note() - false when the note is malformed. */
+bool wc_control_read_note (const Wc__MemberNote *note, WcMember *member);
 void wc_control_members_tick (WcControl *control, uint64_t now_us);
 void wc_control_set_own_state (WcControl *control, uint64_t now_us, WcMemberState state);
 void wc_control_update_table (WcControl *control);
@@ -170,6 +190,12 @@
 void
 wc_control_heartbeat_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
 
+/* control_list.c */
+void wc_control_apply_list (WcControl *control, uint64_t now_us, const WcMember *members, size_t count);
+/* wc_control_ask_list() - ask a peer for its list, for an instance that starts while the platform is down. */
+void wc_control_ask_list (WcControl *control);
+void wc_control_list_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
+
 /* control_topology.c */
 void wc_control_update_topology (WcControl *control, uint64_t now_us);
 
