--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -34,5 +34,6 @@
 extern const WcCommand WC_COMMAND_CALL;
 extern const WcCommand WC_COMMAND_STATUS;
 extern const WcCommand WC_COMMAND_TIMELINE;
+extern const WcCommand WC_COMMAND_BENCH;
 
 #endif
