Relay orders and fetches of an unknown owner to its domain

Cause: instances of other domains learn of an instance that has just joined from the platform's list, which is read every few seconds. Until then they dropped every ORDER and FETCH for it, and a caller whose resends all reached them saw its order end as unknown. Ruled out: draining; the owner was serving and its own domain knew it.

--- a/src/core/node_route.c
+++ b/src/core/node_route.c
@@ -18,6 +18,7 @@
 static bool     domain_has_targets (const WcNode *node, uint32_t service, uint32_t domain);
 static uint32_t find_shard (const WcNode *node, uint32_t service, uint32_t domain, uint64_t flow);
 static bool     key_is_newer (const WcNode *node, const uint8_t *sealed);
+static void     relay_to_domain (WcNode *node, const WcNodePacket *packet, uint32_t domain);
 static void     relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker);
 
 void
@@ -127,6 +128,8 @@
   owner = wc_member_table_find (node->view->members, ticket.owner);
   if (owner)
     relay (node, packet, owner, ticket.worker);
+  else
+    relay_to_domain (node, packet, ticket.domain);
 }
 
 static void
@@ -156,6 +159,8 @@
   holder = wc_member_table_find (node->view->members, answer->instance);
   if (holder)
     relay (node, packet, holder, answer->worker);
+  else
+    relay_to_domain (node, packet, packet->token.domain);
 }
 
 static void
@@ -228,6 +233,21 @@
   return epoch > wc_keyring_get_newest_epoch (node->view->keyring);
 }
 
+/* An instance of another domain that has just joined is known here only after the next read of the platform's list.
+ * Those of its own domain know it from its heartbeats. */
+static void
+relay_to_domain (WcNode *node, const WcNodePacket *packet, uint32_t domain)
+{
+  size_t          count;
+  const WcMember *live = wc_member_table_get_live (node->view->members, domain, &count);
+  const WcMember *member;
+
+  if (domain == node->config.domain || count == 0)
+    return;
+  member = &live[g_rand_int (node->random) % count];
+  relay (node, packet, member, g_rand_int (node->random) % MAX (member->workers, 1));
+}
+
 static void
 relay (WcNode *node, const WcNodePacket *packet, const WcMember *member, uint32_t worker)
 {
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -5,6 +5,7 @@
 
 #include <wigeoncart/name_id.h>
 #include <wigeoncart/register.h>
+#include <wigeoncart/ticket.h>
 
 #include "test_main.h"
 #include "wigeoncart.pb-c.h"
@@ -93,7 +94,13 @@
                           .domain = wc_name_id32 ("d"),
                           .workers = 1,
                           .state = WC_MEMBER_LIVE };
-  WcMemberTable *members = wc_member_table_new (&self, 1);
+  WcMember       far = { .id = wc_name_id64 ("entry-2"),
+                         .domain = wc_name_id32 ("e"),
+                         .workers = 1,
+                         .state = WC_MEMBER_LIVE,
+                         .address = { .ip = { 127, 0, 0, 1 }, .family = 4, .port = 7102 } };
+  WcMember       both[2] = { self, far };
+  WcMemberTable *members = wc_member_table_new (both, 2);
   WcRegister    *reg;
   const WcKey   *keys;
   WcKeyring     *keyring;
@@ -262,6 +269,30 @@
 }
 END_TEST
 
+/* Failure: an order was dropped by every instance of the other domains while its owner, which had just joined, was not
+ * in their list yet. */
+START_TEST (test_order_of_an_unknown_owner_goes_to_its_domain)
+{
+  WcKey      key = { .epoch = 1 };
+  WcKeyring *keyring;
+  WcSealer   sealer;
+  WcTicket   ticket = { .service = wc_name_id32 ("a"),
+                        .domain = wc_name_id32 ("e"),
+                        .owner = wc_name_id64 ("entry-3"),
+                        .incarnation = 1,
+                        .serial = 1 };
+
+  memset (key.secret, 1, sizeof key.secret);
+  keyring = wc_keyring_new (&key, 1);
+  wc_sealer_init (&sealer, 1);
+  world.ticket_bytes = wc_ticket_seal (&sealer, keyring, &ticket, world.ticket);
+  wc_keyring_unref (keyring);
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 2);
+  ck_assert_uint_eq (world.relayed, 1);
+  ck_assert_uint_eq (world.sent_count, 0);
+}
+END_TEST
+
 /* Failure: an order whose key was withdrawn is reported as not run, or not at all. */
 START_TEST (test_order_under_a_withdrawn_key_is_unknown)
 {
@@ -404,6 +435,7 @@
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, test_fetch_of_a_held_answer_sends_the_part);
   tcase_add_test (tests, test_order_under_a_newer_key_is_left_to_other_instances);
+  tcase_add_test (tests, test_order_of_an_unknown_owner_goes_to_its_domain);
   tcase_add_test (tests, test_order_under_a_withdrawn_key_is_unknown);
   tcase_add_test (tests, test_duplicate_order_runs_once);
   tcase_add_test (tests, test_broken_order_is_unknown_and_stays_so);
