Add stateful fuzzing of the core against an oracle, and of the parsers

A fleet of nodes and control states with emulated targets and platform, real clients and virtual time. The input decides about messages, failures, edits and calls.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 CLI_OBJECTS  = $(patsubst %.c,$(BUILD)/%.o,$(CLI_SOURCES))
 TEST_PROGRAMS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SOURCES))
 
-.PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke prove bench proto clean
+.PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke fuzz-programs mutants prove bench proto clean
 .SECONDARY:
 
 all: $(BUILD)/wigeoncart $(TEST_PROGRAMS)
@@ -59,7 +59,7 @@
 	@printf '%s\n' $(LIB_SOURCES) $(CLI_SOURCES) | xargs -P 4 -n 4 sh -c \
 	  'clang-tidy --quiet "$$@" -- $(filter-out -Werror,$(ALL_CFLAGS)) 2>/dev/null' lint
 
-check: test
+check: test fuzz-smoke
 
 test: all
 	@tests/run_tests.sh $(BUILD)/tests
@@ -67,6 +67,46 @@
 sanitize:
 	$(MAKE) BUILD=build/sanitize CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" test
 
+# Fuzzing: fixed pseudo-random inputs with gcc, and campaigns of libFuzzer with clang.
+FUZZ_SECONDS ?= 120
+FUZZ_RUNS    ?= 400
+FUZZ_SEED    ?= 1
+FUZZ_CLANG   ?= clang-14
+FUZZ_FLEET   = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/fuzz/fleet*.c) tests/fuzz/oracle.c tests/fuzz/fuzz_fleet.c)
+FUZZ_PARSERS = $(BUILD)/tests/fuzz/fuzz_parsers.o
+FUZZ_MAIN   ?= $(BUILD)/tests/fuzz/fuzz_smoke.o
+
+$(BUILD)/tests/fuzz/%.o: ALL_CFLAGS += -Itests
+
+$(BUILD)/fuzz_fleet: $(FUZZ_FLEET) $(FUZZ_MAIN) $(BUILD)/libwigeoncart.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) $(FUZZ_LDFLAGS) $^ -o $@ $(LIBS)
+
+$(BUILD)/fuzz_parsers: $(FUZZ_PARSERS) $(FUZZ_MAIN) $(BUILD)/libwigeoncart.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) $(FUZZ_LDFLAGS) $^ -o $@ $(LIBS)
+
+fuzz-programs: $(BUILD)/fuzz_fleet $(BUILD)/fuzz_parsers
+
+fuzz-smoke:
+	@$(MAKE) --no-print-directory BUILD=build/sanitize \
+	  CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" fuzz-programs
+	build/sanitize/fuzz_fleet $(FUZZ_RUNS) $(FUZZ_SEED)
+	build/sanitize/fuzz_parsers 20000 $(FUZZ_SEED)
+
+fuzz:
+	@$(MAKE) --no-print-directory BUILD=build/libfuzzer CC=$(FUZZ_CLANG) FUZZ_LDFLAGS=-fsanitize=fuzzer \
+	  FUZZ_MAIN=build/libfuzzer/tests/fuzz/fuzz_campaign.o \
+	  CFLAGS="-O1 -g -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all" fuzz-programs
+	@mkdir -p build/corpus/fleet build/corpus/parsers
+	build/libfuzzer/fuzz_parsers -max_total_time=$$(($(FUZZ_SECONDS) / 4)) -print_final_stats=1 \
+	  -artifact_prefix=build/ build/corpus/parsers
+	build/libfuzzer/fuzz_fleet -max_total_time=$(FUZZ_SECONDS) -print_final_stats=1 -timeout=60 -max_len=400 \
+	  -artifact_prefix=build/ build/corpus/fleet
+
+mutants:
+	tests/fuzz/run_mutants.sh
+
 clean:
 	rm -rf build
 
--- /dev/null
+++ b/tests/fuzz/fleet.h
@@ -0,0 +1,286 @@
+#ifndef WC_TESTS_FUZZ_FLEET_H
+#define WC_TESTS_FUZZ_FLEET_H
+
+#include <glib.h>
+
+#include <wigeoncart/client.h>
+#include <wigeoncart/config_store.h>
+#include <wigeoncart/name_id.h>
+#include <wigeoncart/node.h>
+
+#include "core/control.h"
+#include "fuzz/oracle.h"
+
+enum
+{
+  FLEET_DOMAINS = 3,
+  FLEET_INSTANCES = 7,
+  FLEET_SERVICES = 3,
+  FLEET_HOSTS_PER_DOMAIN = 5,
+  FLEET_HOSTS = FLEET_DOMAINS * FLEET_HOSTS_PER_DOMAIN,
+  FLEET_CALLERS = 3,
+  FLEET_PARTS = 4,
+  FLEET_PLATFORM = FLEET_DOMAINS,
+  FLEET_STEP_US = 10 * 1000,
+  FLEET_LOG_LINES = 60,
+  FLEET_SAMPLES = 8
+};
+
+/* Services: a session service with an event feed, a service for orders, and one with long answers. */
+enum
+{
+  FLEET_CATALOGUE = 0,
+  FLEET_ORDERS,
+  FLEET_PATTERNS
+};
+
+typedef struct Fleet Fleet;
+
+/** struct FleetInstance - one process, or the place of one that is not running. */
+typedef struct
+{
+  Fleet      *fleet;
+  uint32_t    index;
+  uint32_t    domain;
+  uint64_t    id;
+  uint64_t    incarnation;
+  char        name[16];
+  WcAddress   address;
+  WcNode     *node;
+  WcControl  *control;
+  WcCounters *counters;
+  WcLifecycle lifecycle;
+  bool        running;
+  bool        frozen;
+  bool        draining;
+  bool        stopped;
+  uint64_t    started_us;
+  uint64_t    offset_us;
+  bool        wanted[FLEET_INSTANCES];
+  bool        linked[FLEET_INSTANCES];
+  bool        link_lost[FLEET_INSTANCES];
+  uint32_t    link_number[FLEET_INSTANCES];
+  /* One read of the head, one of a part and one of the list at a time. */
+  bool        head_pending;
+  uint64_t    head_after;
+  uint64_t    head_issued_us;
+  uint64_t    head_deadline_us;
+  const char *part_key;
+  uint64_t    part_issued_us;
+  bool        list_pending;
+  uint64_t    list_issued_us;
+  /* What the platform's list says, which lags. */
+  bool     listed;
+  bool     was_listed;
+  bool     listed_leaving;
+  uint64_t list_changed_us;
+} FleetInstance;
+
+typedef enum
+{
+  FLEET_TO_INSTANCE = 0,
+  FLEET_RELAY,
+  FLEET_TO_CALLER,
+  FLEET_PEER_FRAME
+} FleetMessageKind;
+
+/** struct FleetMessage - a datagram or a peer frame in flight; frames of a link stay in order. */
+typedef struct
+{
+  FleetMessageKind kind;
+  uint64_t         due_us;
+  uint64_t         serial;
+  uint32_t         from;
+  uint32_t         to;
+  uint32_t         link_number;
+  WcAddress        caller;
+  uint8_t         *data;
+  size_t           size_bytes;
+} FleetMessage;
+
+typedef enum
+{
+  FLEET_HOST_GOOD = 0,
+  FLEET_HOST_REFUSES,
+  FLEET_HOST_BREAKS_BEFORE,
+  FLEET_HOST_BREAKS_AFTER,
+  FLEET_HOST_LATE,
+  FLEET_HOST_SLOW,
+  FLEET_HOST_SHEDS,
+  FLEET_HOST_UNREACHABLE,
+  FLEET_HOST_MODES
+} FleetHostMode;
+
+/** struct FleetHost - a host with one target; @process grows when another program takes over the address. */
+typedef struct
+{
+  uint32_t      service;
+  uint32_t      domain;
+  WcAddress     address;
+  uint32_t      process;
+  FleetHostMode mode;
+  uint32_t      running;
+} FleetHost;
+
+typedef enum
+{
+  FLEET_ATTEMPT_CONNECTING = 0,
+  FLEET_ATTEMPT_SENT,
+  FLEET_ATTEMPT_RUNNING,
+  FLEET_ATTEMPT_POLLING
+} FleetAttemptState;
+
+/** struct FleetAttempt - an attempt of an instance's node at a target. */
+typedef struct
+{
+  FleetAttemptState state;
+  FleetInstance    *instance;
+  uint64_t          id;
+  uint32_t          host;
+  uint32_t          process;
+  char              service_name[32];
+  char              path[256];
+  uint64_t          due_us;
+  uint64_t          poll_end_us;
+  char             *body;
+  size_t            body_bytes;
+  bool              runs;
+  bool              refused;
+  bool              breaks;
+} FleetAttempt;
+
+typedef struct
+{
+  Fleet    *fleet;
+  uint32_t  index;
+  WcAddress address;
+  WcClient *client;
+  uint64_t  flows[FLEET_SERVICES];
+  uint64_t  poll;
+  uint64_t  poll_cursor;
+  /* Calls in progress: handle to number. */
+  GHashTable *calls;
+} FleetCaller;
+
+/** struct FleetEdit - a revision as the operators published it. */
+typedef struct
+{
+  char *head;
+  char *parts[FLEET_PARTS];
+} FleetEdit;
+
+/** struct FleetSample - a sealed token or ticket seen on the wire, for packets that a caller must not send. */
+typedef struct
+{
+  uint32_t service;
+  size_t   size_bytes;
+  uint8_t  data[128];
+} FleetSample;
+
+struct Fleet
+{
+  Oracle  *oracle;
+  GRand   *random;
+  uint64_t now_us;
+  uint64_t serial;
+  bool     strict;
+  /* Prints every message and control action; set by the environment variable FUZZ_TRACE. */
+  bool          trace;
+  FleetInstance instances[FLEET_INSTANCES];
+  FleetHost     hosts[FLEET_HOSTS];
+  FleetCaller   callers[FLEET_CALLERS];
+  GPtrArray    *messages;
+  GPtrArray    *attempts;
+  bool          cut[FLEET_DOMAINS + 1][FLEET_DOMAINS + 1];
+  uint64_t      events[FLEET_SERVICES];
+  uint32_t      next_number;
+
+  /* The operators' register and the platform. */
+  GPtrArray *edits;
+  uint64_t   revision;
+  uint32_t   leaving;
+  uint64_t   leaving_since_us[FLEET_HOSTS];
+  uint32_t   weights[FLEET_HOSTS];
+  uint32_t   first_epoch;
+  uint32_t   last_epoch;
+  uint64_t   epoch_us;
+  bool       after_malformed;
+  bool       platform_down;
+  size_t     stale_version;
+
+  FleetSample   tokens[FLEET_SAMPLES];
+  FleetSample   tickets[FLEET_SAMPLES];
+  FleetMessage *last_order;
+  uint32_t      sample_count;
+
+  char     log[FLEET_LOG_LINES][120];
+  uint64_t log_count;
+};
+
+/** fleet_new() - every domain with two instances that serve. @strict: only planned changes will happen. */
+Fleet *fleet_new (bool strict, uint32_t seed);
+void   fleet_delete (Fleet *fleet);
+
+/** fleet_run() - let time pass; messages, targets, platform and timers do what is due. */
+void fleet_run (Fleet *fleet, uint64_t duration_us);
+/** fleet_seconds() - virtual time since the start. */
+double fleet_seconds (const Fleet *fleet);
+void   fleet_log (Fleet *fleet, const char *format, ...) G_GNUC_PRINTF (2, 3);
+
+/* fleet_instance.c */
+void     fleet_instance_start (Fleet *fleet, uint32_t index);
+void     fleet_instance_kill (Fleet *fleet, uint32_t index);
+void     fleet_instance_stop (Fleet *fleet, uint32_t index);
+void     fleet_instance_freeze (Fleet *fleet, uint32_t index);
+void     fleet_instance_wake (Fleet *fleet, uint32_t index);
+void     fleet_instance_step (Fleet *fleet, FleetInstance *instance);
+uint64_t fleet_instance_now (const FleetInstance *instance);
+uint32_t fleet_count_serving (const Fleet *fleet, uint32_t domain);
+
+/* fleet_net.c */
+void          fleet_send (Fleet *fleet, FleetMessageKind kind, uint32_t from, uint32_t to, const WcAddress *caller,
+                          const uint8_t *data, size_t size_bytes);
+void          fleet_deliver (Fleet *fleet, FleetMessage *message);
+void          fleet_deliver_due (Fleet *fleet);
+void          fleet_duplicate (Fleet *fleet, const FleetMessage *message);
+FleetMessage *fleet_pick_datagram (Fleet *fleet, uint32_t number);
+void          fleet_drop (Fleet *fleet, FleetMessage *message);
+void          fleet_links_step (Fleet *fleet);
+void          fleet_unlink (Fleet *fleet, uint32_t a, uint32_t b);
+void          fleet_message_free (gpointer message);
+void          fleet_set_cut (Fleet *fleet, uint32_t a, uint32_t b, bool cut);
+
+/* fleet_target.c */
+void     fleet_attempt_start (FleetInstance *instance, const WcAttempt *attempt);
+void     fleet_attempt_cancel (FleetInstance *instance, uint64_t id);
+void     fleet_targets_step (Fleet *fleet);
+void     fleet_attempts_forget (Fleet *fleet, const FleetInstance *instance);
+uint32_t fleet_count_runs (const Fleet *fleet, const FleetInstance *instance);
+void     fleet_attempt_free (gpointer attempt);
+void     fleet_host_move (Fleet *fleet, uint32_t host, uint32_t service);
+
+/* fleet_platform.c */
+extern const char *const FLEET_SERVICE_NAMES[FLEET_SERVICES];
+extern const char *const FLEET_DOMAIN_NAMES[FLEET_DOMAINS];
+void                     fleet_publish (Fleet *fleet, bool malformed);
+void                     fleet_platform_step (Fleet *fleet, FleetInstance *instance);
+void                     fleet_platform_set (Fleet *fleet, bool down, bool stale);
+void                     fleet_edit_free (gpointer edit);
+
+/* fleet_caller.c */
+void fleet_callers_init (Fleet *fleet);
+void fleet_callers_finish (Fleet *fleet);
+/** fleet_call() - a request or an order of a caller; returns its number, or 0 when it has too many in progress. */
+uint32_t fleet_call (Fleet *fleet, uint32_t caller, uint32_t service, bool order, size_t answer_bytes);
+void     fleet_cancel (Fleet *fleet, uint32_t caller, uint32_t choice);
+void     fleet_poll (Fleet *fleet, uint32_t caller);
+void     fleet_send_mismatched (Fleet *fleet, uint32_t caller, uint32_t choice, bool order);
+void     fleet_replay_order (Fleet *fleet);
+
+/* fleet_ops.c */
+/** fleet_apply() - carry out operations drawn from @data; Return: how many. */
+uint32_t fleet_apply (Fleet *fleet, const uint8_t *data, size_t size_bytes);
+/** fleet_settle() - repair everything, then check that all flows, streams and configurations are in order. */
+void fleet_settle (Fleet *fleet);
+
+#endif
--- /dev/null
+++ b/tests/fuzz/fleet_ops.c
@@ -0,0 +1,484 @@
+#include "fuzz/fleet.h"
+
+#include <stdlib.h>
+
+enum
+{
+  MS = 1000,
+  SECOND_US = 1000 * 1000,
+  /* Planned changes leave this long between two steps that depend on each other. */
+  LEAVING_BEFORE_MOVE_US = 10 * SECOND_US,
+  KEY_OVERLAP_US = 15 * SECOND_US,
+  SETTLE_US = 8 * SECOND_US,
+  STRICT_DELAY_US = 100 * MS
+};
+
+/** struct Input - bytes that decide what happens; 0 past the end. */
+typedef struct
+{
+  const uint8_t *data;
+  size_t         size_bytes;
+  size_t         at;
+} Input;
+
+typedef void (*Operation) (Fleet *fleet, Input *input);
+
+static uint8_t next (Input *input);
+static void    edit (Fleet *fleet, bool malformed);
+static bool    host_can_leave (const Fleet *fleet, uint32_t host);
+
+static void op_request (Fleet *fleet, Input *input);
+static void op_order (Fleet *fleet, Input *input);
+static void op_poll (Fleet *fleet, Input *input);
+static void op_cancel (Fleet *fleet, Input *input);
+static void op_event (Fleet *fleet, Input *input);
+static void op_mismatched (Fleet *fleet, Input *input);
+static void op_advance (Fleet *fleet, Input *input);
+static void op_deliver (Fleet *fleet, Input *input);
+static void op_duplicate (Fleet *fleet, Input *input);
+static void op_delay (Fleet *fleet, Input *input);
+static void op_drop (Fleet *fleet, Input *input);
+static void op_stop (Fleet *fleet, Input *input);
+static void op_join (Fleet *fleet, Input *input);
+static void op_kill (Fleet *fleet, Input *input);
+static void op_freeze (Fleet *fleet, Input *input);
+static void op_wake (Fleet *fleet, Input *input);
+static void op_clock_jump (Fleet *fleet, Input *input);
+static void op_cut (Fleet *fleet, Input *input);
+static void op_heal (Fleet *fleet, Input *input);
+static void op_platform (Fleet *fleet, Input *input);
+static void op_leaving (Fleet *fleet, Input *input);
+static void op_weight (Fleet *fleet, Input *input);
+static void op_move (Fleet *fleet, Input *input);
+static void op_key (Fleet *fleet, Input *input);
+static void op_malformed (Fleet *fleet, Input *input);
+static void op_race (Fleet *fleet, Input *input);
+static void op_host_mode (Fleet *fleet, Input *input);
+
+/** struct OperationInfo - @planned: may happen in a strict input. */
+static const struct
+{
+  Operation run;
+  bool      planned;
+} OPERATIONS[] = {
+  { op_request, true },    { op_request, true },    { op_request, true }, { op_order, true },
+  { op_order, true },      { op_order, true },      { op_poll, true },    { op_event, true },
+  { op_cancel, true },     { op_mismatched, true }, { op_advance, true }, { op_advance, true },
+  { op_advance, true },    { op_advance, true },    { op_advance, true }, { op_deliver, true },
+  { op_duplicate, true },  { op_duplicate, true },  { op_delay, true },   { op_drop, false },
+  { op_stop, true },       { op_join, true },       { op_join, true },    { op_kill, false },
+  { op_freeze, false },    { op_wake, false },      { op_wake, false },   { op_clock_jump, false },
+  { op_cut, false },       { op_heal, false },      { op_heal, false },   { op_platform, false },
+  { op_leaving, true },    { op_leaving, true },    { op_weight, true },  { op_move, true },
+  { op_key, true },        { op_malformed, true },  { op_race, true },    { op_host_mode, false },
+  { op_host_mode, false },
+};
+
+uint32_t
+fleet_apply (Fleet *fleet, const uint8_t *data, size_t size_bytes)
+{
+  Input    input = { .data = data, .size_bytes = size_bytes };
+  uint32_t count = 0;
+
+  while (input.at < input.size_bytes)
+    {
+      uint32_t operation = next (&input) % G_N_ELEMENTS (OPERATIONS);
+
+      if (fleet->strict && !OPERATIONS[operation].planned)
+        continue;
+      OPERATIONS[operation].run (fleet, &input);
+      count++;
+    }
+  return count;
+}
+
+void
+fleet_settle (Fleet *fleet)
+{
+  bool serving[FLEET_DOMAINS] = { false };
+
+  fleet_log (fleet, "repair everything");
+  for (uint32_t i = 0; i <= FLEET_DOMAINS; i++)
+    for (uint32_t j = 0; j <= FLEET_DOMAINS; j++)
+      fleet_set_cut (fleet, i, j, false);
+  fleet_platform_set (fleet, false, false);
+  for (uint32_t i = 0; i < FLEET_HOSTS; i++)
+    fleet->hosts[i].mode = FLEET_HOST_GOOD;
+  for (uint32_t i = 0; i < FLEET_INSTANCES; i++)
+    {
+      if (fleet->instances[i].running && fleet->instances[i].frozen)
+        fleet_instance_wake (fleet, i);
+      serving[i % FLEET_DOMAINS] |= fleet->instances[i].running && !fleet->instances[i].draining;
+    }
+  for (uint32_t i = 0; i < FLEET_DOMAINS; i++)
+    if (!serving[i])
+      fleet_instance_start (fleet, fleet->instances[i].running ? i + FLEET_DOMAINS : i);
+  fleet->leaving = 0;
+  edit (fleet, false);
+  fleet_run (fleet, SETTLE_US);
+
+  fleet_log (fleet, "check all flows");
+  for (uint32_t caller = 0; caller < FLEET_CALLERS; caller++)
+    {
+      fleet_poll (fleet, caller);
+      for (uint32_t service = 0; service < FLEET_SERVICES; service++)
+        {
+          uint32_t number = fleet_call (fleet, caller, service, service == FLEET_ORDERS, 100 + 2000 * service);
+
+          if (number != 0)
+            oracle_expect_success (fleet->oracle, number);
+          fleet_run (fleet, SECOND_US / 5);
+        }
+    }
+  fleet->events[FLEET_CATALOGUE] += 2;
+  fleet_run (fleet, 5 * SECOND_US);
+  for (uint32_t caller = 0; caller < FLEET_CALLERS; caller++)
+    oracle_stream_behind (fleet->oracle, fleet->callers[caller].poll_cursor, fleet->events[FLEET_CATALOGUE]);
+}
+
+/* local functions */
+
+static uint8_t
+next (Input *input)
+{
+  return input->at < input->size_bytes ? input->data[input->at++] : 0;
+}
+
+static void
+edit (Fleet *fleet, bool malformed)
+{
+  fleet->revision++;
+  fleet_publish (fleet, malformed);
+  /* The edit before a malformed one may never have been read, so what it said holds from the next one on. */
+  for (uint32_t i = 0; i < FLEET_HOSTS && fleet->after_malformed; i++)
+    fleet->leaving_since_us[i] = fleet->epoch_us = fleet->now_us;
+  fleet->after_malformed = malformed;
+}
+
+static void
+op_request (Fleet *fleet, Input *input)
+{
+  uint8_t  choice = next (input);
+  uint32_t service = choice % 4 == 0 ? FLEET_PATTERNS : FLEET_CATALOGUE;
+  uint32_t caller = choice / 4 % FLEET_CALLERS;
+  size_t   answer_bytes = (size_t)next (input) * (service == FLEET_PATTERNS ? 240 : 20);
+  uint32_t number = fleet_call (fleet, caller, service, false, answer_bytes);
+
+  fleet_log (fleet, "caller %u: request %u to service %u, answer of %zu bytes", caller, number, service, answer_bytes);
+}
+
+static void
+op_order (Fleet *fleet, Input *input)
+{
+  uint8_t  choice = next (input);
+  uint32_t caller = choice % FLEET_CALLERS;
+  /* Some answers exceed the service's limit of 16 KiB. */
+  size_t   answer_bytes = choice >= 240 && !fleet->strict ? 20000 : choice * 24u;
+  uint32_t number = fleet_call (fleet, caller, FLEET_ORDERS, true, answer_bytes);
+
+  fleet_log (fleet, "caller %u: order %u, answer of %zu bytes", caller, number, answer_bytes);
+}
+
+static void
+op_poll (Fleet *fleet, Input *input)
+{
+  uint32_t caller = next (input) % FLEET_CALLERS;
+
+  fleet_log (fleet, "caller %u: poll", caller);
+  fleet_poll (fleet, caller);
+}
+
+static void
+op_cancel (Fleet *fleet, Input *input)
+{
+  uint8_t choice = next (input);
+
+  fleet_log (fleet, "caller %u: cancel", choice % FLEET_CALLERS);
+  fleet_cancel (fleet, choice % FLEET_CALLERS, choice / FLEET_CALLERS);
+}
+
+static void
+op_event (Fleet *fleet, Input *input)
+{
+  uint32_t count = next (input) % 8 == 0 ? 400 : 1;
+
+  fleet_log (fleet, "%u events", count);
+  fleet->events[FLEET_CATALOGUE] += count;
+}
+
+static void
+op_mismatched (Fleet *fleet, Input *input)
+{
+  uint8_t choice = next (input);
+
+  fleet_log (fleet, "misbehaving caller, variant %u", choice % 3);
+  if (choice % 3 == 2)
+    fleet_replay_order (fleet);
+  else
+    fleet_send_mismatched (fleet, choice / 3 % FLEET_CALLERS, choice / 9, choice % 3 == 1);
+}
+
+static void
+op_advance (Fleet *fleet, Input *input)
+{
+  uint8_t  choice = next (input);
+  uint64_t duration_us = (choice % 64 + 1) * (choice >= 216 ? 100 : choice >= 128 ? 10 : 1) * 1000;
+
+  duration_us = (duration_us + FLEET_STEP_US - 1) / FLEET_STEP_US * FLEET_STEP_US;
+  fleet_log (fleet, "advance %" G_GUINT64_FORMAT " ms", duration_us / MS);
+  fleet_run (fleet, duration_us);
+}
+
+static void
+op_deliver (Fleet *fleet, Input *input)
+{
+  FleetMessage *message = fleet_pick_datagram (fleet, next (input));
+
+  if (!message)
+    return;
+  fleet_log (fleet, "deliver message %" G_GUINT64_FORMAT " now", message->serial);
+  fleet_deliver (fleet, message);
+}
+
+static void
+op_duplicate (Fleet *fleet, Input *input)
+{
+  FleetMessage *message = fleet_pick_datagram (fleet, next (input));
+
+  if (!message)
+    return;
+  fleet_log (fleet, "duplicate message %" G_GUINT64_FORMAT, message->serial);
+  fleet_duplicate (fleet, message);
+}
+
+static void
+op_delay (Fleet *fleet, Input *input)
+{
+  FleetMessage *message = fleet_pick_datagram (fleet, next (input));
+  uint64_t      delay_us = (uint64_t)next (input) * 50 * MS;
+
+  if (!message)
+    return;
+  if (fleet->strict)
+    delay_us = MIN (delay_us, (uint64_t)STRICT_DELAY_US);
+  fleet_log (fleet, "delay message %" G_GUINT64_FORMAT " by %" G_GUINT64_FORMAT " ms", message->serial, delay_us / MS);
+  message->due_us += delay_us;
+}
+
+static void
+op_drop (Fleet *fleet, Input *input)
+{
+  FleetMessage *message = fleet_pick_datagram (fleet, next (input));
+
+  if (!message)
+    return;
+  fleet_log (fleet, "drop message %" G_GUINT64_FORMAT, message->serial);
+  fleet_drop (fleet, message);
+}
+
+static void
+op_stop (Fleet *fleet, Input *input)
+{
+  uint32_t       index = next (input) % FLEET_INSTANCES;
+  FleetInstance *instance = &fleet->instances[index];
+
+  if (!instance->running || instance->frozen || instance->draining || instance->lifecycle != WC_LIFECYCLE_SERVING ||
+      fleet_count_serving (fleet, instance->domain) < 2)
+    return;
+  fleet_log (fleet, "stop %s", instance->name);
+  fleet_instance_stop (fleet, index);
+}
+
+static void
+op_join (Fleet *fleet, Input *input)
+{
+  uint32_t index = next (input) % FLEET_INSTANCES;
+
+  if (fleet->instances[index].running)
+    return;
+  fleet_log (fleet, "start entry-%u", index);
+  fleet_instance_start (fleet, index);
+}
+
+static void
+op_kill (Fleet *fleet, Input *input)
+{
+  uint32_t index = next (input) % FLEET_INSTANCES;
+
+  if (!fleet->instances[index].running)
+    return;
+  fleet_log (fleet, "kill entry-%u", index);
+  fleet_instance_kill (fleet, index);
+}
+
+static void
+op_freeze (Fleet *fleet, Input *input)
+{
+  uint32_t index = next (input) % FLEET_INSTANCES;
+
+  if (!fleet->instances[index].running || fleet->instances[index].frozen)
+    return;
+  fleet_log (fleet, "freeze entry-%u", index);
+  fleet_instance_freeze (fleet, index);
+}
+
+static void
+op_wake (Fleet *fleet, Input *input)
+{
+  uint32_t start = next (input);
+
+  for (uint32_t i = 0; i < FLEET_INSTANCES; i++)
+    {
+      uint32_t index = (start + i) % FLEET_INSTANCES;
+
+      if (!fleet->instances[index].running || !fleet->instances[index].frozen)
+        continue;
+      fleet_log (fleet, "wake entry-%u", index);
+      fleet_instance_wake (fleet, index);
+      return;
+    }
+}
+
+static void
+op_clock_jump (Fleet *fleet, Input *input)
+{
+  uint32_t index = next (input) % FLEET_INSTANCES;
+  uint64_t jump_us = (uint64_t)next (input) * 100 * MS;
+
+  fleet_log (fleet, "clock of entry-%u jumps by %" G_GUINT64_FORMAT " ms", index, jump_us / MS);
+  fleet->instances[index].offset_us += jump_us;
+}
+
+static void
+op_cut (Fleet *fleet, Input *input)
+{
+  uint8_t  choice = next (input);
+  uint32_t a = choice % FLEET_DOMAINS;
+  uint32_t b = (a + 1 + choice / FLEET_DOMAINS % FLEET_DOMAINS) % (FLEET_DOMAINS + 1);
+
+  fleet_log (fleet, "cut %u from %u", a, b);
+  fleet_set_cut (fleet, a, b, true);
+}
+
+static void
+op_heal (Fleet *fleet, Input *input)
+{
+  uint8_t  choice = next (input);
+  uint32_t a = choice % FLEET_DOMAINS;
+
+  fleet_log (fleet, "heal domain %u", a);
+  for (uint32_t b = 0; b <= FLEET_DOMAINS; b++)
+    fleet_set_cut (fleet, a, b, false);
+}
+
+static void
+op_platform (Fleet *fleet, Input *input)
+{
+  uint8_t choice = next (input) % 4;
+
+  fleet_log (fleet, "platform %s", choice == 0 ? "down" : choice == 1 ? "stale" : "up");
+  fleet_platform_set (fleet, choice == 0, choice == 1);
+}
+
+static bool
+host_can_leave (const Fleet *fleet, uint32_t host)
+{
+  for (uint32_t i = 0; i < FLEET_HOSTS; i++)
+    if (i != host && fleet->hosts[i].domain == fleet->hosts[host].domain &&
+        fleet->hosts[i].service == fleet->hosts[host].service && !(fleet->leaving >> i & 1))
+      return true;
+  return false;
+}
+
+static void
+op_leaving (Fleet *fleet, Input *input)
+{
+  uint32_t host = next (input) % FLEET_HOSTS;
+
+  if (fleet->strict && !host_can_leave (fleet, host))
+    return;
+  fleet->leaving ^= 1u << host;
+  fleet->leaving_since_us[host] = fleet->now_us;
+  fleet_log (fleet, "host %u %s, revision %" G_GUINT64_FORMAT, host,
+             fleet->leaving >> host & 1 ? "is leaving" : "is back", fleet->revision + 1);
+  edit (fleet, false);
+}
+
+static void
+op_weight (Fleet *fleet, Input *input)
+{
+  uint32_t host = next (input) % FLEET_HOSTS;
+
+  fleet->weights[host] = 50 + next (input) % 4 * 50;
+  fleet_log (fleet, "host %u gets weight %u, revision %" G_GUINT64_FORMAT, host, fleet->weights[host],
+             fleet->revision + 1);
+  edit (fleet, false);
+}
+
+static void
+op_move (Fleet *fleet, Input *input)
+{
+  uint32_t host = next (input) % FLEET_HOSTS;
+  uint32_t service = (fleet->hosts[host].service + 1) % FLEET_SERVICES;
+
+  if (!host_can_leave (fleet, host))
+    return;
+  if (fleet->strict && (!(fleet->leaving >> host & 1) || fleet->hosts[host].running > 0 ||
+                        fleet->now_us < fleet->leaving_since_us[host] + LEAVING_BEFORE_MOVE_US))
+    return;
+  fleet_log (fleet, "host %u moves to service %u, revision %" G_GUINT64_FORMAT, host, service, fleet->revision + 1);
+  fleet_host_move (fleet, host, service);
+  fleet->leaving &= ~(1u << host);
+  edit (fleet, false);
+}
+
+static void
+op_key (Fleet *fleet, Input *input)
+{
+  bool remove = next (input) % 2 == 0 && fleet->first_epoch < fleet->last_epoch;
+
+  if (remove && fleet->strict && fleet->now_us < fleet->epoch_us + KEY_OVERLAP_US)
+    return;
+  if (remove)
+    fleet->first_epoch++;
+  else
+    {
+      fleet->last_epoch++;
+      fleet->epoch_us = fleet->now_us;
+    }
+  fleet_log (fleet, "keys of epochs %u to %u, revision %" G_GUINT64_FORMAT, fleet->first_epoch, fleet->last_epoch,
+             fleet->revision + 1);
+  edit (fleet, false);
+}
+
+static void
+op_malformed (Fleet *fleet, Input *input)
+{
+  (void)input;
+  fleet_log (fleet, "malformed register, revision %" G_GUINT64_FORMAT, fleet->revision + 1);
+  edit (fleet, true);
+}
+
+/* Two operators publish different registers under one revision number. */
+static void
+op_race (Fleet *fleet, Input *input)
+{
+  uint32_t host = next (input) % FLEET_HOSTS;
+  uint64_t gap_us = next (input) % 8 * FLEET_STEP_US;
+
+  fleet_log (fleet, "two edits of revision %" G_GUINT64_FORMAT, fleet->revision + 1);
+  fleet->weights[host] = 50;
+  edit (fleet, false);
+  fleet_run (fleet, gap_us);
+  fleet->weights[host] = 150;
+  fleet_publish (fleet, false);
+}
+
+static void
+op_host_mode (Fleet *fleet, Input *input)
+{
+  uint32_t host = next (input) % FLEET_HOSTS;
+
+  fleet->hosts[host].mode = next (input) % FLEET_HOST_MODES;
+  fleet_log (fleet, "host %u: mode %d", host, fleet->hosts[host].mode);
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_fleet.c
@@ -0,0 +1,60 @@
+/* Stateful fuzzing of the core: a small fleet of nodes and control states against the oracle. */
+#include "fuzz/fleet.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+
+#include "fuzz/fuzz.h"
+
+enum
+{
+  INPUT_MAX_BYTES = 400
+};
+
+static void report (OracleInvariant invariant, const char *text);
+
+static Fleet         *fleet;
+static const uint8_t *input;
+static size_t         input_bytes;
+
+/* The first byte decides whether only planned changes happen, the next two are the seed of the random numbers. */
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size_bytes)
+{
+  if (sodium_init () < 0 || size_bytes < 4 || size_bytes > INPUT_MAX_BYTES)
+    return 0;
+  oracle_fail = report;
+  input = data;
+  input_bytes = size_bytes;
+  fleet = fleet_new (data[0] % 2 == 0, (uint32_t)data[1] << 8 | data[2]);
+  fuzz_operations += fleet_apply (fleet, data + 3, size_bytes - 3);
+  fleet_settle (fleet);
+  fleet_delete (fleet);
+  return 0;
+}
+
+void
+fuzz_print_summary (void)
+{
+  for (int i = 0; i < ORACLE_INVARIANT_COUNT; i++)
+    printf ("%s: evaluated %" PRIu64 " times\n", ORACLE_INVARIANT_STRINGS[i], oracle_checks[i]);
+}
+
+/* local functions */
+
+static void
+report (OracleInvariant invariant, const char *text)
+{
+  uint64_t first = fleet->log_count > FLEET_LOG_LINES ? fleet->log_count - FLEET_LOG_LINES : 0;
+
+  fprintf (stderr, "ASSERTION %s: %s\n%s, last of %" PRIu64 " lines of the log:\n", ORACLE_INVARIANT_STRINGS[invariant],
+           text, fleet->strict ? "only planned changes" : "all operations", fleet->log_count);
+  for (uint64_t i = first; i < fleet->log_count; i++)
+    fprintf (stderr, "  %s\n", fleet->log[i % FLEET_LOG_LINES]);
+  fprintf (stderr, "input:");
+  for (size_t i = 0; i < input_bytes; i++)
+    fprintf (stderr, " %02x", input[i]);
+  fprintf (stderr, "\n");
+  fuzz_abort ();
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_parsers.c
@@ -0,0 +1,358 @@
+/* Raw bytes for everything that parses what comes from outside: datagrams, peer frames, register, settings. */
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
+#include <wigeoncart/config_store.h>
+#include <wigeoncart/name_id.h>
+#include <wigeoncart/node.h>
+
+#include "core/peer_session.h"
+#include "core/relay_packet.h"
+#include "edge/settings.h"
+#include "fuzz/fuzz.h"
+
+enum
+{
+  NOW_US = 1000 * 1000 * 1000,
+  KINDS = 9
+};
+
+static const char REGISTER[] =
+    "{\"revision\":1,\"domains\":[\"d\"],\"services\":[{\"name\":\"a\"}],\"hosts\":[{\"name\":\"h\",\"domain\":\"d\","
+    "\"targets\":[{\"service\":\"a\",\"address\":\"127.0.0.1:9001\",\"slots\":2,\"max_connections\":4,"
+    "\"cold_start_ms\":0}]}],\"keys\":[{\"epoch\":1,\"secret\":\"AQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQE=\"}],"
+    "\"rules\":{}}";
+static const char SETTINGS[] =
+    "{\"instance\":\"i\",\"domain\":\"d\",\"listen\":\"127.0.0.1:7001\",\"peer\":\"127.0.0.1:7101\","
+    "\"operators\":\"127.0.0.1:7070\",\"platforms\":[\"127.0.0.1:7200\"],\"workers\":2,"
+    "\"fleet_key\":\"AQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQE=\"}";
+static const char HEAD[] = "{\"revision\":2,\"parts\":[{\"key\":\"base\",\"digest\":\""
+                           "0000000000000000000000000000000000000000000000000000000000000000\"}]}";
+
+static const WcAddress CALLER = { .ip = { 127, 0, 0, 1 }, .family = 4, .port = 5000 };
+
+static uint64_t accepted[KINDS];
+
+static void    ignore_datagram (void *user_data, const WcAddress *address, const uint8_t *data, size_t size_bytes);
+static void    ignore_dispatch (void *user_data, const WcAttempt *attempt);
+static void    ignore_cancel (void *user_data, uint64_t attempt_id);
+static WcNode *make_node (WcCounters *counters, WcKeyring **keyring);
+static void    feed_node (int kind, const uint8_t *data, size_t size_bytes);
+static void    feed_packet (WcNode *node, const uint8_t *data, size_t size_bytes);
+static void    feed_relay (WcNode *node, const WcKeyring *keyring, const uint8_t *data, size_t size_bytes);
+static void    feed_session (const uint8_t *data, size_t size_bytes);
+static void    feed_settings (const uint8_t *data, size_t size_bytes);
+static char   *mutate (const char *text, const uint8_t *data, size_t size_bytes, size_t *length);
+
+static const WcNodeOps OPS = {
+  .send = ignore_datagram,
+  .relay = ignore_datagram,
+  .dispatch = ignore_dispatch,
+  .cancel = ignore_cancel,
+};
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size_bytes)
+{
+  char  *text;
+  size_t length;
+  int    kind;
+
+  if (sodium_init () < 0 || size_bytes < 2)
+    return 0;
+  kind = data[0] % KINDS;
+  data++;
+  size_bytes--;
+  fuzz_operations++;
+  switch (kind)
+    {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+      feed_node (kind, data, size_bytes);
+      break;
+    case 4:
+      feed_session (data, size_bytes);
+      break;
+    case 5:
+    case 6:
+      {
+        WcRegister *reg;
+
+        text = kind == 5 ? g_memdup2 (data, size_bytes) : mutate (REGISTER, data, size_bytes, &length);
+        reg = wc_register_parse ("fuzz", text, kind == 5 ? size_bytes : length, NULL);
+        accepted[kind] += reg != NULL;
+        wc_register_unref (reg);
+        g_free (text);
+        break;
+      }
+    case 7:
+      {
+        WcConfigStore *store = wc_config_store_new ();
+
+        text = mutate (HEAD, data, size_bytes, &length);
+        accepted[kind] += wc_config_store_offer_head (store, text, length, NULL) == WC_STATUS_OK;
+        wc_config_store_offer_part (store, data, size_bytes, NULL);
+        wc_config_store_activate (store, NULL);
+        wc_config_store_delete (store);
+        g_free (text);
+        break;
+      }
+    default:
+      feed_settings (data, size_bytes);
+      break;
+    }
+  return 0;
+}
+
+void
+fuzz_print_summary (void)
+{
+  static const char *const NAMES[KINDS] = {
+    "datagrams",   "relayed datagrams", "packets from fields", "relayed packets",
+    "peer frames", "registers",         "changed registers",   "heads",
+    "settings"
+  };
+
+  for (int i = 0; i < KINDS; i++)
+    printf ("%s: accepted %" G_GUINT64_FORMAT "\n", NAMES[i], accepted[i]);
+}
+
+/* local functions */
+
+static void
+ignore_datagram (void *user_data, const WcAddress *address, const uint8_t *data, size_t size_bytes)
+{
+  uint64_t *sent = user_data;
+
+  (void)address;
+  (void)data;
+  *sent += size_bytes > 0;
+}
+
+static void
+ignore_dispatch (void *user_data, const WcAttempt *attempt)
+{
+  (void)user_data;
+  (void)attempt;
+}
+
+static void
+ignore_cancel (void *user_data, uint64_t attempt_id)
+{
+  (void)user_data;
+  (void)attempt_id;
+}
+
+static WcNode *
+make_node (WcCounters *counters, WcKeyring **keyring)
+{
+  static WcRegister *reg;
+  static uint64_t    sent;
+  WcMember           self = { .id = wc_name_id64 ("i"),
+                              .incarnation = 1,
+                              .domain = wc_name_id32 ("d"),
+                              .workers = 1,
+                              .state = WC_MEMBER_LIVE,
+                              .address = CALLER };
+  WcMember           members[2] = { self, self };
+  WcMemberTable     *table;
+  WcNodeConfig       config;
+  WcNode            *node;
+  WcView            *view;
+  const WcKey       *keys;
+  size_t             count;
+
+  if (!reg)
+    reg = wc_register_parse ("fuzz", REGISTER, strlen (REGISTER), NULL);
+  g_assert (reg != NULL);
+  keys = wc_register_get_keys (reg, &count);
+  *keyring = wc_keyring_new (keys, count);
+  members[1].id = wc_name_id64 ("other");
+  table = wc_member_table_new (members, 2);
+  wc_node_config_init (&config);
+  config.instance = self.id;
+  config.incarnation = 1;
+  config.domain = self.domain;
+  config.requests_max = 8;
+  config.ledger_max_entries = 8;
+  config.answers_max = 8;
+  config.stream_max_waiters = 8;
+  node = wc_node_new (&config, &OPS, &sent, counters);
+  view = wc_view_new (reg, *keyring, table, WC_LIFECYCLE_SERVING, NOW_US);
+  wc_node_set_view (node, NOW_US, view);
+  wc_view_unref (view);
+  wc_member_table_unref (table);
+  return node;
+}
+
+/* Kinds 0 and 1 are raw bytes, 2 and 3 well-formed packets with fields, tokens and tickets from the input. */
+static void
+feed_node (int kind, const uint8_t *data, size_t size_bytes)
+{
+  WcCounters *counters = g_new0 (WcCounters, 1);
+  WcKeyring  *keyring;
+  WcNode     *node = make_node (counters, &keyring);
+
+  switch (kind)
+    {
+    case 0:
+      wc_node_receive (node, NOW_US, &CALLER, data, size_bytes);
+      break;
+    case 1:
+      wc_node_receive_relay (node, NOW_US, data, size_bytes);
+      feed_relay (node, keyring, data, size_bytes);
+      break;
+    default:
+      feed_packet (node, data, size_bytes);
+      if (kind == 3)
+        feed_relay (node, keyring, data, size_bytes);
+      break;
+    }
+  wc_node_tick (node, NOW_US + 10000);
+  accepted[kind] += atomic_load (&counters->values[WC_COUNTER_PACKETS_MALFORMED]) == 0;
+  wc_node_delete (node);
+  wc_keyring_unref (keyring);
+  g_free (counters);
+}
+
+static void
+feed_packet (WcNode *node, const uint8_t *data, size_t size_bytes)
+{
+  Wc__CallerPacket packet = WC__CALLER_PACKET__INIT;
+  Wc__AnswerRef    answer = WC__ANSWER_REF__INIT;
+  uint8_t          buffer[2 * WC_DATAGRAM_MAX_BYTES];
+  char             path[32];
+
+  for (size_t at = 0; at + 6 <= size_bytes; at += 6)
+    {
+      const uint8_t *byte = data + at;
+      size_t         size;
+
+      packet.kind = byte[0] % 8;
+      packet.service = byte[0] >= 224 ? byte[1] : wc_name_id32 ("a");
+      packet.request_id = byte[1] % 4;
+      packet.remaining_ms = byte[2];
+      packet.cursor = byte[3] % 4;
+      answer.instance = byte[4] % 2 ? wc_name_id64 ("i") : wc_name_id64 ("other");
+      answer.incarnation = byte[4] / 2 % 2;
+      answer.worker = byte[4] / 4 % 4 == 0 ? byte[5] : 0;
+      answer.answer = byte[5];
+      packet.answer = byte[4] >= 128 ? &answer : NULL;
+      packet.first_part = byte[2] >= 250 ? UINT32_MAX - byte[3] : byte[2];
+      packet.part_count = byte[3] >= 250 ? UINT32_MAX : byte[3];
+      g_snprintf (path, sizeof path, "/%c", 1 + byte[5] % 127);
+      packet.path = byte[4] % 8 == 7 ? path : (char *)"/x";
+      packet.token = (ProtobufCBinaryData){ MIN (size_bytes - at, byte[2]), (uint8_t *)byte };
+      packet.ticket = (ProtobufCBinaryData){ MIN (size_bytes - at, byte[3]), (uint8_t *)byte };
+      size = wc__caller_packet__get_packed_size (&packet);
+      if (size > sizeof buffer)
+        continue;
+      wc__caller_packet__pack (&packet, buffer);
+      wc_node_receive (node, NOW_US, &CALLER, buffer, MIN (size, (size_t)WC_DATAGRAM_MAX_BYTES));
+    }
+}
+
+static void
+feed_relay (WcNode *node, const WcKeyring *keyring, const uint8_t *data, size_t size_bytes)
+{
+  uint8_t buffer[WC_RELAY_MAX_BYTES];
+  WcRelay relay = { .caller = CALLER,
+                    .hops = 1 + data[0] % 2,
+                    .packet = data,
+                    .packet_bytes = MIN (size_bytes, (size_t)WC_DATAGRAM_MAX_BYTES) };
+
+  wc_node_receive_relay (node, NOW_US, buffer, wc_relay_pack (keyring, &relay, buffer));
+}
+
+/* The input is cut into frames; the first may be replaced by a genuine HELLO. */
+static void
+feed_session (const uint8_t *data, size_t size_bytes)
+{
+  static const uint8_t FLEET_KEY[WC_KEY_BYTES];
+  WcPeerSessionConfig  config = {
+     .initiator = data[0] % 2 == 0, .instance = 1, .incarnation = 1, .domain = 1, .name = "i", .fleet_key = FLEET_KEY
+  };
+  WcPeerSession *session = wc_peer_session_new (&config);
+  GByteArray    *out = g_byte_array_new ();
+  size_t         at = 1;
+
+  wc_peer_session_pack_hello (session, out);
+  if (data[0] % 4 >= 2)
+    {
+      WcPeerSession *peer;
+      GByteArray    *hello = g_byte_array_new ();
+      Wc__PeerFrame *frame = NULL;
+
+      config.initiator = !config.initiator;
+      config.instance = 2;
+      config.challenge[0] = 1;
+      peer = wc_peer_session_new (&config);
+      wc_peer_session_pack_hello (peer, hello);
+      wc_peer_session_receive (session, hello->data + WC_PEER_LENGTH_BYTES, hello->len - WC_PEER_LENGTH_BYTES, &frame,
+                               NULL);
+      g_byte_array_unref (hello);
+      wc_peer_session_delete (peer);
+    }
+  while (at < size_bytes)
+    {
+      size_t         length = MIN (data[at], size_bytes - at - 1);
+      Wc__PeerFrame *frame = NULL;
+      WcPeerStatus   status = wc_peer_session_receive (session, data + at + 1, length, &frame, NULL);
+
+      accepted[4] += status == WC_PEER_OK;
+      if (frame)
+        wc__peer_frame__free_unpacked (frame, NULL);
+      if (status != WC_PEER_OK)
+        break;
+      at += length + 1;
+    }
+  g_byte_array_unref (out);
+  wc_peer_session_delete (session);
+}
+
+static void
+feed_settings (const uint8_t *data, size_t size_bytes)
+{
+  size_t      length;
+  char       *text = mutate (SETTINGS, data, size_bytes, &length);
+  int         file = memfd_create ("settings", 0);
+  char        path[64];
+  WcSettings *settings;
+
+  g_assert (file >= 0);
+  g_assert (write (file, text, length) == (ssize_t)length);
+  g_snprintf (path, sizeof path, "/proc/self/fd/%d", file);
+  settings = wc_settings_load (path, NULL);
+  accepted[8] += settings != NULL;
+  wc_settings_delete (settings);
+  close (file);
+  g_free (text);
+}
+
+/* A valid text with up to 3 short pieces replaced, mostly by characters that have a meaning in JSON. */
+static char *
+mutate (const char *text, const uint8_t *data, size_t size_bytes, size_t *length)
+{
+  static const char ALPHABET[] = "0123456789,:{}[]\"-.ae /*";
+  GString          *out = g_string_new (text);
+
+  for (size_t at = 0; at + 4 <= size_bytes && at < 4u * (data[0] % 4); at += 4)
+    {
+      size_t position = ((size_t)data[at] << 8 | data[at + 1]) % out->len;
+      char   character = data[at + 2] >= 240 ? (char)data[at + 3] : ALPHABET[data[at + 3] % (sizeof ALPHABET - 1)];
+
+      g_string_erase (out, (gssize)position, (gssize)MIN (out->len - position, (size_t)data[at + 2] % 4));
+      if (data[at + 2] / 4 % 4 != 0)
+        g_string_insert_len (out, (gssize)position, &character, 1);
+      if (out->len == 0)
+        break;
+    }
+  *length = out->len;
+  return g_string_free (out, FALSE);
+}
