Do not resend requests without a token while the flow is opened again

Cause: an EXPIRED_TOKEN for one call closes the flow of all its calls. The others went on resending with an empty token, which is answered INVALID and ended them. Ruled out: the node; an empty token is no token of an unknown key. After: they wait for the new token. An order with a ticket needs none.

--- a/src/client/client_call.c
+++ b/src/client/client_call.c
@@ -94,6 +94,12 @@
       pass_deadline (client, call);
       return;
     }
+  /* Another call's answer may have closed the flow. An order that has its ticket needs no token. */
+  if (!call->flow->is_open && call->state != WC_CALL_WAITING_FOR_PARTS && call->ticket_bytes == 0)
+    {
+      wc_client_call_start (client, now_us, call);
+      return;
+    }
   switch (call->state)
     {
     case WC_CALL_WAITING_FOR_FLOW:
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -312,6 +312,8 @@
       if (!fleet->drops_opens)
         fake_reply_with_token (fleet, packet, WC__INSTANCE_PACKET__KIND__OPENED);
     }
+  else if (packet->token.len == 0 && packet->kind != WC__CALLER_PACKET__KIND__ORDER)
+    fake_reply_result (fleet, fleet->now_us, packet->request_id, WC__INSTANCE_PACKET__RESULT__INVALID);
   else if (token < fleet->valid_token)
     fake_reply_result (fleet, fleet->now_us, packet->request_id, WC__INSTANCE_PACKET__RESULT__EXPIRED_TOKEN);
   else if (packet->kind == WC__CALLER_PACKET__KIND__REQUEST)
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -283,6 +283,32 @@
 }
 END_TEST
 
+/* Guards against a resend without a token while the flow is opened again, which ends the request as invalid. */
+START_TEST (test_waits_while_flow_is_opened_again)
+{
+  WcClientRequest request = { .method = "GET", .path = "/x" };
+  FakeFleet      *fleet = fake_fleet_new (1, NULL);
+  uint64_t        flow = wc_client_open (fleet->client, fleet->now_us, "order-desk", "dealer-7");
+
+  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  request.deadline_us = fleet->now_us + 10 * (uint64_t)SECOND_US;
+  fleet->loss = 1;
+  wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
+  fleet->loss = 0;
+  fleet->drops_opens = true;
+  fleet->valid_token = fleet->token_number + 1;
+  wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
+  fake_run (fleet, fleet->now_us + 3 * (uint64_t)SECOND_US, 1);
+  ck_assert_uint_eq (fleet->finished, 0);
+  fleet->drops_opens = false;
+  fake_run (fleet, UINT64_MAX - 1, 1);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  fake_run (fleet, UINT64_MAX - 1, 2);
+  ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
+  fake_fleet_delete (fleet);
+}
+END_TEST
+
 /* Guards against a session or an order that is stuck with an expired token. */
 START_TEST (test_reopens_on_expired_token)
 {
@@ -423,6 +449,7 @@
   tcase_add_test (cases, test_busy_request_recovers);
   tcase_add_test (cases, test_request_times_out);
   tcase_add_test (cases, test_takes_over_token);
+  tcase_add_test (cases, test_waits_while_flow_is_opened_again);
   tcase_add_test (cases, test_reopens_on_expired_token);
   tcase_add_loop_test (cases, test_stream_resumes, 0, 20);
   tcase_add_test (cases, test_request_too_large);
