Read the platform at once when the readers of a domain have failed

A draining instance was never a reader, even as the last of its domain. An instance that became a reader waited for the read that it had planned for the case of silence, 5 to 10 s later. Ruled out: the platform, which was up and reachable all the time.

--- a/src/core/control.c
+++ b/src/core/control.c
@@ -286,9 +286,13 @@
 bool
 wc_control_is_reader (const WcControl *control)
 {
+  size_t live;
+
   assert (control != NULL);
 
-  return wc_ownership_is_reader (control->table, control->config.self.id, control->config.self.domain);
+  /* A draining instance leaves the reading to the others, unless none is left in its domain. */
+  wc_member_table_get_live (control->table, control->config.self.domain, &live);
+  return live == 0 || wc_ownership_is_reader (control->table, control->config.self.id, control->config.self.domain);
 }
 
 uint32_t
--- a/src/core/control_config.c
+++ b/src/core/control_config.c
@@ -60,6 +60,10 @@
         }
       return;
     }
+  /* The read that was planned for the case of silence would come 5 to 10 s after the readers have failed. */
+  if (reader && !control->was_reader)
+    control->next_head_us = MIN (control->next_head_us, now_us);
+  control->was_reader = reader;
   if (!joining && !reader && !silent && !control->reconfirming)
     {
       /* Spreads the reads of a domain whose peers fall silent at the same time. */
--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -136,6 +136,7 @@
   bool            head_is_watch;
   uint64_t        head_issued_us;
   uint64_t        next_head_us;
+  bool            was_reader;
   uint32_t        watches;
   uint32_t        platform_failures;
   WcPlatformState platform_state;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -235,6 +235,24 @@
 }
 END_TEST
 
+/* Guards against a domain that nobody reads the platform for: a draining instance that is left alone, and one that
+ * takes over from the readers. */
+START_TEST (readers_fail)
+{
+  ControlFleet *fleet = fleet_new (4, 1, 12);
+
+  fleet_publish (fleet, 0, 5, 5, true);
+  fleet_start_all (fleet);
+  for (guint i = 0; i < 4; i++)
+    if (wc_control_is_reader (fleet->nodes[i].control))
+      fleet_kill (fleet, i);
+  fleet_publish (fleet, 0, 6, 6, true);
+  fleet_run (fleet, 5000);
+  fleet_assert_revision (fleet, 6);
+  fleet_delete (fleet);
+}
+END_TEST
+
 /* Guards against a paused instance that leaves its peers' members suspect, or itself, when it resumes. */
 START_TEST (pause_keeps_members)
 {
@@ -545,6 +563,7 @@
   tcase_add_test (cases, pause_with_hanging_peers);
   tcase_add_test (cases, pause_while_joining);
   tcase_add_test (cases, platform_back_after_long_failure);
+  tcase_add_test (cases, readers_fail);
   tcase_add_test (cases, pause_keeps_members);
   tcase_add_test (cases, partition_serves_on);
   tcase_add_test (cases, drain);
