--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# Targets: all, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, prove, bench, bench-plot,
-# proto, clean.
+# Targets: all, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, mutants, prove, bench,
+# bench-plot, speed, proto, clean.
 
 CC       ?= gcc
 BUILD    ?= build
@@ -22,7 +22,7 @@
 TEST_PROGRAMS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SOURCES))
 
 .PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke fuzz-programs mutants prove bench \
-  bench-plot proto clean
+  bench-plot speed proto clean
 .SECONDARY:
 
 all: $(BUILD)/wigeoncart $(TEST_PROGRAMS)
@@ -72,6 +72,10 @@
 	@$(MAKE) --no-print-directory $(BUILD)/wigeoncart
 	@tests/process/demo.sh
 
+# Measures the packet path of a real instance beside a bare relay.
+speed: $(BUILD)/wigeoncart
+	@tests/process/speed.sh
+
 prove: $(BUILD)/wigeoncart
 	@tests/process/prove.sh
 
