--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,9 @@
 	@printf '%s\n' $(LIB_SOURCES) $(CLI_SOURCES) | xargs -P 4 -n 4 sh -c \
 	  'clang-tidy --quiet "$$@" -- $(filter-out -Werror,$(ALL_CFLAGS)) 2>/dev/null' lint
 
-check: test fuzz-smoke
+# All tests: unit tests, the same with sanitizers, fuzzing with a fixed seed, and real processes.
+check: test sanitize fuzz-smoke
+	@$(MAKE) --no-print-directory demo
 
 test: all
 	@tests/run_tests.sh $(BUILD)/tests
@@ -80,7 +82,8 @@
 	@tests/process/prove.sh
 
 sanitize:
-	$(MAKE) BUILD=build/sanitize CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" test
+	@$(MAKE) -j4 --no-print-directory BUILD=build/sanitize CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" all
+	@tests/run_tests.sh build/sanitize/tests
 
 # Only the results go to standard output, so that BENCH_FLAGS=--json can be piped.
 bench:
