--- a/Makefile
+++ b/Makefile
@@ -101,7 +101,7 @@
 	@mkdir -p build/corpus/fleet build/corpus/parsers
 	build/libfuzzer/fuzz_parsers -max_total_time=$$(($(FUZZ_SECONDS) / 4)) -print_final_stats=1 \
 	  -artifact_prefix=build/ build/corpus/parsers
-	build/libfuzzer/fuzz_fleet -max_total_time=$(FUZZ_SECONDS) -print_final_stats=1 -timeout=60 -max_len=400 \
+	build/libfuzzer/fuzz_fleet -max_total_time=$(FUZZ_SECONDS) -print_final_stats=1 -timeout=60 -max_len=400 -len_control=0 \
 	  -artifact_prefix=build/ build/corpus/fleet
 
 mutants:
--- a/tests/fuzz/fleet.h
+++ b/tests/fuzz/fleet.h
@@ -264,8 +264,9 @@
 extern const char *const FLEET_DOMAIN_NAMES[FLEET_DOMAINS];
 void                     fleet_publish (Fleet *fleet, bool malformed);
 void                     fleet_platform_step (Fleet *fleet, FleetInstance *instance);
-void                     fleet_platform_set (Fleet *fleet, bool down, bool stale);
-void                     fleet_edit_free (gpointer edit);
+/** fleet_platform_set() - a stale platform shows a version that is up to @versions_back older than the newest. */
+void fleet_platform_set (Fleet *fleet, bool down, bool stale, uint32_t versions_back);
+void fleet_edit_free (gpointer edit);
 
 /* fleet_caller.c */
 void fleet_callers_init (Fleet *fleet);
--- a/tests/fuzz/fleet_ops.c
+++ b/tests/fuzz/fleet_ops.c
@@ -101,7 +101,7 @@
   for (uint32_t i = 0; i <= FLEET_DOMAINS; i++)
     for (uint32_t j = 0; j <= FLEET_DOMAINS; j++)
       fleet_set_cut (fleet, i, j, false);
-  fleet_platform_set (fleet, false, false);
+  fleet_platform_set (fleet, false, false, 0);
   for (uint32_t i = 0; i < FLEET_HOSTS; i++)
     fleet->hosts[i].mode = FLEET_HOST_GOOD;
   for (uint32_t i = 0; i < FLEET_INSTANCES; i++)
@@ -374,10 +374,13 @@
 static void
 op_platform (Fleet *fleet, Input *input)
 {
-  uint8_t choice = next (input) % 4;
+  uint8_t  choice = next (input);
+  bool     down = choice % 4 == 0;
+  bool     stale = choice % 4 == 1;
+  uint32_t versions_back = choice / 4 % 4;
 
-  fleet_log (fleet, "platform %s", choice == 0 ? "down" : choice == 1 ? "stale" : "up");
-  fleet_platform_set (fleet, choice == 0, choice == 1);
+  fleet_log (fleet, "platform %s", down ? "down" : stale ? "stale" : "up");
+  fleet_platform_set (fleet, down, stale, versions_back);
 }
 
 static bool
--- a/tests/fuzz/fleet_platform.c
+++ b/tests/fuzz/fleet_platform.c
@@ -60,13 +60,13 @@
 }
 
 void
-fleet_platform_set (Fleet *fleet, bool down, bool stale)
+fleet_platform_set (Fleet *fleet, bool down, bool stale, uint32_t versions_back)
 {
   fleet->platform_down = down;
   if (!stale)
     fleet->stale_version = 0;
   else if (fleet->stale_version == 0)
-    fleet->stale_version = fleet->edits->len;
+    fleet->stale_version = fleet->edits->len - MIN (versions_back, fleet->edits->len - 1);
   fleet_set_cut (fleet, 0, FLEET_PLATFORM, fleet->cut[0][FLEET_PLATFORM]);
 }
 
--- a/tests/fuzz/oracle.c
+++ b/tests/fuzz/oracle.c
@@ -254,8 +254,9 @@
   if (!serving || instance->serving)
     return;
   instance->serving = true;
-  /* A peer that has run undisturbed since before this instance was started could be asked all the time. */
-  for (uint32_t i = 0; i < ORACLE_INSTANCES_MAX && oracle->whole && oracle->whole_since_us < instance->since_us; i++)
+  /* A peer of the domain that has run undisturbed since before this instance was started could be asked all the time,
+   * whatever the platform says. */
+  for (uint32_t i = 0; i < ORACLE_INSTANCES_MAX; i++)
     {
       const Instance *peer = &oracle->instances[i];
 
