--- a/src/cli/timeline.c
+++ b/src/cli/timeline.c
@@ -25,13 +25,14 @@
 static int                 run (int argc, char **argv);
 static bool                parse_filter (const Options *options, WcTimelineFilter *filter);
 static bool                parse_id (const char *option, const char *text, uint64_t *id);
-static int                 collect (const Options *options, WcTimeline *timeline);
-static bool                add_events (WcTimeline *timeline, const char *body);
+static int                 collect (const Options *options, WcTimeline *timeline, GHashTable *names);
+static bool                add_events (WcTimeline *timeline, GHashTable *names, const char *body);
 static void                add_event (WcTimeline *timeline, const char *instance, struct json_object *object);
 static uint64_t            get_hex (struct json_object *object, const char *key);
 static struct json_object *get_object (struct json_object *object, const char *key);
-static void                print_text (const GPtrArray *entries);
-static void                print_json (const GPtrArray *entries, const char *explanation);
+static void                print_text (const GPtrArray *entries, GHashTable *names);
+static void                print_name (GHashTable *names, const char *what, uint32_t id);
+static void                print_json (const GPtrArray *entries, GHashTable *names, const char *explanation);
 static struct json_object *entry_to_json (const WcTimelineEntry *entry);
 static void                options_clear (Options *options);
 
@@ -60,6 +61,7 @@
   WcTimelineFilter filter;
   WcTimeline      *timeline;
   GPtrArray       *selected;
+  GHashTable      *names;
   char            *explanation = NULL;
   int              status;
 
@@ -73,20 +75,22 @@
       return WC_EXIT_USAGE;
     }
   timeline = wc_timeline_new ();
-  status = collect (&options, timeline);
+  names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  status = collect (&options, timeline, names);
   wc_timeline_sort (timeline);
   selected = wc_timeline_select (timeline, &filter);
   if (filter.flow != 0 || filter.request_id != 0)
     explanation = wc_timeline_explain (timeline, &filter);
   if (options.json)
-    print_json (selected, explanation);
+    print_json (selected, names, explanation);
   else
     {
-      print_text (selected);
+      print_text (selected, names);
       if (explanation)
         printf ("\n%s", explanation);
     }
   g_free (explanation);
+  g_hash_table_destroy (names);
   g_ptr_array_unref (selected);
   wc_timeline_delete (timeline);
   options_clear (&options);
@@ -129,7 +133,7 @@
 }
 
 static int
-collect (const Options *options, WcTimeline *timeline)
+collect (const Options *options, WcTimeline *timeline, GHashTable *names)
 {
   char *path = g_strdup_printf ("/events?max=%d", options->max > 0 ? options->max : 1000);
   int   exit_code = WC_EXIT_OK;
@@ -139,7 +143,7 @@
       const char *error = NULL;
       char       *body = wc_fetch (options->addresses[i], path, &error);
 
-      if (!body || !add_events (timeline, body))
+      if (!body || !add_events (timeline, names, body))
         {
           fprintf (stderr, "wigeoncart timeline: %s: %s\n", options->addresses[i], error ? error : "not JSON");
           exit_code = WC_EXIT_ENVIRONMENT;
@@ -151,13 +155,18 @@
 }
 
 static bool
-add_events (WcTimeline *timeline, const char *body)
+add_events (WcTimeline *timeline, GHashTable *names, const char *body)
 {
   struct json_object *root = json_tokener_parse (body);
   struct json_object *instance = get_object (root, "instance");
   struct json_object *events = get_object (root, "events");
+  struct json_object *translations = get_object (root, "names");
   bool                valid = instance && events && json_object_is_type (events, json_type_array);
 
+  if (translations)
+    json_object_object_foreach (translations, key, value)
+        g_hash_table_insert (names, g_strdup (key), g_strdup (json_object_get_string (value)));
+
   for (size_t i = 0; valid && i < json_object_array_length (events); i++)
     add_event (timeline, json_object_get_string (instance), json_object_array_get_idx (events, i));
   json_object_put (root);
@@ -204,7 +213,7 @@
 }
 
 static void
-print_text (const GPtrArray *entries)
+print_text (const GPtrArray *entries, GHashTable *names)
 {
   for (guint i = 0; i < entries->len; i++)
     {
@@ -224,9 +233,9 @@
         printf ("ctl ");
       printf (" %-18s", WC_EVENT_STRINGS[event->kind]);
       if (event->service != 0)
-        printf (" service=%08x", event->service);
+        print_name (names, "service", event->service);
       if (event->target != 0)
-        printf (" target=%08x", event->target);
+        print_name (names, "target", event->target);
       if (event->flow != 0)
         printf (" flow=%016" G_GINT64_MODIFIER "x", event->flow);
       if (event->request_id != 0)
@@ -237,15 +246,35 @@
     }
 }
 
+/* Prints the name as in the register, or the identifier when the register in force does not have it. */
+static void
+print_name (GHashTable *names, const char *what, uint32_t id)
+{
+  char        key[9];
+  const char *name;
+
+  g_snprintf (key, sizeof key, "%08x", id);
+  name = g_hash_table_lookup (names, key);
+  printf (" %s=%s", what, name ? name : key);
+}
+
 static void
-print_json (const GPtrArray *entries, const char *explanation)
+print_json (const GPtrArray *entries, GHashTable *names, const char *explanation)
 {
   struct json_object *root = json_object_new_object ();
   struct json_object *list = json_object_new_array ();
+  struct json_object *translations = json_object_new_object ();
+  GHashTableIter      iter;
+  gpointer            key;
+  gpointer            value;
 
   for (guint i = 0; i < entries->len; i++)
     json_object_array_add (list, entry_to_json (entries->pdata[i]));
   json_object_object_add (root, "events", list);
+  g_hash_table_iter_init (&iter, names);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    json_object_object_add (translations, key, json_object_new_string (value));
+  json_object_object_add (root, "names", translations);
   if (explanation)
     json_object_object_add (root, "explanation", json_object_new_string (explanation));
   printf ("%s\n", json_object_to_json_string_ext (root, JSON_C_TO_STRING_PRETTY));
--- a/src/edge/control_thread.c
+++ b/src/edge/control_thread.c
@@ -54,10 +54,10 @@
   bool            ready;
   char            reason[WC_READY_REASON_BYTES];
   uint64_t        updated_us;
+  WcView         *last_view;
 
   /* Of the control thread. */
   GArray *blocked_domains;
-  WcView *last_view;
 };
 
 static void *run (void *user_data);
@@ -272,6 +272,20 @@
   return copy;
 }
 
+WcRegister *
+wc_control_thread_ref_register (WcControlThread *thread)
+{
+  WcRegister *reg = NULL;
+
+  assert (thread != NULL);
+
+  pthread_mutex_lock (&thread->mutex);
+  if (thread->last_view && thread->last_view->reg)
+    reg = wc_register_ref (thread->last_view->reg);
+  pthread_mutex_unlock (&thread->mutex);
+  return reg;
+}
+
 void
 wc_control_thread_set_faults (WcControlThread *thread, const char *const *domains, size_t count, bool block_platform)
 {
@@ -564,9 +578,10 @@
 {
   WcControlThread *thread = user_data;
 
-  if (thread->last_view)
-    wc_view_unref (thread->last_view);
+  pthread_mutex_lock (&thread->mutex);
+  wc_view_unref (thread->last_view);
   thread->last_view = wc_view_ref (view);
+  pthread_mutex_unlock (&thread->mutex);
   update_keys (thread, view);
   hand_out (thread, view);
 }
--- a/src/edge/control_thread.h
+++ b/src/edge/control_thread.h
@@ -43,6 +43,9 @@
 /** wc_control_thread_copy_status() - status as JSON, to be freed with g_free(). */
 char *wc_control_thread_copy_status (WcControlThread *thread);
 
+/** wc_control_thread_ref_register() - register in force with a reference of its own, or NULL; from any thread. */
+WcRegister *wc_control_thread_ref_register (WcControlThread *thread);
+
 /**
  * wc_control_thread_set_faults() - cut links to domains and the platform (fault injection).
  * @domains: names of the domains; their members are also left out of the snapshots, so that workers drop relays.
--- a/src/edge/metrics.c
+++ b/src/edge/metrics.c
@@ -16,6 +16,7 @@
 static void                collect (const WcEventRing *ring, int worker, uint64_t after, size_t max, GArray *entries);
 static int                 compare_entries (gconstpointer a, gconstpointer b);
 static struct json_object *entry_to_json (const Entry *entry);
+static void                add_names (struct json_object *names, const WcRegister *reg, const WcEvent *event);
 static void                add_hex (struct json_object *object, const char *key, uint64_t value, int digits);
 static void                add_gauge (GString *text, const char *name, const char *help, uint64_t value);
 
@@ -60,10 +61,12 @@
 }
 
 char *
-wc_events_json (const WcControlThread *thread, uint64_t after, size_t max)
+wc_events_json (WcControlThread *thread, uint64_t after, size_t max)
 {
   struct json_object *root = json_object_new_object ();
   struct json_object *list = json_object_new_array ();
+  struct json_object *names = json_object_new_object ();
+  WcRegister         *reg = wc_control_thread_ref_register (thread);
   GArray             *entries = g_array_new (FALSE, FALSE, sizeof (Entry));
   size_t              skip;
   char               *text;
@@ -74,11 +77,20 @@
   g_array_sort (entries, compare_entries);
   skip = entries->len > max ? entries->len - max : 0;
   for (size_t i = skip; i < entries->len; i++)
-    json_object_array_add (list, entry_to_json (&g_array_index (entries, Entry, i)));
+    {
+      const Entry *entry = &g_array_index (entries, Entry, i);
+
+      json_object_array_add (list, entry_to_json (entry));
+      if (reg)
+        add_names (names, reg, &entry->event);
+    }
   g_array_free (entries, TRUE);
+  if (reg)
+    wc_register_unref (reg);
 
   json_object_object_add (root, "instance", json_object_new_string (wc_control_thread_get_settings (thread)->instance));
   json_object_object_add (root, "domain", json_object_new_string (wc_control_thread_get_settings (thread)->domain));
+  json_object_object_add (root, "names", names);
   json_object_object_add (root, "events", list);
   text = g_strdup (json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
   json_object_put (root);
@@ -141,6 +153,21 @@
   return object;
 }
 
+static void
+add_names (struct json_object *names, const WcRegister *reg, const WcEvent *event)
+{
+  const WcService *service = wc_register_find_service (reg, event->service);
+  const WcTarget  *target = wc_register_find_target (reg, event->target);
+  char             key[9];
+
+  g_snprintf (key, sizeof key, "%08x", event->service);
+  if (service)
+    json_object_object_add (names, key, json_object_new_string (service->name));
+  g_snprintf (key, sizeof key, "%08x", event->target);
+  if (target)
+    json_object_object_add (names, key, json_object_new_string (target->host));
+}
+
 static void
 add_hex (struct json_object *object, const char *key, uint64_t value, int digits)
 {
--- a/src/edge/metrics.h
+++ b/src/edge/metrics.h
@@ -9,7 +9,9 @@
 /**
  * wc_events_json() - newest events of all workers and control as JSON, oldest first; g_free() it.
  * @after: only events with a higher logical clock.
+ *
+ * Events carry identifiers; the object "names" translates those of services and targets that the register in force has.
  */
-char *wc_events_json (const WcControlThread *thread, uint64_t after, size_t max);
+char *wc_events_json (WcControlThread *thread, uint64_t after, size_t max);
 
 #endif
