Keep verified tokens of a worker in a bounded cache

Cause: opening a token took a sixth of the time of a relayed datagram (perf: 14% in libsodium, of which 3 in the relay's MAC, and part of 10% in protobuf-c).

--- a/src/core/node.c
+++ b/src/core/node.c
@@ -72,6 +72,7 @@
   node->answers = wc_answer_store_new (config->answers_max_bytes, config->answers_max);
   node->streams = wc_stream_table_new (config->stream_max_waiters);
   node->routes = wc_route_cache_new ();
+  node->tokens = wc_token_cache_new (WC_NODE_TOKEN_ENTRIES);
   node->requests = wc_request_table_new (config->requests_max);
   node->services =
       g_hash_table_new_full (service_key_hash, service_key_equal, NULL, (GDestroyNotify)wc_service_state_delete);
@@ -91,6 +92,7 @@
   wc_answer_store_delete (node->answers);
   wc_ledger_delete (node->ledger);
   wc_route_cache_delete (node->routes);
+  wc_token_cache_delete (node->tokens);
   wc_view_unref (node->view);
   g_rand_free (node->random);
   g_free (node);
@@ -109,6 +111,9 @@
 
   note_time (node, now_us);
   node->view = wc_view_ref (view);
+  /* Both views live here, so that equal pointers mean the same ring. */
+  if (!old || old->keyring != view->keyring)
+    wc_token_cache_set_keyring (node->tokens, view->keyring);
   wc_route_cache_set_view (node->routes, view);
   wc_view_unref (old);
   if (new_register && view->reg)
@@ -444,7 +449,7 @@
   if (message->kind == WC__CALLER_PACKET__KIND__OPEN || message->kind == WC__CALLER_PACKET__KIND__ORDER)
     return true;
 
-  status = wc_token_open (node->view->keyring, node->wall_s, sealed, message->token.len, &packet->token);
+  status = wc_token_cache_open (node->tokens, node->wall_s, sealed, message->token.len, &packet->token);
   if (status != WC_STATUS_OK)
     {
       wc_node_count (node, WC_COUNTER_TOKENS_REJECTED);
--- a/src/core/node_private.h
+++ b/src/core/node_private.h
@@ -14,10 +14,13 @@
 #include "core/route_cache.h"
 #include "core/service_state.h"
 #include "core/ticket_window.h"
+#include "core/token_cache.h"
 #include "wigeoncart.pb-c.h"
 
 enum
 {
+  /* Verified tokens that a worker keeps, in at most 12 MB. */
+  WC_NODE_TOKEN_ENTRIES = 65536,
   /* Parts that follow a finished request without being asked for. */
   WC_NODE_FIRST_PARTS = 16,
   /* Most parts that one FETCH is answered with. */
@@ -38,6 +41,7 @@
   WcSealer         sealer;
   WcView          *view;
   WcRouteCache    *routes;
+  WcTokenCache    *tokens;
   WcLedger        *ledger;
   WcAnswerStore   *answers;
   WcStreamTable   *streams;
--- /dev/null
+++ b/src/core/token_cache.c
@@ -0,0 +1,99 @@
+#include "core/token_cache.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  /* Tokens with ordinary values fit; a longer one is verified each time. */
+  CACHED_MAX_BYTES = 104
+};
+
+/* An entry is valid when its generation is the cache's; generation 0 is never in use. */
+typedef struct
+{
+  uint32_t generation;
+  uint32_t sealed_bytes;
+  uint8_t  sealed[CACHED_MAX_BYTES];
+  WcToken  token;
+} Entry;
+
+struct WcTokenCache
+{
+  const WcKeyring *keyring;
+  Entry           *entries;
+  uint32_t         mask;
+  uint32_t         generation;
+};
+
+WcTokenCache *
+wc_token_cache_new (uint32_t entries)
+{
+  WcTokenCache *cache = g_new0 (WcTokenCache, 1);
+
+  assert (entries > 0);
+  assert ((entries & (entries - 1)) == 0);
+
+  cache->entries = g_new0 (Entry, entries);
+  cache->mask = entries - 1;
+  return cache;
+}
+
+void
+wc_token_cache_delete (WcTokenCache *cache)
+{
+  if (!cache)
+    return;
+  g_free (cache->entries);
+  g_free (cache);
+}
+
+void
+wc_token_cache_set_keyring (WcTokenCache *cache, const WcKeyring *keyring)
+{
+  assert (cache != NULL);
+
+  cache->keyring = keyring;
+  cache->generation++;
+  /* After 2^32 rings, entries of the first one would be valid again. */
+  if (cache->generation == 0)
+    {
+      memset (cache->entries, 0, ((size_t)cache->mask + 1) * sizeof *cache->entries);
+      cache->generation = 1;
+    }
+}
+
+WcStatus
+wc_token_cache_open (WcTokenCache *cache, uint64_t wall_s, const uint8_t *sealed, size_t sealed_bytes, WcToken *token)
+{
+  Entry   *entry;
+  uint32_t place;
+  WcStatus status;
+
+  assert (cache != NULL);
+  assert (cache->keyring != NULL);
+  assert (token != NULL);
+
+  if (sealed_bytes < WC_SEAL_OVERHEAD_BYTES || sealed_bytes > CACHED_MAX_BYTES)
+    return wc_token_open (cache->keyring, wall_s, sealed, sealed_bytes, token);
+  /* The seal ends with its tag, which is as good as a hash of the token. A sender who chooses it replaces entries and
+   * gains nothing else. */
+  memcpy (&place, sealed + sealed_bytes - sizeof place, sizeof place);
+  entry = &cache->entries[place & cache->mask];
+  if (entry->generation == cache->generation && entry->sealed_bytes == sealed_bytes &&
+      memcmp (entry->sealed, sealed, sealed_bytes) == 0)
+    {
+      *token = entry->token;
+      return wall_s >= token->expiry_wall_s ? WC_STATUS_EXPIRED : WC_STATUS_OK;
+    }
+  status = wc_token_open (cache->keyring, wall_s, sealed, sealed_bytes, token);
+  if (status == WC_STATUS_OK)
+    {
+      entry->generation = cache->generation;
+      entry->sealed_bytes = (uint32_t)sealed_bytes;
+      memcpy (entry->sealed, sealed, sealed_bytes);
+      entry->token = *token;
+    }
+  return status;
+}
