--- a/src/cli/timeline.c
+++ b/src/cli/timeline.c
@@ -164,8 +164,12 @@
   bool                valid = instance && events && json_object_is_type (events, json_type_array);
 
   if (translations)
-    json_object_object_foreach (translations, key, value)
+    {
+      json_object_object_foreach (translations, key, value)
+      {
         g_hash_table_insert (names, g_strdup (key), g_strdup (json_object_get_string (value)));
+      }
+    }
 
   for (size_t i = 0; valid && i < json_object_array_length (events); i++)
     add_event (timeline, json_object_get_string (instance), json_object_array_get_idx (events, i));
