--- a/tests/test_counters.c
+++ b/tests/test_counters.c
@@ -3,6 +3,8 @@
 #include <ctype.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "test_main.h"
 
 /* Guards against names that the Prometheus text format rejects, and against counters without help. */
@@ -48,10 +50,24 @@
 }
 END_TEST
 
+/* Guards against counters that operators cannot look up. */
+START_TEST (test_documented)
+{
+  char *page;
+  char *name = g_strdup_printf ("`wigeoncart_%s`", wc_counters_get_name (_i));
+
+  ck_assert (g_file_get_contents ("docs/metrics.md", &page, NULL, NULL));
+  ck_assert_msg (strstr (page, name) != NULL, "docs/metrics.md lacks %s", name);
+  g_free (name);
+  g_free (page);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_loop_test (tests, test_names, 0, WC_COUNTER_COUNT);
+  tcase_add_loop_test (tests, test_documented, 0, WC_COUNTER_COUNT);
   tcase_add_loop_test (tests, test_names_differ, 0, WC_COUNTER_COUNT);
   tcase_add_test (tests, test_order);
   tcase_add_loop_test (tests, test_add, 0, WC_COUNTER_COUNT);
