--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -3,6 +3,8 @@
 
 #include "fake_fleet.h"
 
+#include "test_main.h"
+
 enum
 {
   SECOND_US = 1000000
@@ -616,10 +618,7 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("client");
-  TCase   *cases = tcase_create ("client");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("client");
 
   tcase_add_loop_test (cases, test_whole_answer_on_bad_network, 0, 10);
   tcase_add_test (cases, test_releases_long_answer);
@@ -647,10 +646,5 @@
   tcase_add_test (cases, test_late_expired_token);
   tcase_add_test (cases, test_second_ticket);
   tcase_add_test (cases, test_random_datagrams);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("client", cases);
 }
--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -6,6 +6,8 @@
 
 #include <wigeoncart/config_store.h>
 
+#include "test_main.h"
+
 #define KEYS "\"keys\": [{\"epoch\": 1, \"secret\": \"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\"}]"
 
 /* Parts of a register; BASE and HOSTS_n are valid together. */
@@ -325,13 +327,8 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("config_store");
-  TCase   *cases = tcase_create ("config_store");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("config_store");
 
-  if (sodium_init () < 0)
-    return EXIT_FAILURE;
   tcase_add_test (cases, test_collect);
   tcase_add_test (cases, test_keep_unchanged);
   tcase_add_test (cases, test_stale);
@@ -343,12 +340,7 @@
   tcase_add_test (cases, test_part_syntax);
   tcase_add_loop_test (cases, test_bad_head, 0, G_N_ELEMENTS (BAD_HEADS));
   tcase_add_test (cases, test_many_heads);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("config_store", cases);
 }
 
 /* local functions */
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -2,6 +2,8 @@
 
 #include "control_fleet.h"
 
+#include "test_main.h"
+
 /* Guards against an instance that cannot join while the platform is down although its peers have everything. */
 START_TEST (join_with_platform_down)
 {
@@ -642,10 +644,7 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("control");
-  TCase   *cases = tcase_create ("control");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("control");
 
   tcase_add_test (cases, join_with_platform_down);
   tcase_add_test (cases, stale_platform_after_restart);
@@ -669,10 +668,5 @@
   tcase_add_test (cases, restart_is_noticed);
   tcase_add_test (cases, one_broken_link);
   tcase_add_test (cases, large_domain);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("control", cases);
 }
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1,6 +1,6 @@
 #include <wigeoncart/dispatcher.h>
 
-#include "check_main.h"
+#include "test_main.h"
 
 enum
 {
--- a/tests/test_emulated_fabric.c
+++ b/tests/test_emulated_fabric.c
@@ -1,4 +1,4 @@
-#include "check_main.h"
+#include "test_main.h"
 
 #include "emulator/emulated_fabric.h"
 #include "http_fixture.h"
--- a/tests/test_emulated_platform.c
+++ b/tests/test_emulated_platform.c
@@ -1,4 +1,4 @@
-#include "check_main.h"
+#include "test_main.h"
 
 #include <json-c/json.h>
 #include <sodium.h>
--- a/tests/test_emulated_targets.c
+++ b/tests/test_emulated_targets.c
@@ -1,4 +1,4 @@
-#include "check_main.h"
+#include "test_main.h"
 
 #include "emulator/emulated_targets.h"
 #include "emulator/sheet.h"
--- a/tests/test_experiment.c
+++ b/tests/test_experiment.c
@@ -1,6 +1,6 @@
 #include "emulator/experiment.h"
 
-#include "check_main.h"
+#include "test_main.h"
 
 #include <string.h>
 
--- a/tests/test_instance_list.c
+++ b/tests/test_instance_list.c
@@ -6,6 +6,8 @@
 
 #include "edge/instance_list.h"
 
+#include "test_main.h"
+
 static WcMember *
 parse (const char *text, GHashTable *names, size_t *count)
 {
@@ -65,17 +67,9 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("instance_list");
-  TCase   *cases = tcase_create ("instance_list");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("instance_list");
 
   tcase_add_test (cases, entries);
   tcase_add_loop_test (cases, malformed, 0, 8);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("instance_list", cases);
 }
--- a/tests/test_main.h
+++ b/tests/test_main.h
@@ -1,29 +1,21 @@
-#ifndef WIGEONCART_TEST_MAIN_H
-#define WIGEONCART_TEST_MAIN_H
+#ifndef WC_TESTS_TEST_MAIN_H
+#define WC_TESTS_TEST_MAIN_H
 
 #include <check.h>
 #include <sodium.h>
 #include <stdlib.h>
 
-/**
- * wc_test_run() - run one suite with one test case.
- * @name: name of the suite.
- * @add_tests: adds the tests to the test case.
- *
- * Return: exit status for main().
- */
+/** run_cases() - run one test case as a suite of its own. Return: exit status of the test program. */
 static inline int
-wc_test_run (const char *name, void (*add_tests) (TCase *tests))
+run_cases (const char *name, TCase *cases)
 {
   Suite   *suite = suite_create (name);
-  TCase   *tests = tcase_create (name);
   SRunner *runner;
   int      failed;
 
   if (sodium_init () < 0)
     return EXIT_FAILURE;
-  add_tests (tests);
-  suite_add_tcase (suite, tests);
+  suite_add_tcase (suite, cases);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
@@ -31,4 +23,20 @@
   return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+/**
+ * wc_test_run() - run one suite with one test case.
+ * @name: name of the suite.
+ * @add_tests: adds the tests to the test case.
+ *
+ * Return: exit status for main().
+ */
+static inline int
+wc_test_run (const char *name, void (*add_tests) (TCase *tests))
+{
+  TCase *tests = tcase_create (name);
+
+  add_tests (tests);
+  return run_cases (name, tests);
+}
+
 #endif
--- a/tests/test_ownership.c
+++ b/tests/test_ownership.c
@@ -1,6 +1,6 @@
 #include <wigeoncart/ownership.h>
 
-#include "check_main.h"
+#include "test_main.h"
 
 #include <glib.h>
 #include <string.h>
--- a/tests/test_part_set.c
+++ b/tests/test_part_set.c
@@ -1,4 +1,4 @@
-#include "check_main.h"
+#include "test_main.h"
 
 #include <glib.h>
 #include <string.h>
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -11,6 +11,8 @@
 #include "edge/log.h"
 #include "edge/peer_link.h"
 
+#include "test_main.h"
+
 enum
 {
   DOMAIN_ID = 5
@@ -230,22 +232,12 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("peer_link");
-  TCase   *cases = tcase_create ("peer_link");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("peer_link");
 
-  if (sodium_init () < 0)
-    return EXIT_FAILURE;
   wc_log_set_level (WC_LOG_ERROR);
   tcase_add_test (cases, simultaneous_links);
   tcase_add_test (cases, reconnect);
   tcase_add_test (cases, refused_links);
   tcase_add_loop_test (cases, garbage, 0, 2);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("peer_link", cases);
 }
--- a/tests/test_peer_session.c
+++ b/tests/test_peer_session.c
@@ -6,6 +6,8 @@
 
 #include "core/peer_session.h"
 
+#include "test_main.h"
+
 typedef struct
 {
   WcPeerSession *left;
@@ -364,13 +366,8 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("peer_session");
-  TCase   *cases = tcase_create ("peer_session");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("peer_session");
 
-  if (sodium_init () < 0)
-    return EXIT_FAILURE;
   tcase_add_test (cases, both_ways);
   tcase_add_loop_test (cases, newest_common_epoch, 0, 6);
   tcase_add_test (cases, wrong_key);
@@ -380,10 +377,5 @@
   tcase_add_test (cases, bad_hello);
   tcase_add_test (cases, size_limits);
   tcase_add_test (cases, statuses);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("peer_session", cases);
 }
--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -11,6 +11,8 @@
 #include "edge/log.h"
 #include "edge/platform_client.h"
 
+#include "test_main.h"
+
 /* A platform that answers each connection with the same bytes and closes it. */
 typedef struct
 {
@@ -264,20 +266,12 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("platform_client");
-  TCase   *cases = tcase_create ("platform_client");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("platform_client");
 
   wc_log_set_level (WC_LOG_ERROR);
   tcase_add_loop_test (cases, answers, 0, 10);
   tcase_add_test (cases, next_platform);
   tcase_add_loop_test (cases, size_limit, 0, 4);
   tcase_add_test (cases, cancel_and_block);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("platform_client", cases);
 }
--- a/tests/test_register.c
+++ b/tests/test_register.c
@@ -7,6 +7,8 @@
 #include <wigeoncart/name_id.h>
 #include <wigeoncart/register.h>
 
+#include "test_main.h"
+
 #define SECRET "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
 #define KEYS "\"keys\": [{\"epoch\": 1, \"secret\": \"" SECRET "\"}]"
 #define HEAD                                                                                                           \
@@ -427,13 +429,8 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("register");
-  TCase   *cases = tcase_create ("register");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("register");
 
-  if (sodium_init () < 0)
-    return EXIT_FAILURE;
   tcase_add_loop_test (cases, test_bad, 0, G_N_ELEMENTS (BAD_CASES));
   tcase_add_test (cases, test_fields);
   tcase_add_test (cases, test_truncated);
@@ -444,10 +441,5 @@
   tcase_add_test (cases, test_collision);
   tcase_add_test (cases, test_many);
   tcase_add_loop_test (cases, test_samples, 0, 2);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("register", cases);
 }
--- a/tests/test_register_split.c
+++ b/tests/test_register_split.c
@@ -8,6 +8,8 @@
 #include <wigeoncart/register.h>
 #include <wigeoncart/register_split.h>
 
+#include "test_main.h"
+
 #define SECRET "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
 
 enum
@@ -126,24 +128,14 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("register_split");
-  TCase   *cases = tcase_create ("register_split");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("register_split");
 
-  if (sodium_init () < 0)
-    return EXIT_FAILURE;
   tcase_add_loop_test (cases, test_samples, 0, 2);
   tcase_add_test (cases, test_one_edit);
   tcase_add_test (cases, test_full_size);
   tcase_add_test (cases, test_order_of_hosts);
   tcase_add_test (cases, test_invalid);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("register_split", cases);
 }
 
 /* local functions */
--- a/tests/test_request_queue.c
+++ b/tests/test_request_queue.c
@@ -1,6 +1,6 @@
 #include "core/request_queue.h"
 
-#include "check_main.h"
+#include "test_main.h"
 
 enum
 {
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -9,6 +9,8 @@
 #include "core/json_doc.h"
 #include "edge/settings.h"
 
+#include "test_main.h"
+
 /* Keys of the settings; each must be in the sample. */
 #define KEY_COUNT 26
 
@@ -157,24 +159,14 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("settings");
-  TCase   *cases = tcase_create ("settings");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("settings");
 
-  if (sodium_init () < 0)
-    return EXIT_FAILURE;
   tcase_add_loop_test (cases, test_bad, 0, G_N_ELEMENTS (BAD_CASES));
   tcase_add_test (cases, test_defaults);
   tcase_add_test (cases, test_sample);
   tcase_add_test (cases, test_truncated);
   tcase_add_test (cases, test_missing_file);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("settings", cases);
 }
 
 /* local functions */
--- a/tests/test_spill.c
+++ b/tests/test_spill.c
@@ -1,6 +1,6 @@
 #include <wigeoncart/spill.h>
 
-#include "check_main.h"
+#include "test_main.h"
 
 enum
 {
--- a/tests/test_timeline.c
+++ b/tests/test_timeline.c
@@ -4,6 +4,8 @@
 
 #include "core/timeline.h"
 
+#include "test_main.h"
+
 static void
 add (WcTimeline *timeline, const char *instance, int worker, uint64_t logical, uint64_t wall_us, WcEventKind kind,
      uint64_t request_id, const char *reason)
@@ -159,10 +161,7 @@
 int
 main (void)
 {
-  Suite   *suite = suite_create ("timeline");
-  TCase   *cases = tcase_create ("timeline");
-  SRunner *runner;
-  int      failed;
+  TCase *cases = tcase_create ("timeline");
 
   tcase_add_test (cases, causal_order);
   tcase_add_test (cases, concurrent_events);
@@ -170,10 +169,5 @@
   tcase_add_test (cases, filters);
   tcase_add_test (cases, explanation);
   tcase_add_test (cases, kinds);
-  suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_cases ("timeline", cases);
 }
