Measure the control plane of a fleet in virtual time and of real processes

The command slopes runs many control states over a network and a platform in one thread and reports bytes, reads, processor time, heap and time until an edit is in force. tests/process/slopes.sh does the same with real processes. speed memory also reports queued requests and connections to targets.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: all, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, mutants, prove, bench,
-# bench-plot, speed, proto, clean.
+# bench-plot, speed, slopes, slopes-processes, proto, clean.
 
 CC       ?= gcc
 BUILD    ?= build
@@ -22,7 +22,7 @@
 TEST_PROGRAMS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SOURCES))
 
 .PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke fuzz-programs mutants prove bench \
-  bench-plot speed proto clean
+  bench-plot speed slopes slopes-processes proto clean
 .SECONDARY:
 
 all: $(BUILD)/wigeoncart $(TEST_PROGRAMS)
@@ -76,6 +76,19 @@
 speed: $(BUILD)/wigeoncart
 	@tests/process/speed.sh
 
+# Measures the control plane in virtual time at several sizes, two at a time: instances of a domain, hosts, change rate,
+# several domains.
+SLOPES_SIZES = --instances=8 --instances=60 --instances=240 \
+  --instances=8,--hosts=1000 --instances=8,--hosts=7400 --instances=60,--hosts=1000 \
+  --instances=60,--changes-per-day=17200,--steady-s=20 --instances=60,--changes-per-day=43000,--steady-s=20 \
+  --domains=5,--instances=8,--outage-s=360 --domains=5,--instances=60,--outage-s=120
+slopes: $(BUILD)/wigeoncart
+	@printf '%s\n' $(SLOPES_SIZES) | xargs -P 2 -I '{}' sh -c '$(BUILD)/wigeoncart slopes $$(echo {} | tr , " ")'
+
+# The same of real processes on loopback: 8, 24 and 60 instances.
+slopes-processes: $(BUILD)/wigeoncart
+	@tests/process/slopes.sh
+
 prove: $(BUILD)/wigeoncart
 	@tests/process/prove.sh
 
--- a/src/cli/cmd_speed.c
+++ b/src/cli/cmd_speed.c
@@ -16,7 +16,10 @@
   STATE_ENTRIES = 65536,
   SHORT_ANSWER_BYTES = 1000,
   LONG_ANSWER_BYTES = 20000,
-  LONG_ANSWERS = 2000
+  LONG_ANSWERS = 2000,
+  /* The default of queue_max_requests. */
+  QUEUED_REQUESTS = 1024,
+  CONNECTIONS = 500
 };
 
 static int  run (int argc, char **argv);
@@ -192,12 +195,12 @@
 {
   const WcCommand command = {
     .name = "speed memory",
-    .summary = "Prints the heap bytes per remembered ticket, waiting stream caller, and held answers of\n"
-               "1,000 and 20,000 bytes, in full tables."
+    .summary = "Prints the heap bytes per remembered ticket, waiting stream caller, held answer of 1,000 and\n"
+               "20,000 bytes, queued request and connection to a target, in full tables."
   };
   gboolean           json = FALSE;
-  WcStateSize        sizes[4];
-  const char *const  names[] = { "ticket", "waiter", "short_answer", "long_answer" };
+  WcStateSize        sizes[6];
+  const char *const  names[] = { "ticket", "waiter", "short_answer", "long_answer", "request", "connection" };
   int                status;
   const GOptionEntry entries[] = {
     { "json", 0, 0, G_OPTION_ARG_NONE, &json, "Print one line of JSON", NULL },
@@ -210,6 +213,8 @@
   wc_state_size_waiters (STATE_ENTRIES, &sizes[1]);
   wc_state_size_answers (STATE_ENTRIES / 4, SHORT_ANSWER_BYTES, &sizes[2]);
   wc_state_size_answers (LONG_ANSWERS, LONG_ANSWER_BYTES, &sizes[3]);
+  wc_state_size_requests (QUEUED_REQUESTS, &sizes[4]);
+  wc_state_size_connections (CONNECTIONS, &sizes[5]);
   for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
     {
       double each = (double)sizes[i].full_bytes / sizes[i].count;
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -32,6 +32,7 @@
 extern const WcCommand WC_COMMAND_EXPORT;
 extern const WcCommand WC_COMMAND_EMULATE;
 extern const WcCommand WC_COMMAND_CALL;
+extern const WcCommand WC_COMMAND_SLOPES;
 extern const WcCommand WC_COMMAND_SPEED;
 extern const WcCommand WC_COMMAND_STATUS;
 extern const WcCommand WC_COMMAND_TIMELINE;
--- /dev/null
+++ b/src/emulator/slopes.c
@@ -0,0 +1,264 @@
+#include "emulator/slopes.h"
+
+#include <malloc.h>
+#include <string.h>
+
+#include "emulator/slopes_fleet.h"
+
+enum
+{
+  SECOND_US = 1000000,
+  DAY_S = 86400,
+  STEP_US = 50000,
+  /* Used until an edit is in force; every hop waits for the next step. */
+  FINE_STEP_US = 10000,
+  LIMIT_US = 5 * SECOND_US,
+  JOIN_S = 20,
+  SETTLE_S = 10,
+  RESTART_US = SECOND_US
+};
+
+const char *const WC_SLOPES_PHASE_STRINGS[WC_SLOPES_PHASE_COUNT] = {
+  "idle", "changes", "burst", "starts", "return",
+};
+
+/**
+ * struct Run - events that are due while a phase runs.
+ * @edit_us, @start_us: intervals; 0 for none.
+ * @edited_us: when the edit was published that is not in force everywhere yet; 0 for none.
+ */
+typedef struct
+{
+  WcSlopesFleet   *fleet;
+  WcSlopesFigures *figures;
+  uint64_t         edit_us;
+  uint64_t         next_edit_us;
+  uint64_t         last_edit_us;
+  uint64_t         start_us;
+  uint64_t         next_start_us;
+  uint32_t         victim;
+  uint64_t         revive_us;
+  uint64_t         edited_us;
+} Run;
+
+static void     run_phase (Run *run, double seconds);
+static void     check_edit (Run *run);
+static void     fill_figures (const WcSlopesFleet *fleet, WcSlopesFigures *figures, double seconds);
+static uint64_t get_heap_bytes (void);
+static void     run_return (WcSlopesFleet *fleet, const WcSlopesPlan *plan, WcSlopesFigures *figures);
+
+void
+wc_slopes_run (const WcSlopesPlan *plan, WcSlopesResult *result)
+{
+  WcSlopesFleet         *fleet = wc_slopes_fleet_new (plan->domains, plan->instances, plan->hosts, plan->seed);
+  uint64_t               before = get_heap_bytes ();
+  uint64_t               end_us = fleet->now_us + (uint64_t)JOIN_S * SECOND_US;
+  uint64_t               edit_us = plan->changes_per_day > 0 ? (uint64_t)DAY_S * SECOND_US / plan->changes_per_day : 0;
+  const WcRegisterSplit *split = wc_slopes_register_get_split (fleet->reg);
+  size_t                 size_bytes;
+
+  memset (result, 0, sizeof *result);
+  wc_register_split_get_head (split, &size_bytes);
+  result->head_bytes = (uint32_t)size_bytes;
+  result->parts = (uint32_t)wc_register_split_get_part_count (split);
+  for (uint32_t i = 0; i < result->parts; i++)
+    {
+      const char *key;
+
+      wc_register_split_get_part (split, i, &key, &size_bytes);
+      result->register_bytes += (uint32_t)size_bytes;
+    }
+  for (uint32_t i = 0; i < fleet->count; i++)
+    wc_slopes_fleet_start (fleet, i);
+  while (fleet->now_us < end_us)
+    wc_slopes_fleet_step (fleet);
+  result->joined = wc_slopes_fleet_is_in_force (fleet);
+
+  for (int phase = WC_SLOPES_IDLE; phase <= WC_SLOPES_STARTS; phase++)
+    {
+      Run    run = { .fleet = fleet, .figures = &result->phases[phase] };
+      double seconds = plan->steady_s;
+
+      if (phase == WC_SLOPES_CHANGES)
+        run.edit_us = edit_us;
+      else if (phase == WC_SLOPES_BURST)
+        {
+          run.edit_us = SECOND_US;
+          seconds = plan->burst;
+        }
+      else if (phase == WC_SLOPES_STARTS && plan->starts_per_day > 0)
+        run.start_us = (uint64_t)DAY_S * SECOND_US / plan->starts_per_day;
+      if (phase != WC_SLOPES_IDLE && run.edit_us == 0 && run.start_us == 0)
+        continue;
+      /* Whole intervals, so that the rate is that of the plan. */
+      if (phase == WC_SLOPES_CHANGES || phase == WC_SLOPES_STARTS)
+        {
+          double interval_s = (double)(run.edit_us + run.start_us) / SECOND_US;
+          double count = (double)(uint64_t)(seconds / interval_s + 0.999);
+
+          seconds = count * interval_s;
+        }
+      run_phase (&run, seconds);
+      if (phase == WC_SLOPES_IDLE)
+        result->heap_bytes = (get_heap_bytes () - before) / fleet->count;
+      run.edit_us = run.start_us = 0;
+      for (int i = 0; i < SETTLE_S * SECOND_US / STEP_US; i++)
+        {
+          wc_slopes_fleet_step (fleet);
+          check_edit (&run);
+        }
+    }
+  if (plan->outage_s > 0 && plan->domains > 1)
+    run_return (fleet, plan, &result->phases[WC_SLOPES_RETURN]);
+  wc_slopes_fleet_delete (fleet);
+}
+
+void
+wc_slopes_print (const WcSlopesPlan *plan, const WcSlopesResult *result, bool json, FILE *stream)
+{
+  if (json)
+    fprintf (stream, "{\"domains\": %u, \"instances\": %u, \"hosts\": %u, \"changes_per_day\": %u, ", plan->domains,
+             plan->instances, plan->hosts, plan->changes_per_day);
+  else
+    fprintf (stream, "domains %u, instances each %u, hosts %u, changes a day %u, starts a day %u, seed %u\n",
+             plan->domains, plan->instances, plan->hosts, plan->changes_per_day, plan->starts_per_day, plan->seed);
+  if (json)
+    fprintf (stream,
+             "\"heap_bytes\": %" G_GUINT64_FORMAT ", \"register_bytes\": %u, \"head_bytes\": %u, \"parts\": %u, "
+             "\"joined\": %s",
+             result->heap_bytes, result->register_bytes, result->head_bytes, result->parts,
+             result->joined ? "true" : "false");
+  else
+    fprintf (stream, "  heap a node %.2f MB; register %u B in %u parts, head %u B%s\n",
+             (double)result->heap_bytes / 1e6, result->register_bytes, result->parts, result->head_bytes,
+             result->joined ? "" : "; NOT ALL HAVE JOINED");
+  for (int i = 0; i < WC_SLOPES_PHASE_COUNT; i++)
+    {
+      const WcSlopesFigures *f = &result->phases[i];
+
+      if (f->seconds <= 0)
+        continue;
+      if (json)
+        fprintf (stream,
+                 ", \"%s\": {\"seconds\": %.1f, \"sent\": %.1f, \"received\": %.1f, \"most_sent\": %.1f, "
+                 "\"most_received\": %.1f, \"platform_bytes\": %.1f, \"reads_per_s\": %.2f, \"most_reads_in_s\": %u, "
+                 "\"cpu_percent\": %.3f, \"in_force_ms\": %u, \"late\": %u}",
+                 WC_SLOPES_PHASE_STRINGS[i], f->seconds, f->sent, f->received, f->most_sent, f->most_received,
+                 f->platform_bytes, f->reads_per_s, f->most_reads_in_s, f->cpu_percent, f->in_force_ms, f->late);
+      else
+        fprintf (stream,
+                 "  %-8s %6.1f s: sent %7.1f B/s, received %7.1f + %6.1f from the platform; most sent %8.1f, received "
+                 "%8.1f; reads %6.2f/s, at most %4u in 1 s; CPU %.3f%%; in force %4u ms, late %u\n",
+                 WC_SLOPES_PHASE_STRINGS[i], f->seconds, f->sent, f->received, f->platform_bytes, f->most_sent,
+                 f->most_received, f->reads_per_s, f->most_reads_in_s, f->cpu_percent, f->in_force_ms, f->late);
+    }
+  if (json)
+    fprintf (stream, "}\n");
+}
+
+/* local functions */
+
+static void
+run_phase (Run *run, double seconds)
+{
+  WcSlopesFleet *fleet = run->fleet;
+  uint64_t       begin_us = fleet->now_us;
+  uint64_t       end_us = begin_us + (uint64_t)(seconds * SECOND_US);
+
+  wc_slopes_fleet_clear_counts (fleet);
+  run->next_edit_us = begin_us;
+  run->next_start_us = begin_us;
+  while (fleet->now_us < end_us)
+    {
+      if (run->edit_us > 0 && fleet->now_us >= run->next_edit_us)
+        {
+          run->next_edit_us += run->edit_us;
+          wc_slopes_fleet_edit (fleet);
+          run->edited_us = fleet->now_us;
+        }
+      if (run->start_us > 0 && fleet->now_us >= run->next_start_us)
+        {
+          run->next_start_us += run->start_us;
+          run->victim = g_rand_int (fleet->random) % fleet->count;
+          run->revive_us = fleet->now_us + RESTART_US;
+          wc_slopes_fleet_kill (fleet, run->victim);
+        }
+      if (run->revive_us > 0 && fleet->now_us >= run->revive_us)
+        {
+          run->revive_us = 0;
+          wc_slopes_fleet_start (fleet, run->victim);
+        }
+      fleet->step_us = run->edited_us > 0 ? FINE_STEP_US : STEP_US;
+      wc_slopes_fleet_step (fleet);
+      check_edit (run);
+    }
+  fleet->step_us = STEP_US;
+  if (run->revive_us > 0)
+    wc_slopes_fleet_start (fleet, run->victim);
+  fill_figures (fleet, run->figures, (double)(fleet->now_us - begin_us) / SECOND_US);
+}
+
+static void
+check_edit (Run *run)
+{
+  uint64_t took_us = run->fleet->now_us - run->edited_us;
+
+  if (run->edited_us == 0)
+    return;
+  if (!wc_slopes_fleet_is_in_force (run->fleet))
+    {
+      if (took_us <= LIMIT_US)
+        return;
+      run->figures->late++;
+    }
+  run->figures->in_force_ms = MAX (run->figures->in_force_ms, (uint32_t)(took_us / 1000));
+  run->edited_us = 0;
+}
+
+/* Edits go on during the outage at the rate of the plan; only what follows it is measured. */
+static void
+run_return (WcSlopesFleet *fleet, const WcSlopesPlan *plan, WcSlopesFigures *figures)
+{
+  Run run = { .fleet = fleet, .figures = figures };
+
+  if (plan->changes_per_day > 0)
+    run.edit_us = (uint64_t)DAY_S * SECOND_US / plan->changes_per_day;
+  wc_slopes_fleet_cut (fleet, true);
+  run_phase (&run, plan->outage_s);
+  wc_slopes_fleet_cut (fleet, false);
+  memset (figures, 0, sizeof *figures);
+  run.edit_us = 0;
+  run.edited_us = fleet->now_us;
+  run_phase (&run, SETTLE_S);
+}
+
+static void
+fill_figures (const WcSlopesFleet *fleet, WcSlopesFigures *figures, double seconds)
+{
+  double   count = fleet->count;
+  uint64_t cpu_ns = 0;
+
+  figures->seconds = seconds;
+  for (uint32_t i = 0; i < fleet->count; i++)
+    {
+      const WcSlopesNode *node = &fleet->nodes[i];
+
+      figures->sent += (double)node->sent / count / seconds;
+      figures->received += (double)node->received / count / seconds;
+      figures->platform_bytes += (double)node->platform_bytes / count / seconds;
+      figures->most_sent = MAX (figures->most_sent, (double)node->sent / seconds);
+      figures->most_received = MAX (figures->most_received, (double)(node->received + node->platform_bytes) / seconds);
+      cpu_ns += node->cpu_ns;
+    }
+  figures->reads_per_s = (double)fleet->reads / seconds;
+  figures->most_reads_in_s = fleet->most_reads_in_s;
+  figures->cpu_percent = (double)cpu_ns / 1e7 / count / seconds;
+}
+
+static uint64_t
+get_heap_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
--- a/src/emulator/state_size.c
+++ b/src/emulator/state_size.c
@@ -8,6 +8,10 @@
 #include <wigeoncart/ledger.h>
 #include <wigeoncart/stream_table.h>
 
+#include "core/request_queue.h"
+#include "core/request_table.h"
+#include "edge/target_connection.h"
+
 static size_t get_heap_bytes (void);
 
 void
@@ -52,6 +56,55 @@
   wc_stream_table_delete (table);
 }
 
+void
+wc_state_size_requests (uint32_t count, WcStateSize *size)
+{
+  size_t          before = get_heap_bytes ();
+  WcRequestTable *table = wc_request_table_new (count);
+  WcRequestQueue *queue = wc_request_queue_new (count);
+
+  assert (size != NULL);
+
+  *size = (WcStateSize){ .count = count, .empty_bytes = get_heap_bytes () - before };
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const WcRequest        *request = wc_request_table_add (table, i + 1);
+      const WcDispatchRequest queued = { .request = request->handle, .deadline_us = 1000 + i, .worth = 1 };
+
+      wc_request_queue_push (queue, &queued, 1000 + i);
+    }
+  assert (wc_request_queue_get_length (queue) == count);
+  size->full_bytes = get_heap_bytes () - before;
+  wc_request_queue_delete (queue);
+  wc_request_table_delete (table);
+}
+
+void
+wc_state_size_connections (uint32_t count, WcStateSize *size)
+{
+  /* The event loop does not run, so that nothing is reported. */
+  const WcConnectionOps ops = { 0 };
+  struct ev_loop       *loop = ev_loop_new (EVFLAG_AUTO);
+  WcTarget              target = { 0 };
+  WcTargetConnection  **connections = g_new0 (WcTargetConnection *, count);
+  size_t                before = get_heap_bytes ();
+
+  assert (size != NULL);
+
+  target.address.family = 4;
+  target.address.ip[0] = 127;
+  target.address.ip[3] = 1;
+  target.address.port = 9;
+  *size = (WcStateSize){ .count = count };
+  for (uint32_t i = 0; i < count; i++)
+    connections[i] = wc_target_connection_new (loop, &target, "service", &ops, NULL);
+  size->full_bytes = get_heap_bytes () - before;
+  for (uint32_t i = 0; i < count; i++)
+    wc_target_connection_delete (connections[i]);
+  g_free (connections);
+  ev_loop_destroy (loop);
+}
+
 void
 wc_state_size_answers (uint32_t count, size_t answer_bytes, WcStateSize *size)
 {
--- a/src/emulator/state_size.h
+++ b/src/emulator/state_size.h
@@ -20,6 +20,12 @@
 void wc_state_size_tickets (uint32_t count, WcStateSize *size);
 void wc_state_size_waiters (uint32_t count, WcStateSize *size);
 
+/** wc_state_size_requests() - requests that wait for a slot: the table of a worker and the queue of a dispatcher. */
+void wc_state_size_requests (uint32_t count, WcStateSize *size);
+
+/** wc_state_size_connections() - connections to targets while they are set up, without memory of the kernel. */
+void wc_state_size_connections (uint32_t count, WcStateSize *size);
+
 /** wc_state_size_answers() - @answer_bytes: length of each held answer. */
 void wc_state_size_answers (uint32_t count, size_t answer_bytes, WcStateSize *size);
 
--- a/tests/process/lab.sh
+++ b/tests/process/lab.sh
@@ -2,7 +2,8 @@
 #
 # Each fleet has a base port: instance i listens for callers on base + i, for peers on base + 100 + 10 i and for operators
 # on base + 300 + i; the platform uses base + 400, the fabric base + 500 (control base + 501), the targets' control port
-# is base + 600 and its targets follow from base + 700 on. Processes are ended by their ids only.
+# is base + 600 and its targets follow from base + 700 on. Processes are ended by their ids
+# only. LAB_PEER_OFFSET replaces the 100 of the peer ports in fleets of more than 19 instances.
 
 LAB_BINARY=${LAB_BINARY:-build/wigeoncart}
 LAB_FLEET_KEY=Zf3LfJf+QNXEZFyAInvxAYjIUPnc1NnQ9j7C6JxA4Ik=
@@ -74,7 +75,7 @@
   "instance": "$name-$index",
   "domain": "$domain",
   "listen": "127.0.0.1:$((base + index))",
-  "peer": "127.0.0.1:$((base + 100 + 10 * index))",
+  "peer": "127.0.0.1:$((base + ${LAB_PEER_OFFSET:-100} + 10 * index))",
   "operators": "127.0.0.1:$((base + 300 + index))",
   "platforms": ["127.0.0.1:$((base + 400))"],
   "workers": 2,
--- a/tests/test_state_size.c
+++ b/tests/test_state_size.c
@@ -22,6 +22,12 @@
   ck_assert_uint_eq (size.full_bytes, size.empty_bytes);
   wc_state_size_waiters (1000, &size);
   ck_assert (!counted || size.full_bytes > 1000 * sizeof (uint64_t));
+  wc_state_size_requests (1000, &size);
+  ck_assert (!counted || size.full_bytes > 1000 * 1200);
+  /* After its start only the hash tables that find a request by its id and by its handle grow. */
+  ck_assert_uint_lt (size.full_bytes, size.empty_bytes + 1000 * 100);
+  wc_state_size_connections (50, &size);
+  ck_assert (!counted || size.full_bytes > 50 * 2048);
   wc_state_size_answers (100, 3000, &size);
   ck_assert (!counted || size.full_bytes > size.empty_bytes + 100 * 3000);
   ck_assert (!counted || size.full_bytes < size.empty_bytes + 100 * 6000);
