Send differences of heads and parts between peers

A question for the configuration names the one in force at the asker. Published heads and parts are unchanged, and a peer that names no base gets whole texts.

The store keeps the two heads that were replaced last with their parts as bases, so the test of freed parts expects a part of a replaced head to go two revisions later.

--- a/include/wigeoncart/config_store.h
+++ b/include/wigeoncart/config_store.h
@@ -80,4 +80,18 @@
 const void *
 wc_config_store_find_part (const WcConfigStore *store, const uint8_t digest[WC_DIGEST_BYTES], size_t *size_bytes);
 
+/** wc_config_store_find_head() - text of the head with that digest: the one in force or one of those that it replaced
+ * last; NULL when there is none. */
+const char *
+wc_config_store_find_head (const WcConfigStore *store, const void *digest, size_t digest_bytes, size_t *size_bytes);
+
+/**
+ * wc_config_store_find_replaced() - what the head of digest @head names under the key that the head in force has for
+ * the part of digest @part.
+ *
+ * Return: false when @head is not held, or one of the two does not name the part.
+ */
+bool wc_config_store_find_replaced (const WcConfigStore *store, const void *head, size_t head_bytes,
+                                    const uint8_t part[WC_DIGEST_BYTES], uint8_t replaced[WC_DIGEST_BYTES]);
+
 #endif
--- a/src/core/config_store.c
+++ b/src/core/config_store.c
@@ -11,6 +11,10 @@
  */
 #define MAX_CANDIDATES 4
 
+/* Heads that were in force before, with their parts: peers that still have one of them get differences. A peer is
+ * rarely more than two edits behind, as an edit takes less than a second to reach all of a domain. */
+#define MAX_REPLACED 2
+
 /* Rejected revisions that are remembered; one that is forgotten is collected and rejected again. */
 #define MAX_REJECTED 64
 
@@ -28,8 +32,10 @@
   Candidate  *in_force;
   /* Candidate, newest first; all newer than the one in force. */
   GPtrArray *candidates;
+  /* Candidate, oldest first; were in force. */
+  GPtrArray *replaced;
   WcConfigId newest;
-  /* Digest to GBytes; only parts that the head in force or a candidate names. */
+  /* Digest to GBytes; only parts that the head in force, a candidate or a replaced head names. */
   GHashTable *parts;
   /* WcHeadPart; not held, each digest once, those of the newest candidate first. */
   GArray *missing;
@@ -39,15 +45,17 @@
   char       rejection[WC_ERROR_MESSAGE_BYTES];
 };
 
-static void     candidate_delete (gpointer candidate);
-static bool     is_known (const WcConfigStore *store, const WcConfigId *id);
-static bool     is_complete (const WcConfigStore *store, const Candidate *candidate);
-static WcStatus try_candidate (WcConfigStore *store, guint index, WcError *error);
-static void     put_in_force (WcConfigStore *store, guint index, WcRegister *reg);
-static void     reject (WcConfigStore *store, guint index, const char *reason);
-static void     update_parts (WcConfigStore *store);
-static guint    hash_digest (gconstpointer digest);
-static gboolean equal_digests (gconstpointer a, gconstpointer b);
+static void             candidate_delete (gpointer candidate);
+static const Candidate *find_held (const WcConfigStore *store, const void *digest, size_t digest_bytes);
+static bool             is_known (const WcConfigStore *store, const WcConfigId *id);
+static bool             is_complete (const WcConfigStore *store, const Candidate *candidate);
+static WcStatus         try_candidate (WcConfigStore *store, guint index, WcError *error);
+static void             put_in_force (WcConfigStore *store, guint index, WcRegister *reg);
+static void             reject (WcConfigStore *store, guint index, const char *reason);
+static void             update_parts (WcConfigStore *store);
+static void             name_parts (GHashTable *named, const Candidate *candidate);
+static guint            hash_digest (gconstpointer digest);
+static gboolean         equal_digests (gconstpointer a, gconstpointer b);
 
 int
 wc_config_id_compare (const WcConfigId *a, const WcConfigId *b)
@@ -66,6 +74,7 @@
   WcConfigStore *store = g_new0 (WcConfigStore, 1);
 
   store->candidates = g_ptr_array_new_with_free_func (candidate_delete);
+  store->replaced = g_ptr_array_new_with_free_func (candidate_delete);
   store->parts = g_hash_table_new_full (hash_digest, equal_digests, g_free, (GDestroyNotify)g_bytes_unref);
   store->missing = g_array_new (FALSE, FALSE, sizeof (WcHeadPart));
   store->rejected = g_array_new (FALSE, FALSE, sizeof (WcConfigId));
@@ -80,6 +89,7 @@
   wc_register_unref (store->reg);
   candidate_delete (store->in_force);
   g_ptr_array_unref (store->candidates);
+  g_ptr_array_unref (store->replaced);
   g_hash_table_destroy (store->parts);
   g_array_unref (store->missing);
   g_array_unref (store->rejected);
@@ -258,6 +268,49 @@
   return part ? g_bytes_get_data (part, size_bytes) : NULL;
 }
 
+const char *
+wc_config_store_find_head (const WcConfigStore *store, const void *digest, size_t digest_bytes, size_t *size_bytes)
+{
+  const Candidate *held;
+
+  assert (store != NULL);
+  assert (size_bytes != NULL);
+
+  held = find_held (store, digest, digest_bytes);
+  return held ? g_bytes_get_data (held->text, size_bytes) : NULL;
+}
+
+bool
+wc_config_store_find_replaced (const WcConfigStore *store, const void *head, size_t head_bytes,
+                               const uint8_t part[WC_DIGEST_BYTES], uint8_t replaced[WC_DIGEST_BYTES])
+{
+  const Candidate *held;
+  const char      *key = NULL;
+
+  assert (store != NULL);
+
+  held = find_held (store, head, head_bytes);
+  if (!held || !store->in_force)
+    return false;
+  for (guint i = 0; !key && i < store->in_force->head->parts->len; i++)
+    {
+      const WcHeadPart *named = &g_array_index (store->in_force->head->parts, WcHeadPart, i);
+
+      if (memcmp (named->digest, part, WC_DIGEST_BYTES) == 0)
+        key = named->key;
+    }
+  for (guint i = 0; key && i < held->head->parts->len; i++)
+    {
+      const WcHeadPart *named = &g_array_index (held->head->parts, WcHeadPart, i);
+
+      if (strcmp (named->key, key) != 0)
+        continue;
+      memcpy (replaced, named->digest, WC_DIGEST_BYTES);
+      return true;
+    }
+  return false;
+}
+
 /* local functions */
 
 static void
@@ -272,6 +325,20 @@
   g_free (candidate);
 }
 
+/* In force or replaced. */
+static const Candidate *
+find_held (const WcConfigStore *store, const void *digest, size_t digest_bytes)
+{
+  for (guint i = 0; i <= store->replaced->len; i++)
+    {
+      const Candidate *held = i < store->replaced->len ? g_ptr_array_index (store->replaced, i) : store->in_force;
+
+      if (held && digest_bytes == WC_DIGEST_BYTES && memcmp (held->head->id.digest, digest, WC_DIGEST_BYTES) == 0)
+        return held;
+    }
+  return NULL;
+}
+
 /* In force or older, collected already, or rejected. */
 static bool
 is_known (const WcConfigStore *store, const WcConfigId *id)
@@ -332,7 +399,10 @@
 
   wc_register_unref (store->reg);
   store->reg = reg;
-  candidate_delete (store->in_force);
+  if (store->in_force)
+    g_ptr_array_add (store->replaced, store->in_force);
+  if (store->replaced->len > MAX_REPLACED)
+    g_ptr_array_remove_index (store->replaced, 0);
   store->in_force = g_ptr_array_steal_index (store->candidates, index);
   store->id = store->in_force->head->id;
   g_ptr_array_set_size (store->candidates, (gint)index);
@@ -384,6 +454,8 @@
             g_array_append_val (store->missing, *part);
         }
     }
+  for (guint i = 0; i < store->replaced->len; i++)
+    name_parts (named, g_ptr_array_index (store->replaced, i));
   g_hash_table_iter_init (&iter, store->parts);
   while (g_hash_table_iter_next (&iter, &digest, NULL))
     if (!g_hash_table_contains (named, digest))
@@ -391,6 +463,13 @@
   g_hash_table_destroy (named);
 }
 
+static void
+name_parts (GHashTable *named, const Candidate *candidate)
+{
+  for (guint i = 0; i < candidate->head->parts->len; i++)
+    g_hash_table_add (named, g_array_index (candidate->head->parts, WcHeadPart, i).digest);
+}
+
 /* A digest is uniform already. */
 static guint
 hash_digest (gconstpointer digest)
--- a/src/core/control_config.c
+++ b/src/core/control_config.c
@@ -22,7 +22,8 @@
 static uint64_t backoff (WcControl *control);
 static void     activate (WcControl *control, uint64_t now_us);
 static void     rebuild_keyring (WcControl *control);
-static void     answer_ask (WcControl *control, WcControlLink *link, const Wc__PeerFrame *frame);
+static void     receive_head (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
+static void     receive_part (WcControl *control, uint64_t now_us, const Wc__PeerFrame *frame);
 
 bool
 wc_control_is_newer (const WcControl *control, const WcConfigId *id)
@@ -92,19 +93,17 @@
 void
 wc_control_config_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame)
 {
-  WcError error;
-
   switch (frame->kind)
     {
     case WC__PEER_FRAME__KIND__CONFIG_ASK:
-      answer_ask (control, link, frame);
+      wc_control_answer_ask (control, link, frame);
       break;
     case WC__PEER_FRAME__KIND__CONFIG_HEAD:
       if (control->fetch == WC_FETCH_PEER_HEAD && control->fetch_peer == link->id)
         control->fetch = WC_FETCH_IDLE;
       link->tried_config = link->config;
       if (frame->content.len > 0)
-        wc_control_offer_head (control, now_us, (const char *)frame->content.data, frame->content.len);
+        receive_head (control, now_us, link, frame);
       break;
     case WC__PEER_FRAME__KIND__CONFIG_PART:
       if (frame->content.len == 0)
@@ -119,11 +118,7 @@
           if (--control->fetch_outstanding == 0)
             control->fetch = WC_FETCH_IDLE;
         }
-      if (wc_config_store_offer_part (control->store, frame->content.data, frame->content.len, &error) == WC_STATUS_OK)
-        {
-          control->fetch_attempts = 0;
-          activate (control, now_us);
-        }
+      receive_part (control, now_us, frame);
       break;
     default:
       wc_counters_add (control->counters, WC_COUNTER_PEER_FRAMES_REJECTED, 1);
@@ -338,6 +333,7 @@
     g_bytes_unref (control->head_in_force);
   control->head_in_force = g_bytes_new (head, head_bytes);
   control->in_force_us = now_us;
+  control->ask_whole = false;
   control->view_dirty = true;
   rebuild_keyring (control);
   wc_counters_add (control->counters, WC_COUNTER_CONFIG_ACCEPTED, 1);
@@ -357,36 +353,37 @@
   control->keyring = wc_keyring_new (keys, count);
 }
 
-/* A part that is not held is answered by an empty one, so that the peer asks elsewhere at once. */
+/* A head whose difference does not fit is asked for again, whole. */
 static void
-answer_ask (WcControl *control, WcControlLink *link, const Wc__PeerFrame *frame)
+receive_head (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame)
 {
-  Wc__PeerFrame       answer = WC__PEER_FRAME__INIT;
-  ProtobufCBinaryData digest;
+  GBytes     *head = wc_control_read_head (control, frame);
+  gsize       size_bytes;
+  const char *text;
 
-  if (frame->n_digests == 0)
+  if (!head)
     {
-      gsize size_bytes = 0;
-
-      answer.kind = WC__PEER_FRAME__KIND__CONFIG_HEAD;
-      if (control->head_in_force)
-        answer.content.data = (uint8_t *)g_bytes_get_data (control->head_in_force, &size_bytes);
-      answer.content.len = size_bytes;
-      control->ops->send (control->user_data, link->id, &answer);
+      memset (&link->tried_config, 0, sizeof link->tried_config);
       return;
     }
-  answer.kind = WC__PEER_FRAME__KIND__CONFIG_PART;
-  for (size_t i = 0; i < frame->n_digests && i < WC_CONTROL_PARTS_PER_ASK; i++)
+  text = g_bytes_get_data (head, &size_bytes);
+  wc_control_offer_head (control, now_us, text, size_bytes);
+  g_bytes_unref (head);
+}
+
+static void
+receive_part (WcControl *control, uint64_t now_us, const Wc__PeerFrame *frame)
+{
+  GBytes     *part = wc_control_read_part (control, frame);
+  gsize       size_bytes;
+  const void *data = part ? g_bytes_get_data (part, &size_bytes) : NULL;
+  WcError     error;
+
+  if (data && wc_config_store_offer_part (control->store, data, size_bytes, &error) == WC_STATUS_OK)
     {
-      if (frame->digests[i].len != WC_DIGEST_BYTES)
-        continue;
-      digest = frame->digests[i];
-      answer.digests = &digest;
-      answer.n_digests = 1;
-      answer.content.data =
-          (uint8_t *)wc_config_store_find_part (control->store, frame->digests[i].data, &answer.content.len);
-      if (!answer.content.data)
-        answer.content.len = 0;
-      control->ops->send (control->user_data, link->id, &answer);
+      control->fetch_attempts = 0;
+      activate (control, now_us);
     }
+  if (part)
+    g_bytes_unref (part);
 }
--- a/src/core/control_fetch.c
+++ b/src/core/control_fetch.c
@@ -34,8 +34,10 @@
   if (link)
     {
       Wc__PeerFrame ask = WC__PEER_FRAME__INIT;
+      Wc__ConfigId  base = WC__CONFIG_ID__INIT;
 
       ask.kind = WC__PEER_FRAME__KIND__CONFIG_ASK;
+      wc_control_fill_base (control, &base, &ask);
       control->fetch = WC_FETCH_PEER_HEAD;
       control->fetch_peer = link->id;
       control->fetch_deadline_us = now_us + WC_CONTROL_PEER_ANSWER_US;
@@ -156,8 +158,10 @@
   uint8_t             digests[WC_CONTROL_PARTS_PER_ASK][WC_DIGEST_BYTES];
   ProtobufCBinaryData wanted[WC_CONTROL_PARTS_PER_ASK];
   Wc__PeerFrame       ask = WC__PEER_FRAME__INIT;
+  Wc__ConfigId        base = WC__CONFIG_ID__INIT;
 
   ask.kind = WC__PEER_FRAME__KIND__CONFIG_ASK;
+  wc_control_fill_base (control, &base, &ask);
   ask.digests = wanted;
   while (ask.n_digests < WC_CONTROL_PARTS_PER_ASK &&
          wc_control_get_missing (control, ask.n_digests, digests[ask.n_digests]))
--- a/src/core/control_private.h
+++ b/src/core/control_private.h
@@ -147,6 +147,8 @@
   uint64_t        fetch_retry_us;
   uint32_t        fetch_attempts;
   uint32_t        fetch_outstanding;
+  /* A difference from a peer did not fit; until the next configuration is in force, whole texts are asked for. */
+  bool ask_whole;
 };
 
 /* control.c */
@@ -167,6 +169,15 @@
 /* wc_control_get_missing() - digest of the @index-th missing part; false when there is none. */
 bool wc_control_get_missing (const WcControl *control, size_t index, uint8_t digest[WC_DIGEST_BYTES]);
 
+/* control_answer.c */
+void wc_control_answer_ask (WcControl *control, WcControlLink *link, const Wc__PeerFrame *ask);
+/* wc_control_fill_base() - name the configuration in force in a question, so that the answer may be a difference;
+ * @config has to live as long as @ask. */
+void wc_control_fill_base (const WcControl *control, Wc__ConfigId *config, Wc__PeerFrame *ask);
+/* wc_control_read_head(), wc_control_read_part() - text of an answer, whole; NULL when its difference does not fit. */
+GBytes *wc_control_read_head (WcControl *control, const Wc__PeerFrame *frame);
+GBytes *wc_control_read_part (WcControl *control, const Wc__PeerFrame *frame);
+
 /* control_config.c */
 void wc_control_config_tick (WcControl *control, uint64_t now_us);
 void wc_control_config_receive (WcControl *control, uint64_t now_us, WcControlLink *link, const Wc__PeerFrame *frame);
--- /dev/null
+++ b/src/core/text_delta.c
@@ -0,0 +1,157 @@
+#include "core/text_delta.h"
+
+#include <assert.h>
+#include <string.h>
+
+enum
+{
+  FIELDS = 3,
+  FIELD_BYTES = 4,
+  RECORD_BYTES = FIELDS * FIELD_BYTES
+};
+
+/* A piece of the base, followed by bytes of the target that the base does not have. */
+typedef struct
+{
+  size_t copy_offset;
+  size_t copy_bytes;
+  size_t new_offset;
+  size_t new_bytes;
+} Record;
+
+static size_t      get_segment (const uint8_t *text, size_t offset, size_t size_bytes);
+static GHashTable *index_segments (const uint8_t *text, size_t size_bytes);
+static bool        find_segment (GHashTable *index, const uint8_t *segment, size_t size_bytes, size_t *offset);
+static void        append_record (GByteArray *delta, const Record *record, const uint8_t *target);
+
+GBytes *
+wc_text_delta_make (const void *base, size_t base_bytes, const void *target, size_t target_bytes)
+{
+  const uint8_t *old = base;
+  const uint8_t *text = target;
+  GHashTable    *index;
+  GByteArray    *delta;
+  Record         record = { 0 };
+  size_t         size_bytes;
+
+  assert (base != NULL && target != NULL);
+
+  if (base_bytes > UINT32_MAX || target_bytes > UINT32_MAX)
+    return NULL;
+  index = index_segments (old, base_bytes);
+  delta = g_byte_array_new ();
+  for (size_t offset = 0; offset < target_bytes; offset += size_bytes)
+    {
+      size_t next = record.copy_offset + record.copy_bytes;
+      size_t found;
+
+      size_bytes = get_segment (text, offset, target_bytes);
+      /* What follows the last piece goes first, because short segments occur often. */
+      if (record.new_bytes == 0 && size_bytes <= base_bytes - next &&
+          memcmp (old + next, text + offset, size_bytes) == 0)
+        record.copy_bytes += size_bytes;
+      else if (size_bytes > RECORD_BYTES && find_segment (index, text + offset, size_bytes, &found))
+        {
+          append_record (delta, &record, text);
+          record = (Record){ .copy_offset = found, .copy_bytes = size_bytes };
+        }
+      else
+        {
+          if (record.new_bytes == 0)
+            record.new_offset = offset;
+          record.new_bytes += size_bytes;
+        }
+    }
+  append_record (delta, &record, text);
+  g_hash_table_destroy (index);
+  if (delta->len >= target_bytes / 2)
+    {
+      g_byte_array_unref (delta);
+      return NULL;
+    }
+  return g_byte_array_free_to_bytes (delta);
+}
+
+GBytes *
+wc_text_delta_apply (const void *base, size_t base_bytes, const void *delta, size_t delta_bytes, size_t max_bytes)
+{
+  const uint8_t *next = delta;
+  size_t         left = delta_bytes;
+  GByteArray    *target = g_byte_array_new ();
+
+  assert (base != NULL && delta != NULL);
+
+  while (left >= RECORD_BYTES)
+    {
+      uint32_t fields[FIELDS];
+
+      memcpy (fields, next, sizeof fields);
+      for (int i = 0; i < FIELDS; i++)
+        fields[i] = GUINT32_FROM_LE (fields[i]);
+      next += RECORD_BYTES;
+      left -= RECORD_BYTES;
+      if (fields[0] > base_bytes || fields[1] > base_bytes - fields[0] || fields[2] > left ||
+          (size_t)fields[1] + fields[2] > max_bytes - target->len)
+        break;
+      g_byte_array_append (target, (const uint8_t *)base + fields[0], fields[1]);
+      g_byte_array_append (target, next, fields[2]);
+      next += fields[2];
+      left -= fields[2];
+      if (left == 0)
+        return g_byte_array_free_to_bytes (target);
+    }
+  g_byte_array_unref (target);
+  return NULL;
+}
+
+/* local functions */
+
+/* Length of the segment at an offset: up to and with the end of an object, so that each entry of an array has some. */
+static size_t
+get_segment (const uint8_t *text, size_t offset, size_t size_bytes)
+{
+  const uint8_t *end = memchr (text + offset, '}', size_bytes - offset);
+
+  return end ? (size_t)(end - text) + 1 - offset : size_bytes - offset;
+}
+
+/* GBytes of each segment to its offset. */
+static GHashTable *
+index_segments (const uint8_t *text, size_t size_bytes)
+{
+  GHashTable *index = g_hash_table_new_full (g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
+  size_t      segment_bytes;
+
+  for (size_t offset = 0; offset < size_bytes; offset += segment_bytes)
+    {
+      segment_bytes = get_segment (text, offset, size_bytes);
+      g_hash_table_insert (index, g_bytes_new_static (text + offset, segment_bytes), GSIZE_TO_POINTER (offset));
+    }
+  return index;
+}
+
+static bool
+find_segment (GHashTable *index, const uint8_t *segment, size_t size_bytes, size_t *offset)
+{
+  GBytes  *key = g_bytes_new_static (segment, size_bytes);
+  gpointer value;
+  bool     found = g_hash_table_lookup_extended (index, key, NULL, &value);
+
+  g_bytes_unref (key);
+  if (found)
+    *offset = GPOINTER_TO_SIZE (value);
+  return found;
+}
+
+static void
+append_record (GByteArray *delta, const Record *record, const uint8_t *target)
+{
+  uint32_t fields[FIELDS] = { GUINT32_TO_LE ((uint32_t)record->copy_offset),
+                              GUINT32_TO_LE ((uint32_t)record->copy_bytes),
+                              GUINT32_TO_LE ((uint32_t)record->new_bytes) };
+
+  if (record->copy_bytes == 0 && record->new_bytes == 0)
+    return;
+  g_byte_array_append (delta, (const uint8_t *)fields, sizeof fields);
+  g_byte_array_append (delta, target + record->new_offset, (guint)record->new_bytes);
+}
--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -6,6 +6,8 @@
 
 #include <wigeoncart/config_store.h>
 
+#include "core/config_head.h"
+
 #define KEYS "\"keys\": [{\"epoch\": 1, \"secret\": \"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\"}]"
 
 /* Parts of a register; BASE and HOSTS_n are valid together. */
@@ -82,9 +84,50 @@
   ck_assert_ptr_nonnull (wc_config_store_find_part (store, old_digest, &size_bytes));
   ck_assert_int_eq (offer_part (store, HOSTS_2), WC_STATUS_OK);
   ck_assert_int_eq (wc_config_store_activate (store, &error), WC_STATUS_OK);
-  ck_assert_ptr_null (wc_config_store_find_part (store, old_digest, &size_bytes));
   ck_assert_ptr_nonnull (wc_config_store_find_part (store, digest, &size_bytes));
   g_free (head);
+
+  /* The part of a replaced head is kept for peers that still have it in force, until two more heads are replaced. */
+  ck_assert_ptr_nonnull (wc_config_store_find_part (store, old_digest, &size_bytes));
+  ck_assert_int_eq (publish (store, 3, BASE, HOSTS_2), WC_STATUS_OK);
+  ck_assert_ptr_nonnull (wc_config_store_find_part (store, old_digest, &size_bytes));
+  ck_assert_int_eq (publish (store, 4, BASE, HOSTS_2), WC_STATUS_OK);
+  ck_assert_ptr_null (wc_config_store_find_part (store, old_digest, &size_bytes));
+  ck_assert_ptr_nonnull (wc_config_store_find_part (store, digest, &size_bytes));
+  wc_config_store_delete (store);
+}
+END_TEST
+
+/* Guards against a difference that is made against a part of another key, or against a head that is not held. */
+START_TEST (test_replaced)
+{
+  WcConfigStore *store = wc_config_store_new ();
+  WcConfigId     first;
+  uint8_t        hosts_1[WC_DIGEST_BYTES];
+  uint8_t        hosts_2[WC_DIGEST_BYTES];
+  uint8_t        base[WC_DIGEST_BYTES];
+  uint8_t        found[WC_DIGEST_BYTES];
+  size_t         size_bytes;
+
+  wc_config_digest (BASE, strlen (BASE), base);
+  wc_config_digest (HOSTS_1, strlen (HOSTS_1), hosts_1);
+  wc_config_digest (HOSTS_2, strlen (HOSTS_2), hosts_2);
+  ck_assert_int_eq (publish (store, 1, BASE, HOSTS_1), WC_STATUS_OK);
+  first = *wc_config_store_get_id (store);
+  ck_assert_int_eq (publish (store, 2, BASE, HOSTS_2), WC_STATUS_OK);
+  ck_assert (wc_config_store_find_replaced (store, first.digest, WC_DIGEST_BYTES, hosts_2, found));
+  ck_assert_mem_eq (found, hosts_1, WC_DIGEST_BYTES);
+  ck_assert (wc_config_store_find_replaced (store, first.digest, WC_DIGEST_BYTES, base, found));
+  ck_assert_mem_eq (found, base, WC_DIGEST_BYTES);
+  /* A part that the head in force does not name, and heads that are not held. */
+  ck_assert (!wc_config_store_find_replaced (store, first.digest, WC_DIGEST_BYTES, hosts_1, found));
+  ck_assert (!wc_config_store_find_replaced (store, base, WC_DIGEST_BYTES, hosts_2, found));
+  ck_assert (!wc_config_store_find_replaced (store, first.digest, 3, hosts_2, found));
+  ck_assert_ptr_nonnull (wc_config_store_find_head (store, first.digest, WC_DIGEST_BYTES, &size_bytes));
+  ck_assert_ptr_null (wc_config_store_find_head (store, base, WC_DIGEST_BYTES, &size_bytes));
+  ck_assert_int_eq (publish (store, 3, BASE, HOSTS_1), WC_STATUS_OK);
+  ck_assert_int_eq (publish (store, 4, BASE, HOSTS_2), WC_STATUS_OK);
+  ck_assert_ptr_null (wc_config_store_find_head (store, first.digest, WC_DIGEST_BYTES, &size_bytes));
   wc_config_store_delete (store);
 }
 END_TEST
@@ -334,6 +377,7 @@
     return EXIT_FAILURE;
   tcase_add_test (cases, test_collect);
   tcase_add_test (cases, test_keep_unchanged);
+  tcase_add_test (cases, test_replaced);
   tcase_add_test (cases, test_stale);
   tcase_add_test (cases, test_race);
   tcase_add_test (cases, test_rejected_then_better);
