--- a/src/emulator/slopes.c
+++ b/src/emulator/slopes.c
@@ -19,7 +19,7 @@
 };
 
 const char *const WC_SLOPES_PHASE_STRINGS[WC_SLOPES_PHASE_COUNT] = {
-  "idle", "changes", "burst", "starts", "return",
+  "join", "idle", "changes", "burst", "starts", "return",
 };
 
 /**
@@ -73,6 +73,7 @@
   while (fleet->now_us < end_us)
     wc_slopes_fleet_step (fleet);
   result->joined = wc_slopes_fleet_is_in_force (fleet);
+  fill_figures (fleet, &result->phases[WC_SLOPES_JOIN], JOIN_S);
 
   for (int phase = WC_SLOPES_IDLE; phase <= WC_SLOPES_STARTS; phase++)
     {
--- a/src/emulator/slopes.h
+++ b/src/emulator/slopes.h
@@ -30,7 +30,9 @@
 /** enum WcSlopesPhase - what a fleet is measured under. */
 typedef enum
 {
-  WC_SLOPES_IDLE = 0,
+  /* All instances start at once. */
+  WC_SLOPES_JOIN = 0,
+  WC_SLOPES_IDLE,
   WC_SLOPES_CHANGES,
   WC_SLOPES_BURST,
   WC_SLOPES_STARTS,
