Run an order on the shard of its flow

Cause: an order went to the targets of shard 0, whichever shard's owner had issued its ticket, so that of a service with more than 16 targets in a domain only the first 16 ran orders. Event streams were spread over the shards' owners although each owner read the feed with shard 0's targets. Change: the ticket carries the flow, which gives the shard; POLL goes to the owner of the first shard. The timeline shows an order under its flow. The test (test_order_runs_on_the_shard_of_its_ticket) failed before: target at place 0 mod 2, expected 1.

--- a/include/wigeoncart/ticket.h
+++ b/include/wigeoncart/ticket.h
@@ -10,6 +10,7 @@
 
 /**
  * struct WcTicket - permission to run one non-idempotent request, valid for one incarnation only.
+ * @flow: identifier of the flow, which gives the shard whose targets run the order.
  * @serial: unique in the worker that issued it.
  * @expiry_us: on the monotonic clock of the issuer; no other instance interprets it.
  */
@@ -21,6 +22,7 @@
   uint64_t owner;
   uint64_t incarnation;
   uint32_t worker;
+  uint64_t flow;
   uint64_t serial;
   uint64_t expiry_us;
 } WcTicket;
--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -1510,7 +1510,7 @@
   (ProtobufCMessageInit) wc__token_body__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__ticket_body__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wc__ticket_body__field_descriptors[9] =
 {
   {
     "service",
@@ -1608,11 +1608,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flow",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__TicketBody, flow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__ticket_body__field_indices_by_name[] = {
   1,   /* field[1] = customer */
   2,   /* field[2] = domain */
   7,   /* field[7] = expiry_us */
+  8,   /* field[8] = flow */
   4,   /* field[4] = incarnation */
   3,   /* field[3] = owner */
   6,   /* field[6] = serial */
@@ -1622,7 +1635,7 @@
 static const ProtobufCIntRange wc__ticket_body__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wc__ticket_body__descriptor =
 {
@@ -1632,7 +1645,7 @@
   "Wc__TicketBody",
   "wc",
   sizeof(Wc__TicketBody),
-  8,
+  9,
   wc__ticket_body__field_descriptors,
   wc__ticket_body__field_indices_by_name,
   1,  wc__ticket_body__number_ranges,
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -224,10 +224,11 @@
   uint32_t worker;
   uint64_t serial;
   uint64_t expiry_us;
+  uint64_t flow;
 };
 #define WC__TICKET_BODY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__ticket_body__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wc__ConfigId
--- a/src/core/node_order.c
+++ b/src/core/node_order.c
@@ -17,6 +17,7 @@
                    .owner = node->config.instance,
                    .incarnation = node->config.incarnation,
                    .worker = node->config.worker,
+                   .flow = packet->token.flow,
                    .expiry_us = packet->now_us + node->config.ticket_life_us,
   };
 
@@ -49,6 +50,7 @@
   WcNodePacket            order = *packet;
   WcRequest              *request;
   WcLedgerEntry          *entry;
+  uint32_t                shard;
 
   assert (ticket->owner == node->config.instance);
 
@@ -79,8 +81,9 @@
 
   order.token.customer = ticket->customer;
   order.token.domain = node->config.domain;
-  order.token.flow = packet->message->request_id;
-  request = wc_node_accept (node, &order, WC_REQUEST_ORDER, 0);
+  order.token.flow = ticket->flow;
+  shard = wc_route_cache_find_shard (node->routes, message->service, node->config.domain, ticket->flow);
+  request = wc_node_accept (node, &order, WC_REQUEST_ORDER, shard);
   if (!request)
     {
       entry->state = WC_LEDGER_NOT_RUN;
@@ -94,7 +97,7 @@
   request->last_start_us = MIN (request->deadline_us, ticket->expiry_us);
   entry->request = request->handle;
   if (wc_node_submit (node, packet->now_us, request) == WC_REFUSAL_NONE)
-    wc_node_pump (node, packet->now_us, wc_node_get_service (node, packet->now_us, message->service, 0));
+    wc_node_pump (node, packet->now_us, wc_node_get_service (node, packet->now_us, message->service, shard));
 }
 
 void
--- a/src/core/node_private.h
+++ b/src/core/node_private.h
@@ -120,7 +120,7 @@
 void wc_node_settle_order (WcNode *node, WcRequest *request, Wc__InstancePacket__Result result);
 
 /* node_stream.c: event streams. */
-void wc_node_handle_poll (WcNode *node, const WcNodePacket *packet, uint32_t shard);
+void wc_node_handle_poll (WcNode *node, const WcNodePacket *packet);
 void wc_node_feed_tick (WcNode *node, uint64_t now_us);
 void wc_node_feed_done (WcNode *node, uint64_t now_us, WcRequest *request, uint32_t http_status, uint64_t cursor);
 void wc_node_feed_ended (WcNode *node, uint64_t now_us, WcRequest *request);
--- a/src/core/node_route.c
+++ b/src/core/node_route.c
@@ -20,9 +20,12 @@
       break;
     case WC__CALLER_PACKET__KIND__REQUEST:
     case WC__CALLER_PACKET__KIND__TICKET:
-    case WC__CALLER_PACKET__KIND__POLL:
       route_to_owner (node, packet, packet->token.flow);
       break;
+    case WC__CALLER_PACKET__KIND__POLL:
+      /* One owner reads a service's feed for all its callers, that of the first shard. */
+      route_to_owner (node, packet, 0);
+      break;
     case WC__CALLER_PACKET__KIND__ORDER:
       route_order (node, packet);
       break;
@@ -192,7 +195,7 @@
       wc_node_handle_ticket (node, packet, shard);
       break;
     case WC__CALLER_PACKET__KIND__POLL:
-      wc_node_handle_poll (node, packet, shard);
+      wc_node_handle_poll (node, packet);
       break;
     case WC__CALLER_PACKET__KIND__CANCEL:
       wc_node_handle_cancel (node, packet, shard);
--- a/src/core/node_stream.c
+++ b/src/core/node_stream.c
@@ -10,13 +10,12 @@
 static void set_poll_path (WcRequest *request);
 
 void
-wc_node_handle_poll (WcNode *node, const WcNodePacket *packet, uint32_t shard)
+wc_node_handle_poll (WcNode *node, const WcNodePacket *packet)
 {
   const Wc__CallerPacket *message = packet->message;
   WcServiceState         *state = wc_node_get_service (node, packet->now_us, message->service, 0);
   WcRequest              *request = wc_request_table_find_id (node->requests, message->request_id);
 
-  (void)shard;
   if (request)
     {
       request->caller = packet->caller;
--- a/src/core/ticket.c
+++ b/src/core/ticket.c
@@ -30,6 +30,7 @@
   body.owner = ticket->owner;
   body.incarnation = ticket->incarnation;
   body.worker = ticket->worker;
+  body.flow = ticket->flow;
   body.serial = ticket->serial;
   body.expiry_us = ticket->expiry_us;
   assert (wc__ticket_body__get_packed_size (&body) <= sizeof plain);
@@ -64,6 +65,7 @@
   ticket->owner = body->owner;
   ticket->incarnation = body->incarnation;
   ticket->worker = body->worker;
+  ticket->flow = body->flow;
   ticket->serial = body->serial;
   ticket->expiry_us = body->expiry_us;
   return WC_STATUS_OK;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -31,6 +31,7 @@
   uint32_t            target;
   size_t              attempts;
   size_t              cancelled;
+  size_t              extra_targets;
   uint8_t             token[128];
   size_t              token_bytes;
   uint8_t             ticket[128];
@@ -86,7 +87,8 @@
   return world.sent[world.sent_count - 1];
 }
 
-static void
+/* Return: the register, which the node's view keeps. */
+static WcRegister *
 set_view (uint32_t first_epoch, uint32_t last_epoch, bool leaving, WcLifecycle lifecycle)
 {
   GString       *text = g_string_new (NULL);
@@ -119,8 +121,14 @@
                           "{\"name\":\"j\",\"domain\":\"d\",\"targets\":[{\"service\":\"c\",\"address\":"
                           "\"127.0.0.1:9003\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]},"
                           "{\"name\":\"k\",\"domain\":\"d\",\"targets\":[{\"service\":\"c\",\"address\":"
-                          "\"127.0.0.1:9004\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]}],\"keys\":[",
+                          "\"127.0.0.1:9004\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]}",
                           last_epoch);
+  for (size_t i = 0; i < world.extra_targets; i++)
+    g_string_append_printf (text,
+                            ",{\"name\":\"x%zu\",\"domain\":\"d\",\"targets\":[{\"service\":\"a\",\"address\":"
+                            "\"127.0.0.1:%zu\",\"slots\":2,\"max_connections\":4,\"cold_start_ms\":0}]}",
+                            i, 9100 + i);
+  g_string_append (text, "],\"keys\":[");
   for (uint32_t epoch = first_epoch; epoch <= last_epoch; epoch++)
     {
       uint8_t secret[WC_KEY_BYTES];
@@ -143,6 +151,7 @@
   wc_register_unref (reg);
   wc_member_table_unref (members);
   g_string_free (text, TRUE);
+  return reg;
 }
 
 static void
@@ -481,6 +490,29 @@
 }
 END_TEST
 
+/* Failure: an order of a service with several shards went to the targets of the first one, whichever issued its ticket.
+ */
+START_TEST (test_order_runs_on_the_shard_of_its_ticket)
+{
+  WcRegister     *reg;
+  const WcTarget *targets;
+  size_t          count;
+  size_t          place = 0;
+
+  world.extra_targets = 17;
+  reg = set_view (1, 1, false, WC_LIFECYCLE_SERVING);
+  /* The flow's identifier is odd, so that it belongs to the second of two shards. */
+  get_ticket ();
+  send_kind (WC__CALLER_PACKET__KIND__ORDER, 3);
+  ck_assert_uint_eq (world.attempts, 1);
+  targets = wc_register_get_service_targets (reg, wc_name_id32 ("a"), wc_name_id32 ("d"), &count);
+  ck_assert_uint_eq (count, 18);
+  while (place < count && targets[place].id != world.target)
+    place++;
+  ck_assert_uint_eq (place % 2, 1);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -499,6 +531,7 @@
   tcase_add_test (tests, test_nothing_is_sent_after_a_pause_until_the_view_is_confirmed);
   tcase_add_test (tests, test_drain_waits_for_tickets);
   tcase_add_test (tests, test_closing_worker_takes_nothing_in);
+  tcase_add_test (tests, test_order_runs_on_the_shard_of_its_ticket);
   tcase_add_test (tests, test_busy_target_keeps_its_flows);
 }
 
--- a/tests/test_ticket.c
+++ b/tests/test_ticket.c
@@ -12,6 +12,7 @@
   .owner = 4,
   .incarnation = 5,
   .worker = 6,
+  .flow = 9,
   .serial = 7,
   .expiry_us = 8,
 };
@@ -23,6 +24,7 @@
   .owner = UINT64_MAX,
   .incarnation = UINT64_MAX,
   .worker = UINT32_MAX,
+  .flow = UINT64_MAX,
   .serial = UINT64_MAX,
   .expiry_us = UINT64_MAX,
 };
@@ -44,6 +46,7 @@
   ck_assert_uint_eq (a->owner, b->owner);
   ck_assert_uint_eq (a->incarnation, b->incarnation);
   ck_assert_uint_eq (a->worker, b->worker);
+  ck_assert_uint_eq (a->flow, b->flow);
   ck_assert_uint_eq (a->serial, b->serial);
   ck_assert_uint_eq (a->expiry_us, b->expiry_us);
 }
