Move the emulated fleet for callers and the scripts of the tools out of tests

They are not tests: the demo, the lab and the measuring scripts are tools, and the emulated fleet serves whoever tests against the caller's library.

--- a/Makefile
+++ b/Makefile
@@ -72,11 +72,11 @@
 demo:
 	@./install-dependencies.sh
 	@$(MAKE) --no-print-directory $(BUILD)/wigeoncart
-	@tests/process/demo.sh
+	@tools/demo.sh
 
 # Measures the packet path of a real instance beside a bare relay.
 speed: $(BUILD)/wigeoncart
-	@tests/process/speed.sh
+	@tools/speed.sh
 
 # Measures the control plane in virtual time at several sizes, two at a time: instances of a domain, hosts, change rate,
 # several domains.
@@ -89,7 +89,7 @@
 
 # The same of real processes on loopback: 8, 24 and 60 instances.
 slopes-processes: $(BUILD)/wigeoncart
-	@tests/process/slopes.sh
+	@tools/slopes.sh
 
 prove: $(BUILD)/wigeoncart
 	@tests/process/prove.sh
--- a/src/cli/speed.c
+++ b/src/cli/speed.c
@@ -262,6 +262,6 @@
 {
   fputs ("Usage: wigeoncart speed run|bare|memory [OPTION...]\n\n"
          "run measures an instance beside a bare relay, bare is that relay, and memory measures state.\n"
-         "Each part has --help. tests/process/speed.sh starts everything that is needed.\n",
+         "Each part has --help. tools/speed.sh starts everything that is needed.\n",
          stream);
 }
--- a/tests/fake_fleet.h
+++ b/src/emulator/fake_fleet.c
@@ -1,100 +1,15 @@
-#ifndef FAKE_FLEET_H
-#define FAKE_FLEET_H
+#include "emulator/fake_fleet.h"
 
-/* A simulated network and a fleet of one process for tests of the caller's library. Included by one test program. */
-
-#include <glib.h>
-#include <stdbool.h>
-#include <stdint.h>
 #include <stdio.h>
 #include <string.h>
 
 #include <wigeoncart/answer_store.h>
-#include <wigeoncart/client.h>
-#include <wigeoncart/node.h>
-
-#include "wigeoncart.pb-c.h"
-
-/* A datagram on its way; direction is known by to_client. */
-typedef struct
-{
-  uint64_t due_us;
-  uint64_t serial;
-  bool     to_client;
-  size_t   size_bytes;
-  uint8_t  data[WC_DATAGRAM_MAX_BYTES];
-} FakeDatagram;
-
-typedef struct
-{
-  Wc__InstancePacket__Result result;
-  uint32_t                   runs;
-} FakeOrder;
-
-typedef struct
-{
-  WcClient *client;
-  GRand    *random;
-  GTree    *network;
-  uint64_t  now_us;
-  uint64_t  serial;
-
-  /* Network faults. */
-  double   loss;
-  double   duplicate;
-  uint64_t delay_us;
-  uint64_t jitter_us;
-
-  /* Behaviour of the fleet. */
-  uint32_t                   answer_bytes;
-  bool                       holder_is_lost;
-  bool                       answer_is_gone;
-  bool                       drops_orders;
-  bool                       drops_tickets;
-  bool                       drops_opens;
-  Wc__InstancePacket__Result order_result;
-  Wc__InstancePacket__Result request_result;
-  uint64_t                   order_run_us;
-  uint32_t                   token_number;
-  uint32_t                   valid_token;
-  bool                       refresh_tokens;
-  uint64_t                   last_event;
-  uint64_t                   lost_answer;
-
-  /* Observations. */
-  GHashTable *orders;
-  GHashTable *request_runs;
-  uint32_t    opens;
-  uint32_t    requests;
-  uint32_t    rerouted;
-  uint32_t    order_packets;
-  uint32_t    fetches;
-  uint32_t    releases;
-  uint32_t    max_fetch_parts;
-  uint32_t    max_attempt;
-  size_t      max_datagram_bytes;
-  uint32_t    last_token;
-  uint64_t    last_answer;
-
-  /* Results. */
-  uint32_t       finished;
-  WcClientResult result;
-  uint32_t       http_status;
-  uint64_t       result_request_id;
-  GByteArray    *answer;
-  char           reason[128];
-  uint64_t       events_cursor;
-  uint32_t       event_gaps;
-  uint32_t       event_repeats;
-  uint32_t       events_seen;
-  uint32_t       empty_polls;
-} FakeFleet;
 
 static int
 fake_compare (const void *a, const void *b, void *unused)
 {
-  const FakeDatagram *x = a;
-  const FakeDatagram *y = b;
+  const WcFakeDatagram *x = a;
+  const WcFakeDatagram *y = b;
 
   (void)unused;
   if (x->due_us != y->due_us)
@@ -103,7 +18,7 @@
 }
 
 static void
-fake_transmit_at (FakeFleet *fleet, uint64_t due_us, bool to_client, const uint8_t *data, size_t size_bytes)
+fake_transmit_at (WcFakeFleet *fleet, uint64_t due_us, bool to_client, const uint8_t *data, size_t size_bytes)
 {
   int copies = 1;
 
@@ -113,7 +28,7 @@
     copies = 2;
   for (int i = 0; i < copies; i++)
     {
-      FakeDatagram *datagram = g_new0 (FakeDatagram, 1);
+      WcFakeDatagram *datagram = g_new0 (WcFakeDatagram, 1);
 
       datagram->due_us = due_us + fleet->delay_us;
       if (fleet->jitter_us > 0)
@@ -127,7 +42,7 @@
 }
 
 static void
-fake_reply_at (FakeFleet *fleet, uint64_t due_us, const Wc__InstancePacket *packet)
+fake_reply_at (WcFakeFleet *fleet, uint64_t due_us, const Wc__InstancePacket *packet)
 {
   uint8_t data[WC_DATAGRAM_MAX_BYTES];
   size_t  size_bytes = wc__instance_packet__get_packed_size (packet);
@@ -144,7 +59,7 @@
 }
 
 static void
-fake_send_parts (FakeFleet *fleet, uint64_t due_us, uint64_t request_id, uint64_t answer, uint32_t first,
+fake_send_parts (WcFakeFleet *fleet, uint64_t due_us, uint64_t request_id, uint64_t answer, uint32_t first,
                  uint32_t count)
 {
   uint32_t part_count = MAX (1, (fleet->answer_bytes + WC_ANSWER_PART_BYTES - 1) / WC_ANSWER_PART_BYTES);
@@ -176,7 +91,7 @@
 }
 
 static void
-fake_reply_result (FakeFleet *fleet, uint64_t due_us, uint64_t request_id, Wc__InstancePacket__Result result)
+fake_reply_result (WcFakeFleet *fleet, uint64_t due_us, uint64_t request_id, Wc__InstancePacket__Result result)
 {
   Wc__InstancePacket packet = WC__INSTANCE_PACKET__INIT;
 
@@ -188,12 +103,12 @@
 }
 
 static void
-fake_order (FakeFleet *fleet, const Wc__CallerPacket *packet)
+fake_order (WcFakeFleet *fleet, const Wc__CallerPacket *packet)
 {
-  FakeOrder *order;
-  uint64_t   ticket;
+  WcFakeOrder *order;
+  uint64_t     ticket;
 
-  g_assert_cmpuint (packet->ticket.len, ==, sizeof ticket);
+  g_assert (packet->ticket.len == sizeof ticket);
   memcpy (&ticket, packet->ticket.data, sizeof ticket);
   fleet->order_packets++;
   if (fleet->drops_orders)
@@ -201,7 +116,7 @@
   order = g_hash_table_lookup (fleet->orders, &ticket);
   if (!order)
     {
-      order = g_new0 (FakeOrder, 1);
+      order = g_new0 (WcFakeOrder, 1);
       order->result = fleet->order_result;
       order->runs = order->result == WC__INSTANCE_PACKET__RESULT__DONE ? 1 : 0;
       g_hash_table_insert (fleet->orders, g_memdup2 (&ticket, sizeof ticket), order);
@@ -213,7 +128,7 @@
 }
 
 static void
-fake_poll (FakeFleet *fleet, const Wc__CallerPacket *packet)
+fake_poll (WcFakeFleet *fleet, const Wc__CallerPacket *packet)
 {
   Wc__InstancePacket reply = WC__INSTANCE_PACKET__INIT;
   uint64_t           cursor = MIN (fleet->last_event, packet->cursor + 20);
@@ -238,7 +153,7 @@
 }
 
 static void
-fake_reply_with_token (FakeFleet *fleet, const Wc__CallerPacket *packet, Wc__InstancePacket__Kind kind)
+fake_reply_with_token (WcFakeFleet *fleet, const Wc__CallerPacket *packet, Wc__InstancePacket__Kind kind)
 {
   Wc__InstancePacket reply = WC__INSTANCE_PACKET__INIT;
   uint64_t           ticket = (uint64_t)g_rand_int (fleet->random) + 1;
@@ -260,7 +175,7 @@
 }
 
 static void
-fake_request (FakeFleet *fleet, const Wc__CallerPacket *packet)
+fake_request (WcFakeFleet *fleet, const Wc__CallerPacket *packet)
 {
   uint64_t *answer;
 
@@ -298,7 +213,7 @@
 
 /* The fleet receives a datagram. */
 static void
-fake_receive (FakeFleet *fleet, const uint8_t *data, size_t size_bytes)
+fake_receive (WcFakeFleet *fleet, const uint8_t *data, size_t size_bytes)
 {
   Wc__CallerPacket *packet = wc__caller_packet__unpack (NULL, size_bytes, data);
   uint32_t          token = 0;
@@ -343,7 +258,7 @@
 static void
 fake_send (void *user_data, const uint8_t *data, size_t size_bytes)
 {
-  FakeFleet *fleet = user_data;
+  WcFakeFleet *fleet = user_data;
 
   fake_transmit_at (fleet, fleet->now_us, false, data, size_bytes);
 }
@@ -351,7 +266,7 @@
 static void
 fake_finished (void *user_data, uint64_t call, const WcClientAnswer *answer)
 {
-  FakeFleet *fleet = user_data;
+  WcFakeFleet *fleet = user_data;
 
   (void)call;
   fleet->finished++;
@@ -367,9 +282,9 @@
 static void
 fake_events (void *user_data, uint64_t call, uint64_t cursor, const uint8_t *data, size_t size_bytes)
 {
-  FakeFleet *fleet = user_data;
-  char      *text = g_strndup (data ? (const char *)data : "", size_bytes);
-  char     **lines = g_strsplit (text, "\n", -1);
+  WcFakeFleet *fleet = user_data;
+  char        *text = g_strndup (data ? (const char *)data : "", size_bytes);
+  char       **lines = g_strsplit (text, "\n", -1);
 
   (void)call;
   if (size_bytes == 0)
@@ -392,11 +307,11 @@
   g_free (text);
 }
 
-static FakeFleet *
-fake_fleet_new (uint32_t seed, const WcClientConfig *config)
+WcFakeFleet *
+wc_fake_fleet_new (uint32_t seed, const WcClientConfig *config)
 {
-  static const WcClientOps OPS = { .send = fake_send, .finished = fake_finished, .events = fake_events };
-  FakeFleet               *fleet = g_new0 (FakeFleet, 1);
+  static const WcClientOps ops = { .send = fake_send, .finished = fake_finished, .events = fake_events };
+  WcFakeFleet             *fleet = g_new0 (WcFakeFleet, 1);
   WcClientConfig           defaults;
   uint32_t                 seeds[WC_CLIENT_SEED_WORDS] = { seed, 2, 3, 4 };
 
@@ -411,12 +326,12 @@
   fleet->order_result = WC__INSTANCE_PACKET__RESULT__DONE;
   fleet->request_result = WC__INSTANCE_PACKET__RESULT__DONE;
   fleet->answer_bytes = 100;
-  fleet->client = wc_client_new (config ? config : &defaults, seeds, &OPS, fleet);
+  fleet->client = wc_client_new (config ? config : &defaults, seeds, &ops, fleet);
   return fleet;
 }
 
-static void
-fake_fleet_delete (FakeFleet *fleet)
+void
+wc_fake_fleet_delete (WcFakeFleet *fleet)
 {
   wc_client_delete (fleet->client);
   g_hash_table_destroy (fleet->orders);
@@ -428,14 +343,14 @@
 }
 
 /* Runs the network and the client until the virtual time @until_us or until @finished calls have ended. */
-static void
-fake_run (FakeFleet *fleet, uint64_t until_us, uint32_t finished)
+void
+wc_fake_fleet_run (WcFakeFleet *fleet, uint64_t until_us, uint32_t finished)
 {
   while (fleet->finished < finished)
     {
-      GTreeNode    *node = g_tree_node_first (fleet->network);
-      FakeDatagram *datagram = node ? g_tree_node_key (node) : NULL;
-      uint64_t      due_us = wc_client_get_due_us (fleet->client);
+      GTreeNode      *node = g_tree_node_first (fleet->network);
+      WcFakeDatagram *datagram = node ? g_tree_node_key (node) : NULL;
+      uint64_t        due_us = wc_client_get_due_us (fleet->client);
 
       if (datagram && datagram->due_us <= due_us && datagram->due_us <= until_us)
         {
@@ -460,8 +375,8 @@
 }
 
 /* Gives a datagram to the client now. */
-static void
-fake_inject (FakeFleet *fleet, const Wc__InstancePacket *packet)
+void
+wc_fake_fleet_inject (WcFakeFleet *fleet, const Wc__InstancePacket *packet)
 {
   uint8_t data[WC_DATAGRAM_MAX_BYTES];
   size_t  size_bytes = wc__instance_packet__get_packed_size (packet);
@@ -471,8 +386,8 @@
   wc_client_receive (fleet->client, fleet->now_us, data, size_bytes);
 }
 
-static bool
-fake_answer_is_whole (const FakeFleet *fleet)
+bool
+wc_fake_fleet_answer_is_whole (const WcFakeFleet *fleet)
 {
   if (fleet->answer->len != fleet->answer_bytes)
     return false;
@@ -481,5 +396,3 @@
       return false;
   return true;
 }
-
-#endif
--- a/tests/process/prove.sh
+++ b/tests/process/prove.sh
@@ -4,7 +4,7 @@
 # fabric that loses, doubles and reorders packets. Ends with one line of JSON; the exit status is 1 when a promise broke.
 set -u
 cd "$(dirname "$0")/../.."
-. tests/process/lab.sh
+. tools/lab.sh
 trap lab_stop_all EXIT
 
 directory=${PROVE_DIRECTORY:-build/prove}
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -1,7 +1,7 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "fake_fleet.h"
+#include "emulator/fake_fleet.h"
 
 #include "test_main.h"
 
@@ -11,7 +11,7 @@
 };
 
 static uint64_t
-start (FakeFleet *fleet, bool is_order, uint64_t deadline_us)
+start (WcFakeFleet *fleet, bool is_order, uint64_t deadline_us)
 {
   WcClientRequest request = { .method = "GET", .path = "/x", .deadline_us = deadline_us };
   uint64_t        flow = wc_client_open (fleet->client, fleet->now_us, "order-desk", "dealer-7");
@@ -24,7 +24,7 @@
 }
 
 static uint32_t
-count_order_runs (FakeFleet *fleet)
+count_order_runs (WcFakeFleet *fleet)
 {
   GHashTableIter iter;
   void          *value;
@@ -32,7 +32,7 @@
 
   g_hash_table_iter_init (&iter, fleet->orders);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    runs += ((FakeOrder *)value)->runs;
+    runs += ((WcFakeOrder *)value)->runs;
   return runs;
 }
 
@@ -43,21 +43,21 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (SIZES); i++)
     {
-      FakeFleet *fleet = fake_fleet_new ((uint32_t)_i * 10 + (uint32_t)i, NULL);
+      WcFakeFleet *fleet = wc_fake_fleet_new ((uint32_t)_i * 10 + (uint32_t)i, NULL);
 
       fleet->loss = 0.1;
       fleet->duplicate = 0.2;
       fleet->jitter_us = 30000;
       fleet->answer_bytes = SIZES[i];
       start (fleet, false, fleet->now_us + 60 * (uint64_t)SECOND_US);
-      fake_run (fleet, UINT64_MAX - 1, 1);
+      wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
       ck_assert_uint_eq (fleet->finished, 1);
       ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
       ck_assert_uint_eq (fleet->http_status, 200);
-      ck_assert (fake_answer_is_whole (fleet));
+      ck_assert (wc_fake_fleet_answer_is_whole (fleet));
       ck_assert_uint_le (fleet->max_datagram_bytes, WC_DATAGRAM_MAX_BYTES);
       ck_assert_uint_le (fleet->max_fetch_parts, 64);
-      fake_fleet_delete (fleet);
+      wc_fake_fleet_delete (fleet);
     }
 }
 END_TEST
@@ -65,120 +65,120 @@
 /* Guards against a long answer that is never released, which would fill the holder's memory. */
 START_TEST (test_releases_long_answer)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
 
   fleet->answer_bytes = 150000;
   start (fleet, false, fleet->now_us + 10 * (uint64_t)SECOND_US);
-  fake_run (fleet, UINT64_MAX - 1, 1);
-  fake_run (fleet, fleet->now_us + SECOND_US, 2);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 2);
   ck_assert_uint_eq (fleet->releases, 1);
   ck_assert_uint_eq (fleet->requests, 1);
   ck_assert_uint_eq (wc_client_get_call_count (fleet->client), 0);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against unbounded memory for an answer that exceeds the caller's limit. */
 START_TEST (test_answer_over_limit)
 {
-  FakeFleet     *fleet;
+  WcFakeFleet   *fleet;
   WcClientConfig config;
 
   wc_client_config_init (&config);
   config.answer_max_bytes = 5000;
-  fleet = fake_fleet_new (1, &config);
+  fleet = wc_fake_fleet_new (1, &config);
   fleet->answer_bytes = 5001;
   start (fleet, false, fleet->now_us + SECOND_US);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE_INCOMPLETE);
-  fake_run (fleet, fleet->now_us + SECOND_US, 2);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 2);
   ck_assert_uint_ge (fleet->releases, 1);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against a download that ends when the holder of its answer stops answering. */
 START_TEST (test_lost_holder_runs_again)
 {
-  FakeFleet *fleet = fake_fleet_new ((uint32_t)_i, NULL);
-  uint64_t   call;
-  uint64_t   first_id;
+  WcFakeFleet *fleet = wc_fake_fleet_new ((uint32_t)_i, NULL);
+  uint64_t     call;
+  uint64_t     first_id;
 
   fleet->answer_bytes = 100000;
   fleet->lost_answer = 1;
   call = start (fleet, false, fleet->now_us + 20 * (uint64_t)SECOND_US);
   first_id = wc_client_get_request_id (fleet->client, call);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
-  ck_assert (fake_answer_is_whole (fleet));
+  ck_assert (wc_fake_fleet_answer_is_whole (fleet));
   ck_assert_uint_ne (fleet->result_request_id, first_id);
   ck_assert_uint_eq (g_hash_table_size (fleet->request_runs), 2);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against an order that runs again, or is called unknown, when only its answer was lost. */
 START_TEST (test_lost_holder_of_order)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
 
   fleet->answer_bytes = 100000;
   fleet->holder_is_lost = true;
   start (fleet, true, fleet->now_us + 4 * (uint64_t)SECOND_US);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE_INCOMPLETE);
   ck_assert_uint_eq (fleet->http_status, 200);
   ck_assert_uint_eq (g_hash_table_size (fleet->orders), 1);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against orders that run twice, under two tickets, when tickets and orders are resent. */
 START_TEST (test_order_runs_once)
 {
-  FakeFleet *fleet = fake_fleet_new ((uint32_t)_i, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new ((uint32_t)_i, NULL);
 
   fleet->loss = 0.3;
   fleet->duplicate = 0.3;
   fleet->jitter_us = 200000;
   fleet->order_run_us = 400000;
   start (fleet, true, fleet->now_us + 60 * (uint64_t)SECOND_US);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
-  fake_run (fleet, fleet->now_us + 5 * (uint64_t)SECOND_US, 2);
+  wc_fake_fleet_run (fleet, fleet->now_us + 5 * (uint64_t)SECOND_US, 2);
   ck_assert_uint_eq (fleet->finished, 1);
   ck_assert_uint_eq (count_order_runs (fleet), 1);
   ck_assert_uint_eq (g_hash_table_size (fleet->orders), 1);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against "not run" for an order that may have reached the fleet. */
 START_TEST (test_silent_order_is_unknown)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
 
   fleet->drops_orders = true;
   start (fleet, true, fleet->now_us + 3 * (uint64_t)SECOND_US);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_UNKNOWN);
   ck_assert_uint_gt (fleet->order_packets, 1);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against "unknown" where the caller knows that nothing was sent. */
 START_TEST (test_unsent_order_did_not_run)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
 
   fleet->drops_tickets = _i == 0;
   fleet->drops_opens = _i == 1;
   start (fleet, true, fleet->now_us + 3 * (uint64_t)SECOND_US);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_NOT_RUN);
   ck_assert_uint_eq (fleet->order_packets, 0);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
@@ -196,72 +196,72 @@
     { WC__INSTANCE_PACKET__RESULT__BUSY, WC_CLIENT_UNKNOWN },
     { WC__INSTANCE_PACKET__RESULT__INVALID, WC_CLIENT_UNKNOWN },
   };
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
 
   fleet->order_result = CASES[_i].told;
   start (fleet, true, fleet->now_us + 5 * (uint64_t)SECOND_US);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, CASES[_i].expected);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against an answer that is not held any more (no parts) being taken for an empty one (one part). */
 START_TEST (test_order_without_held_answer)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
 
   fleet->answer_is_gone = true;
   start (fleet, true, fleet->now_us + 5 * (uint64_t)SECOND_US);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE_INCOMPLETE);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against an endless loop of refused requests, and against a refusal that ends a request too early. */
 START_TEST (test_busy_request)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
 
   fleet->request_result = WC__INSTANCE_PACKET__RESULT__BUSY;
   start (fleet, false, fleet->now_us + 60 * (uint64_t)SECOND_US);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_BUSY);
   ck_assert_uint_eq (fleet->requests, 4);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against a refused request that stays refused after the fleet has recovered. */
 START_TEST (test_busy_request_recovers)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
 
   fleet->request_result = WC__INSTANCE_PACKET__RESULT__BUSY;
   start (fleet, false, fleet->now_us + 60 * (uint64_t)SECOND_US);
-  fake_run (fleet, fleet->now_us + 50000, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + 50000, 1);
   fleet->request_result = WC__INSTANCE_PACKET__RESULT__DONE;
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against a request without an answer that never ends, and against resends without a growing attempt number. */
 START_TEST (test_request_times_out)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
 
   start (fleet, false, fleet->now_us + 3 * (uint64_t)SECOND_US);
-  fake_run (fleet, fleet->now_us + 5000, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + 5000, 1);
   fleet->loss = 0;
   fleet->request_result = WC__INSTANCE_PACKET__RESULT__NO_RESULT;
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_TIMED_OUT);
   ck_assert_uint_ge (fleet->max_attempt, 3);
   ck_assert_uint_eq (wc_client_get_due_us (fleet->client), UINT64_MAX);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
@@ -271,19 +271,19 @@
 {
   WcClientRequest request = { .method = "GET", .path = "/x" };
   WcClientConfig  config;
-  FakeFleet      *fleet;
+  WcFakeFleet    *fleet;
   uint64_t        flow;
 
   wc_client_config_init (&config);
   config.reroute_budget = 5;
   config.reroute_percent = 20;
-  fleet = fake_fleet_new (1, &config);
+  fleet = wc_fake_fleet_new (1, &config);
   flow = wc_client_open (fleet->client, fleet->now_us, "catalogue", "dealer-7");
   fleet->request_result = WC__INSTANCE_PACKET__RESULT__NO_RESULT;
   request.deadline_us = fleet->now_us + 10 * (uint64_t)SECOND_US;
   for (int i = 0; i < 50; i++)
     wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
-  fake_run (fleet, UINT64_MAX - 1, 50);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 50);
   ck_assert_uint_gt (fleet->requests, 300);
   ck_assert_uint_eq (fleet->rerouted, 5);
 
@@ -291,14 +291,14 @@
   request.deadline_us = fleet->now_us + SECOND_US;
   for (int i = 0; i < 10; i++)
     wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
-  fake_run (fleet, UINT64_MAX - 1, 60);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 60);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
   fleet->request_result = WC__INSTANCE_PACKET__RESULT__NO_RESULT;
   request.deadline_us = fleet->now_us + 10 * (uint64_t)SECOND_US;
   wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
-  fake_run (fleet, UINT64_MAX - 1, 61);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 61);
   ck_assert_uint_eq (fleet->rerouted, 7);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
@@ -306,7 +306,7 @@
 START_TEST (test_takes_over_token)
 {
   WcClientRequest request = { .method = "GET", .path = "/x" };
-  FakeFleet      *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet    *fleet = wc_fake_fleet_new (1, NULL);
   uint64_t        flow = wc_client_open (fleet->client, fleet->now_us, "catalogue", "dealer-7");
 
   fleet->refresh_tokens = true;
@@ -314,11 +314,11 @@
     {
       request.deadline_us = fleet->now_us + SECOND_US;
       ck_assert_uint_ne (wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL), 0);
-      fake_run (fleet, UINT64_MAX - 1, i);
+      wc_fake_fleet_run (fleet, UINT64_MAX - 1, i);
       ck_assert_uint_eq (fleet->last_token, i);
     }
   ck_assert_uint_eq (fleet->opens, 1);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
@@ -326,10 +326,10 @@
 START_TEST (test_waits_while_flow_is_opened_again)
 {
   WcClientRequest request = { .method = "GET", .path = "/x" };
-  FakeFleet      *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet    *fleet = wc_fake_fleet_new (1, NULL);
   uint64_t        flow = wc_client_open (fleet->client, fleet->now_us, "order-desk", "dealer-7");
 
-  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 1);
   request.deadline_us = fleet->now_us + 10 * (uint64_t)SECOND_US;
   fleet->loss = 1;
   wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
@@ -337,14 +337,14 @@
   fleet->drops_opens = true;
   fleet->valid_token = fleet->token_number + 1;
   wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
-  fake_run (fleet, fleet->now_us + 3 * (uint64_t)SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + 3 * (uint64_t)SECOND_US, 1);
   ck_assert_uint_eq (fleet->finished, 0);
   fleet->drops_opens = false;
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
-  fake_run (fleet, UINT64_MAX - 1, 2);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 2);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
@@ -352,30 +352,30 @@
 START_TEST (test_reopens_on_expired_token)
 {
   WcClientRequest request = { .method = "POST", .path = "/orders" };
-  FakeFleet      *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet    *fleet = wc_fake_fleet_new (1, NULL);
   uint64_t        flow = wc_client_open (fleet->client, fleet->now_us, "order-desk", "dealer-7");
 
-  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 1);
   fleet->valid_token = 2;
   request.deadline_us = fleet->now_us + 10 * (uint64_t)SECOND_US;
   wc_client_request (fleet->client, fleet->now_us, flow, &request, NULL);
   wc_client_order (fleet->client, fleet->now_us, flow, &request, NULL);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
-  fake_run (fleet, UINT64_MAX - 1, 2);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 2);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
   ck_assert_uint_eq (fleet->opens, 2);
   ck_assert_uint_eq (count_order_runs (fleet), 1);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against a stream that loses, repeats or reorders events, or that ends when nothing happens for a while. */
 START_TEST (test_stream_resumes)
 {
-  FakeFleet *fleet = fake_fleet_new ((uint32_t)_i, NULL);
-  uint64_t   flow = wc_client_open (fleet->client, fleet->now_us, "dispatch", "crew-1");
-  uint64_t   call;
+  WcFakeFleet *fleet = wc_fake_fleet_new ((uint32_t)_i, NULL);
+  uint64_t     flow = wc_client_open (fleet->client, fleet->now_us, "dispatch", "crew-1");
+  uint64_t     call;
 
   fleet->loss = 0.1;
   fleet->duplicate = 0.2;
@@ -387,9 +387,9 @@
       fleet->last_event += i % 3;
       if (i == 100)
         fleet->valid_token = fleet->token_number + 1;
-      fake_run (fleet, fleet->now_us + 100000, 1);
+      wc_fake_fleet_run (fleet, fleet->now_us + 100000, 1);
     }
-  fake_run (fleet, fleet->now_us + 20 * (uint64_t)SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + 20 * (uint64_t)SECOND_US, 1);
   ck_assert_uint_eq (fleet->finished, 0);
   ck_assert_uint_eq (fleet->events_cursor, fleet->last_event);
   ck_assert_uint_eq (fleet->events_seen, fleet->last_event);
@@ -398,14 +398,14 @@
   ck_assert_uint_gt (fleet->empty_polls, 0);
   wc_client_cancel (fleet->client, fleet->now_us, call);
   ck_assert_uint_eq (wc_client_get_due_us (fleet->client), UINT64_MAX);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against datagrams over the limit: a request that does not fit must be refused with a message. */
 START_TEST (test_request_too_large)
 {
-  FakeFleet      *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet    *fleet = wc_fake_fleet_new (1, NULL);
   uint8_t         body[WC_DATAGRAM_MAX_BYTES] = { 1 };
   WcClientRequest request = { .method = "POST", .path = "/x", .body = body, .deadline_us = UINT64_MAX / 2 };
   WcError         error = { 0 };
@@ -416,31 +416,31 @@
       break;
   ck_assert_int_eq (error.status, WC_STATUS_TOO_LARGE);
   ck_assert_uint_gt (request.body_bytes, 1000);
-  fake_run (fleet, fleet->now_us + SECOND_US / 2, (uint32_t)request.body_bytes);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US / 2, (uint32_t)request.body_bytes);
   ck_assert_uint_eq (fleet->finished, request.body_bytes);
   ck_assert_uint_le (fleet->max_datagram_bytes, WC_DATAGRAM_MAX_BYTES);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against a cancelled order that is called "not run" although it may have run. */
 START_TEST (test_cancel)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
-  uint64_t   unsent;
-  uint64_t   sent;
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
+  uint64_t     unsent;
+  uint64_t     sent;
 
   fleet->drops_orders = true;
   sent = start (fleet, true, fleet->now_us + 30 * (uint64_t)SECOND_US);
-  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 1);
   fleet->drops_tickets = true;
   unsent = start (fleet, true, fleet->now_us + 30 * (uint64_t)SECOND_US);
-  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 1);
   ck_assert_int_eq (wc_client_cancel (fleet->client, fleet->now_us, unsent), WC_CLIENT_NOT_RUN);
   ck_assert_int_eq (wc_client_cancel (fleet->client, fleet->now_us, sent), WC_CLIENT_UNKNOWN);
-  fake_run (fleet, fleet->now_us + 60 * (uint64_t)SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + 60 * (uint64_t)SECOND_US, 1);
   ck_assert_uint_eq (fleet->finished, 0);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
@@ -452,7 +452,7 @@
                                                         WC__INSTANCE_PACKET__RESULT__UNKNOWN,
                                                         WC__INSTANCE_PACKET__RESULT__BUSY,
                                                         WC__INSTANCE_PACKET__RESULT__INVALID };
-  FakeFleet                              *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet                            *fleet = wc_fake_fleet_new (1, NULL);
   Wc__InstancePacket                      packet = WC__INSTANCE_PACKET__INIT;
   Wc__AnswerRef                           other = WC__ANSWER_REF__INIT;
   uint8_t                                 wrong[WC_ANSWER_PART_BYTES] = { 0 };
@@ -461,13 +461,13 @@
   fleet->answer_bytes = 100000;
   fleet->holder_is_lost = true;
   call = start (fleet, _i == 1, fleet->now_us + 60 * (uint64_t)SECOND_US);
-  fake_run (fleet, fleet->now_us + SECOND_US / 10, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US / 10, 1);
   packet.kind = WC__INSTANCE_PACKET__KIND__RESULT;
   packet.request_id = wc_client_get_request_id (fleet->client, call);
   for (size_t i = 0; i < G_N_ELEMENTS (RESULTS); i++)
     {
       packet.result = RESULTS[i];
-      fake_inject (fleet, &packet);
+      wc_fake_fleet_inject (fleet, &packet);
     }
   other.instance = 2;
   other.answer = 77;
@@ -478,27 +478,27 @@
   packet.data.data = wrong;
   packet.data.len = sizeof wrong;
   for (packet.part = 0; packet.part < packet.part_count; packet.part++)
-    fake_inject (fleet, &packet);
+    wc_fake_fleet_inject (fleet, &packet);
   ck_assert_uint_eq (fleet->finished, 0);
   fleet->holder_is_lost = false;
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
-  ck_assert (fake_answer_is_whole (fleet));
+  ck_assert (wc_fake_fleet_answer_is_whole (fleet));
   ck_assert_uint_eq (count_order_runs (fleet), _i == 1 ? 1 : 0);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against events that are delivered again when an instance that is behind answers from an older cursor. */
 START_TEST (test_old_events)
 {
-  FakeFleet         *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet       *fleet = wc_fake_fleet_new (1, NULL);
   Wc__InstancePacket packet = WC__INSTANCE_PACKET__INIT;
   uint64_t           flow = wc_client_open (fleet->client, fleet->now_us, "dispatch", "crew-1");
   uint64_t           call = wc_client_poll (fleet->client, fleet->now_us, flow, 0, NULL);
 
   fleet->last_event = 5;
-  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 1);
   ck_assert_uint_eq (fleet->events_seen, 5);
   packet.kind = WC__INSTANCE_PACKET__KIND__RESULT;
   packet.result = WC__INSTANCE_PACKET__RESULT__DONE;
@@ -509,12 +509,12 @@
   packet.data.len = 4;
   packet.total_bytes = 4;
   packet.cursor = 5;
-  fake_inject (fleet, &packet);
+  wc_fake_fleet_inject (fleet, &packet);
   fleet->last_event = 6;
-  fake_run (fleet, fleet->now_us + 5 * (uint64_t)SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + 5 * (uint64_t)SECOND_US, 1);
   ck_assert_uint_eq (fleet->events_seen, 6);
   ck_assert_uint_eq (fleet->event_repeats, 0);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
@@ -522,22 +522,22 @@
  * against one that never ends. */
 START_TEST (test_invalid_stream)
 {
-  FakeFleet         *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet       *fleet = wc_fake_fleet_new (1, NULL);
   Wc__InstancePacket packet = WC__INSTANCE_PACKET__INIT;
   uint64_t           flow = wc_client_open (fleet->client, fleet->now_us, "dispatch", "crew-1");
   uint64_t           call = wc_client_poll (fleet->client, fleet->now_us, flow, 0, NULL);
 
-  fake_run (fleet, fleet->now_us + SECOND_US / 10, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US / 10, 1);
   packet.kind = WC__INSTANCE_PACKET__KIND__RESULT;
   packet.result = WC__INSTANCE_PACKET__RESULT__INVALID;
   packet.request_id = wc_client_get_request_id (fleet->client, call);
-  fake_inject (fleet, &packet);
+  wc_fake_fleet_inject (fleet, &packet);
   ck_assert_uint_eq (fleet->finished, 0);
   for (int i = 0; i < 10; i++)
-    fake_inject (fleet, &packet);
+    wc_fake_fleet_inject (fleet, &packet);
   ck_assert_uint_eq (fleet->finished, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_INVALID);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
@@ -545,7 +545,7 @@
 START_TEST (test_late_expired_token)
 {
   WcClientRequest    request = { .method = "GET", .path = "/x" };
-  FakeFleet         *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet       *fleet = wc_fake_fleet_new (1, NULL);
   Wc__InstancePacket packet = WC__INSTANCE_PACKET__INIT;
   uint64_t           flow = wc_client_open (fleet->client, fleet->now_us, "catalogue", "dealer-7");
   uint64_t           calls[2];
@@ -554,54 +554,54 @@
   request.deadline_us = fleet->now_us + 30 * (uint64_t)SECOND_US;
   for (int i = 0; i < 2; i++)
     calls[i] = wc_client_order (fleet->client, fleet->now_us, flow, &request, NULL);
-  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 1);
   packet.kind = WC__INSTANCE_PACKET__KIND__RESULT;
   packet.result = WC__INSTANCE_PACKET__RESULT__EXPIRED_TOKEN;
   packet.request_id = wc_client_get_request_id (fleet->client, calls[0]);
-  fake_inject (fleet, &packet);
+  wc_fake_fleet_inject (fleet, &packet);
   /* The new token arrives before the second order is resent. */
-  fake_run (fleet, fleet->now_us + 5000, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + 5000, 1);
   packet.request_id = wc_client_get_request_id (fleet->client, calls[1]);
-  fake_inject (fleet, &packet);
-  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  wc_fake_fleet_inject (fleet, &packet);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 1);
   ck_assert_uint_eq (fleet->opens, 2);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against an order that is sent under a second ticket: the answers to resent TICKETs arrive late. */
 START_TEST (test_second_ticket)
 {
-  FakeFleet         *fleet = fake_fleet_new (1, NULL);
+  WcFakeFleet       *fleet = wc_fake_fleet_new (1, NULL);
   Wc__InstancePacket packet = WC__INSTANCE_PACKET__INIT;
   uint64_t           ticket = 1;
   uint64_t           call;
 
   fleet->order_run_us = 2 * (uint64_t)SECOND_US;
   call = start (fleet, true, fleet->now_us + 30 * (uint64_t)SECOND_US);
-  fake_run (fleet, fleet->now_us + SECOND_US / 2, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US / 2, 1);
   packet.kind = WC__INSTANCE_PACKET__KIND__TICKET_ISSUED;
   packet.request_id = wc_client_get_request_id (fleet->client, call);
   packet.ticket.data = (uint8_t *)&ticket;
   packet.ticket.len = sizeof ticket;
-  fake_inject (fleet, &packet);
-  fake_run (fleet, UINT64_MAX - 1, 1);
+  wc_fake_fleet_inject (fleet, &packet);
+  wc_fake_fleet_run (fleet, UINT64_MAX - 1, 1);
   ck_assert_int_eq (fleet->result, WC_CLIENT_DONE);
   ck_assert_uint_eq (g_hash_table_size (fleet->orders), 1);
   ck_assert_uint_eq (count_order_runs (fleet), 1);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
 /* Guards against a crash or a false result on random bytes from the network. */
 START_TEST (test_random_datagrams)
 {
-  FakeFleet *fleet = fake_fleet_new (1, NULL);
-  uint8_t    data[64];
+  WcFakeFleet *fleet = wc_fake_fleet_new (1, NULL);
+  uint8_t      data[64];
 
   fleet->drops_orders = true;
   start (fleet, true, fleet->now_us + 30 * (uint64_t)SECOND_US);
-  fake_run (fleet, fleet->now_us + SECOND_US, 1);
+  wc_fake_fleet_run (fleet, fleet->now_us + SECOND_US, 1);
   for (int i = 0; i < 20000; i++)
     {
       size_t size = (size_t)g_rand_int_range (fleet->random, 0, sizeof data);
@@ -611,7 +611,7 @@
       wc_client_receive (fleet->client, fleet->now_us, data, size);
     }
   ck_assert_uint_eq (fleet->finished, 0);
-  fake_fleet_delete (fleet);
+  wc_fake_fleet_delete (fleet);
 }
 END_TEST
 
--- a/tests/process/demo.sh
+++ b/tools/demo.sh
@@ -2,8 +2,8 @@
 # Serves the two sample deployments with real processes on loopback and ends with one line of JSON. The exit status is 1
 # when a promise broke.
 set -u
-cd "$(dirname "$0")/../.."
-. tests/process/lab.sh
+cd "$(dirname "$0")/.."
+. tools/lab.sh
 trap lab_stop_all EXIT
 
 directory=${DEMO_DIRECTORY:-build/demo}
--- a/tests/process/slopes.sh
+++ b/tools/slopes.sh
@@ -6,8 +6,8 @@
 # SLOPES_SIZES: instances (8 24 60). SLOPES_HOSTS: hosts of the register (100). SLOPES_EDITS: edits in a run (4), one
 # every SLOPES_EDIT_S seconds (5). SLOPES_IDLE_S: seconds without edits (10).
 set -u
-cd "$(dirname "$0")/../.."
-. tests/process/lab.sh
+cd "$(dirname "$0")/.."
+. tools/lab.sh
 trap lab_stop_all EXIT
 
 sizes=${SLOPES_SIZES:-8 24 60}
--- a/tests/process/speed.sh
+++ b/tools/speed.sh
@@ -6,8 +6,8 @@
 # SPEED_CORES names them. SPEED_BASELINE is a second binary whose instance takes the place of the bare relay, to compare
 # two versions in one run. SPEED_MEMBERS is the number of instances listed in the owner's domain (1). Further arguments go to `wigeoncart speed run`.
 set -u
-cd "$(dirname "$0")/../.."
-. tests/process/lab.sh
+cd "$(dirname "$0")/.."
+. tools/lab.sh
 trap lab_stop_all EXIT
 
 directory=${SPEED_DIRECTORY:-build/speed}
