--- a/src/emulator/fake_fleet.c
+++ b/src/emulator/fake_fleet.c
@@ -302,7 +302,7 @@
         fleet->events_cursor = event;
       }
   if (size_bytes > 0)
-    g_assert_cmpuint (cursor, ==, fleet->events_cursor);
+    g_assert (cursor == fleet->events_cursor);
   g_strfreev (lines);
   g_free (text);
 }
