--- a/src/core/node.c
+++ b/src/core/node.c
@@ -489,29 +489,15 @@
   WcRequest *request;
 
   while ((request = wc_request_table_next_expired (node->requests, now_us)) != NULL)
-    {
-      Wc__InstancePacket__Result result = WC__INSTANCE_PACKET__RESULT__BUSY;
-
-      if (request->kind == WC_REQUEST_ORDER)
-        result = request->state == WC_REQUEST_DISPATCHED && request->sent ? WC__INSTANCE_PACKET__RESULT__UNKNOWN
-                                                                          : WC__INSTANCE_PACKET__RESULT__NOT_RUN;
-      if (request->state == WC_REQUEST_DISPATCHED)
-        {
-          node->ops->cancel (node->user_data, request->handle);
-          if (request->kind == WC_REQUEST_FEED)
-            {
-              wc_node_feed_ended (node, now_us, request);
-              continue;
-            }
-          wc_node_end_attempt (node, now_us, request, WC_OUTCOME_CANCELLED);
-        }
-      else
-        {
-          wc_dispatcher_remove (wc_node_get_service (node, now_us, request->service, request->shard)->dispatcher,
-                                request->handle);
-        }
-      wc_node_finish (node, now_us, request, result, "the deadline has passed");
-    }
+    if (request->kind == WC_REQUEST_FEED)
+      {
+        node->ops->cancel (node->user_data, request->handle);
+        wc_node_feed_ended (node, now_us, request);
+      }
+    else
+      {
+        wc_node_stop_request (node, now_us, request, "the deadline has passed");
+      }
 }
 
 /* Lets waiting callers poll again, which another instance answers. */
--- a/src/core/node_private.h
+++ b/src/core/node_private.h
@@ -105,6 +105,7 @@
 /* node_request.c: idempotent requests, polls, and what all requests have in common. */
 void       wc_node_handle_request (WcNode *node, const WcNodePacket *packet, uint32_t shard);
 void       wc_node_handle_cancel (WcNode *node, const WcNodePacket *packet, uint32_t shard);
+void       wc_node_stop_request (WcNode *node, uint64_t now_us, WcRequest *request, const char *reason);
 WcRequest *wc_node_accept (WcNode *node, const WcNodePacket *packet, WcRequestKind kind, uint32_t shard);
 WcRefusal  wc_node_submit (WcNode *node, uint64_t now_us, WcRequest *request);
 void       wc_node_finish (WcNode *node, uint64_t now_us, WcRequest *request, Wc__InstancePacket__Result result,
--- a/src/core/node_request.c
+++ b/src/core/node_request.c
@@ -31,9 +31,8 @@
 void
 wc_node_handle_cancel (WcNode *node, const WcNodePacket *packet, uint32_t shard)
 {
-  const Wc__CallerPacket    *message = packet->message;
-  Wc__InstancePacket__Result result = WC__INSTANCE_PACKET__RESULT__BUSY;
-  WcRequest                 *request;
+  const Wc__CallerPacket *message = packet->message;
+  WcRequest              *request;
 
   if (message->answer)
     {
@@ -45,21 +44,30 @@
     return;
   if (!request || request->service != message->service)
     return;
+  wc_node_stop_request (node, packet->now_us, request, "cancelled by the caller");
+  wc_node_pump_all (node, packet->now_us);
+}
+
+/* Ends a request that is queued or running. An order of which a byte may have been written has an unknown outcome. */
+void
+wc_node_stop_request (WcNode *node, uint64_t now_us, WcRequest *request, const char *reason)
+{
+  Wc__InstancePacket__Result result = WC__INSTANCE_PACKET__RESULT__BUSY;
+
   if (request->kind == WC_REQUEST_ORDER)
     result = request->state == WC_REQUEST_DISPATCHED && request->sent ? WC__INSTANCE_PACKET__RESULT__UNKNOWN
                                                                       : WC__INSTANCE_PACKET__RESULT__NOT_RUN;
   if (request->state == WC_REQUEST_DISPATCHED)
     {
       node->ops->cancel (node->user_data, request->handle);
-      wc_node_end_attempt (node, packet->now_us, request, WC_OUTCOME_CANCELLED);
+      wc_node_end_attempt (node, now_us, request, WC_OUTCOME_CANCELLED);
     }
   else
     {
-      wc_dispatcher_remove (wc_node_get_service (node, packet->now_us, request->service, request->shard)->dispatcher,
+      wc_dispatcher_remove (wc_node_get_service (node, now_us, request->service, request->shard)->dispatcher,
                             request->handle);
     }
-  wc_node_finish (node, packet->now_us, request, result, "cancelled by the caller");
-  wc_node_pump_all (node, packet->now_us);
+  wc_node_finish (node, now_us, request, result, reason);
 }
 
 WcRequest *
