Use one clock for deadlines in control thread and workers

Cause: workers read CLOCK_BOOTTIME by a function of their own, the control thread CLOCK_MONOTONIC. After a suspension of the machine the two differ for good, so that a view confirmed by the control thread never looked newer than a worker's pause: the worker waited out the 2 s limit and then served without a confirmation, and the control thread did not notice the suspension. No test could fail first: the two clocks agree on a machine that was never suspended. Also removes a field of the node and a look-up in the status that nothing used.

--- a/src/core/node_private.h
+++ b/src/core/node_private.h
@@ -60,7 +60,6 @@
   uint64_t         last_seen_us;
   /* After a pause of the process, nothing is dispatched until a view is newer than this or the limit has passed. */
   uint64_t resumed_us;
-  uint64_t confirm_limit_us;
   /* Reports between owners: when they were last checked, the first service that the budget left out, and the budget. */
   uint64_t       report_check_us;
   uint32_t       report_start;
--- a/src/edge/status_json.c
+++ b/src/edge/status_json.c
@@ -19,14 +19,11 @@
                 WcWorker *const *workers, size_t worker_count)
 {
   struct json_object *status = json_object_new_object ();
-  size_t              count;
   WcMemberTable      *table = wc_control_snapshot_members (control);
-  const WcMember     *members = wc_member_table_get (table, &count);
   const WcMember     *self = wc_member_table_find (table, wc_name_id64 (settings->instance));
   const char         *reason;
   char               *text;
 
-  (void)members;
   add_text (status, "instance", settings->instance);
   add_text (status, "domain", settings->domain);
   if (self)
--- a/src/edge/worker.c
+++ b/src/edge/worker.c
@@ -9,6 +9,7 @@
 
 #include <wigeoncart/name_id.h>
 
+#include "edge/clock.h"
 #include "edge/log.h"
 #include "edge/socket_address.h"
 #include "edge/target_pool.h"
@@ -54,7 +55,6 @@
 };
 
 static gpointer run (gpointer data);
-static uint64_t now_us (void);
 static void     on_caller_io (struct ev_loop *loop, ev_io *io, int events);
 static void     on_peer_io (struct ev_loop *loop, ev_io *io, int events);
 static void     on_tick (struct ev_loop *loop, ev_timer *timer, int events);
@@ -221,16 +221,6 @@
   return NULL;
 }
 
-static uint64_t
-now_us (void)
-{
-  struct timespec time;
-
-  /* CLOCK_BOOTTIME also counts while the machine is suspended, so a ticket cannot outlive its life that way. */
-  clock_gettime (CLOCK_BOOTTIME, &time);
-  return (uint64_t)time.tv_sec * 1000000 + (uint64_t)time.tv_nsec / 1000;
-}
-
 static void
 on_caller_io (struct ev_loop *loop, ev_io *io, int events)
 {
@@ -259,7 +249,7 @@
 on_tick (struct ev_loop *loop, ev_timer *timer, int events)
 {
   WcWorker   *worker = timer->data;
-  uint64_t    now = now_us ();
+  uint64_t    now = wc_clock_monotonic_us ();
   WcNodeStats stats;
 
   (void)loop;
@@ -304,7 +294,7 @@
       if (worker->reg)
         wc_register_unref (worker->reg);
       worker->reg = view->reg ? wc_register_ref (view->reg) : NULL;
-      wc_node_set_view (worker->node, now_us (), view);
+      wc_node_set_view (worker->node, wc_clock_monotonic_us (), view);
       wc_view_unref (view);
     }
   if (atomic_load (&worker->stopping))
@@ -319,7 +309,7 @@
 {
   WcWorker *worker = user_data;
 
-  wc_node_receive (worker->node, now_us (), source, data, size_bytes);
+  wc_node_receive (worker->node, wc_clock_monotonic_us (), source, data, size_bytes);
 }
 
 static void
@@ -328,7 +318,7 @@
   WcWorker *worker = user_data;
 
   (void)source;
-  wc_node_receive_relay (worker->node, now_us (), data, size_bytes);
+  wc_node_receive_relay (worker->node, wc_clock_monotonic_us (), data, size_bytes);
 }
 
 static void
@@ -379,7 +369,7 @@
 {
   WcWorker *worker = user_data;
 
-  return wc_node_attempt_sending (worker->node, now_us (), attempt);
+  return wc_node_attempt_sending (worker->node, wc_clock_monotonic_us (), attempt);
 }
 
 static bool
@@ -387,7 +377,7 @@
 {
   WcWorker *worker = user_data;
 
-  return wc_node_attempt_data (worker->node, now_us (), attempt, data, size_bytes);
+  return wc_node_attempt_data (worker->node, wc_clock_monotonic_us (), attempt, data, size_bytes);
 }
 
 static void
@@ -395,7 +385,7 @@
 {
   WcWorker *worker = user_data;
 
-  wc_node_attempt_done (worker->node, now_us (), attempt, http_status, load_running, cursor);
+  wc_node_attempt_done (worker->node, wc_clock_monotonic_us (), attempt, http_status, load_running, cursor);
 }
 
 static void
@@ -403,7 +393,7 @@
 {
   WcWorker *worker = user_data;
 
-  wc_node_attempt_ended (worker->node, now_us (), attempt, end);
+  wc_node_attempt_ended (worker->node, wc_clock_monotonic_us (), attempt, end);
 }
 
 static void
