--- a/Makefile
+++ b/Makefile
@@ -1,27 +1,27 @@
-# Targets: all, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, mutants, prove, bench,
+# Targets: all, deploy, demo, check, test, format, format-check, lint, sanitize, fuzz, fuzz-smoke, mutants, prove, bench,
 # bench-plot, speed, slopes, slopes-processes, proto, clean.
 
 CC       ?= gcc
 BUILD    ?= build
-PACKAGES  = glib-2.0 json-c libsodium libprotobuf-c libulfius
+PACKAGES  = glib-2.0 json-c libsodium libprotobuf-c
 WARNINGS  = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith
 CFLAGS   ?= -O2 -g
-ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE $(CFLAGS) $(WARNINGS) -Iinclude -Isrc -Iproto $(shell pkg-config --cflags $(PACKAGES))
-LIBS      = $(shell pkg-config --libs $(PACKAGES)) -lev -lhttp_parser -lpthread -lm
+ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE $(CFLAGS) $(WARNINGS) -Iinclude -Isrc -Iplatform -Iproto $(shell pkg-config --cflags $(PACKAGES))
+LIBS      = $(shell pkg-config --libs $(PACKAGES)) -lev -lhttp_parser -lpthread -ldl -lm
 CHECK_LIBS = $(shell pkg-config --libs check)
 
-LIB_SOURCES  = $(wildcard src/core/*.c src/edge/*.c src/client/*.c src/emulator/*.c)
+LIB_SOURCES  = $(wildcard src/core/*.c src/forward/*.c src/edge/*.c src/client/*.c src/emulator/*.c platform/*.c)
 GENERATED    = proto/wigeoncart.pb-c.c
 CLI_SOURCES  = $(wildcard src/cli/*.c)
 TEST_SOURCES = $(wildcard tests/test_*.c)
 SOURCES      = $(LIB_SOURCES) $(CLI_SOURCES) $(TEST_SOURCES) $(wildcard tests/fuzz/*.c)
-HEADERS      = $(wildcard include/wigeoncart/*.h src/*/*.h tests/*.h tests/fuzz/*.h)
+HEADERS      = $(wildcard include/wigeoncart/*.h src/*/*.h platform/*.h tests/*.h tests/fuzz/*.h)
 
 LIB_OBJECTS  = $(patsubst %.c,$(BUILD)/%.o,$(LIB_SOURCES) $(GENERATED))
 CLI_OBJECTS  = $(patsubst %.c,$(BUILD)/%.o,$(CLI_SOURCES))
 TEST_PROGRAMS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SOURCES))
 
-.PHONY: all demo check test format format-check lint sanitize fuzz fuzz-smoke fuzz-programs mutants prove bench \
+.PHONY: all deploy demo check test format format-check lint sanitize fuzz fuzz-smoke fuzz-programs mutants prove bench \
   bench-plot speed slopes slopes-processes proto clean
 .SECONDARY:
 
@@ -45,6 +45,15 @@
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS) $(CHECK_LIBS)
 
+# The binary for the operators' platform. All libraries but libc are linked statically: each shared one costs an instance
+# memory and time at every start.
+DEPLOY_CFLAGS = -O2 -g -ffunction-sections -fdata-sections -fno-pie
+DEPLOY_LIBS   = -Wl,-Bstatic -lev -lhttp_parser -ljson-c -lprotobuf-c -lsodium -lglib-2.0 -lpcre2-8 -Wl,-Bdynamic \
+  -lpthread -ldl -lm
+deploy:
+	@$(MAKE) --no-print-directory BUILD=target CFLAGS="$(DEPLOY_CFLAGS)" \
+	  LIBS="-no-pie -Wl,--gc-sections -Wl,-z,now $(DEPLOY_LIBS)" target/wigeoncart
+
 # The generated code is committed; this target is for changes of the .proto file only.
 proto:
 	cd proto && protoc-c --c_out=. wigeoncart.proto
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -6,12 +6,16 @@
 
 #include "cli/arguments.h"
 #include "edge/control_thread.h"
+#include "edge/data_path.h"
+#include "edge/forward_server.h"
 #include "edge/log.h"
 #include "edge/operator_api.h"
 #include "edge/settings.h"
 #include "edge/worker.h"
 
 static int  run (int argc, char **argv);
+static int  serve_datagrams (const char *path);
+static int  serve_packets (const char *path);
 static int  serve (const WcSettings *settings);
 static void wait_for_stop (WcControlThread *control, const sigset_t *signals);
 
@@ -27,10 +31,8 @@
     { "settings", 's', 0, G_OPTION_ARG_FILENAME, &path, "Settings of the instance", "FILE" },
     G_OPTION_ENTRY_NULL,
   };
-  WcSettings *settings;
-  WcError     error;
-  WcLogLevel  level;
-  int         status;
+  WcError error;
+  int     status;
 
   if (!wc_arguments_parse (&WC_COMMAND_SERVE, NULL, entries, &argc, &argv, &status))
     return status;
@@ -39,7 +41,31 @@
       fprintf (stderr, "wigeoncart serve: --settings is missing\n");
       return WC_EXIT_USAGE;
     }
-  settings = wc_settings_load (path, &error);
+  switch (wc_data_path_load (path, &error))
+    {
+    case WC_DATA_PATH_DATAGRAMS:
+      status = serve_datagrams (path);
+      break;
+    case WC_DATA_PATH_PACKETS:
+      status = serve_packets (path);
+      break;
+    default:
+      fprintf (stderr, "wigeoncart serve: %s\n", error.message);
+      status = WC_EXIT_USAGE;
+    }
+  g_free (path);
+  path = NULL;
+  return status;
+}
+
+static int
+serve_datagrams (const char *path)
+{
+  WcError     error;
+  WcLogLevel  level;
+  WcSettings *settings = wc_settings_load (path, &error);
+  int         status;
+
   if (!settings)
     {
       fprintf (stderr, "wigeoncart serve: %s\n", error.message);
@@ -49,11 +75,31 @@
     wc_log_set_level (level);
   status = serve (settings);
   wc_settings_delete (settings);
-  g_free (path);
-  path = NULL;
   return status;
 }
 
+static int
+serve_packets (const char *path)
+{
+  WcError            error;
+  WcForwardSettings *settings = wc_forward_settings_load (path, &error);
+  WcForwardServer   *server;
+
+  if (!settings)
+    {
+      fprintf (stderr, "wigeoncart serve: %s\n", error.message);
+      return WC_EXIT_USAGE;
+    }
+  server = wc_forward_server_new (settings, path, &error);
+  if (server)
+    wc_forward_server_run (server);
+  else
+    wc_log (WC_LOG_ERROR, "serve", "Start failed: %s.", error.message);
+  wc_forward_server_delete (server);
+  wc_forward_settings_delete (settings);
+  return server ? WC_EXIT_OK : WC_EXIT_ENVIRONMENT;
+}
+
 /* Signals are blocked before any thread starts, so that only the main thread takes them. */
 static int
 serve (const WcSettings *settings)
--- a/src/core/json_doc.c
+++ b/src/core/json_doc.c
@@ -10,8 +10,13 @@
 
 #include "core/json_lines.h"
 
-/* The deepest document is a register: root, hosts, host, targets, target. */
-#define MAX_DEPTH 8
+enum
+{
+  /* The deepest document is a register: root, hosts, host, targets, target. */
+  MAX_DEPTH = 8,
+  /* A settings file has about 2 kB; a larger one is some other file. */
+  MAX_FILE_BYTES = 65536
+};
 
 struct WcJsonDoc
 {
@@ -34,6 +39,7 @@
 /* What a message says of a value of another type. */
 static const char *const EXPECTED[WC_JSON_TYPE_COUNT] = {
   [WC_JSON_UINT] = "must be a whole number without quotes, in the unit of the key's name",
+  [WC_JSON_NUMBER] = "must be a number without quotes, in the unit of the key's name",
   [WC_JSON_BOOL] = "must be true or false",
   [WC_JSON_NAME] = "must be a string",
   [WC_JSON_ADDRESS] = "must be a string with an address and a port",
@@ -46,15 +52,11 @@
 };
 
 static const enum json_type TYPES[WC_JSON_TYPE_COUNT] = {
-  [WC_JSON_UINT] = json_type_int,
-  [WC_JSON_BOOL] = json_type_boolean,
-  [WC_JSON_NAME] = json_type_string,
-  [WC_JSON_ADDRESS] = json_type_string,
-  [WC_JSON_LISTEN_ADDRESS] = json_type_string,
-  [WC_JSON_SECRET] = json_type_string,
-  [WC_JSON_DIGEST] = json_type_string,
-  [WC_JSON_CHOICE] = json_type_string,
-  [WC_JSON_ARRAY] = json_type_array,
+  [WC_JSON_UINT] = json_type_int,       [WC_JSON_NUMBER] = json_type_double,
+  [WC_JSON_BOOL] = json_type_boolean,   [WC_JSON_NAME] = json_type_string,
+  [WC_JSON_ADDRESS] = json_type_string, [WC_JSON_LISTEN_ADDRESS] = json_type_string,
+  [WC_JSON_SECRET] = json_type_string,  [WC_JSON_DIGEST] = json_type_string,
+  [WC_JSON_CHOICE] = json_type_string,  [WC_JSON_ARRAY] = json_type_array,
   [WC_JSON_OBJECT] = json_type_object,
 };
 
@@ -82,6 +84,33 @@
   return doc;
 }
 
+WcJsonDoc *
+wc_json_doc_load (const char *path, WcError *error)
+{
+  WcJsonDoc *doc;
+  GError    *failure = NULL;
+  char      *text;
+  gsize      size_bytes;
+
+  assert (path != NULL);
+
+  if (!g_file_get_contents (path, &text, &size_bytes, &failure))
+    {
+      wc_error_set (error, WC_STATUS_NOT_FOUND, "%s", failure->message);
+      g_error_free (failure);
+      return NULL;
+    }
+  if (size_bytes > MAX_FILE_BYTES)
+    {
+      wc_error_set (error, WC_STATUS_TOO_LARGE, "%s:1: the file has more than %d bytes", path, MAX_FILE_BYTES);
+      g_free (text);
+      return NULL;
+    }
+  doc = wc_json_doc_new (path, text, size_bytes, error);
+  g_free (text);
+  return doc;
+}
+
 void
 wc_json_doc_delete (WcJsonDoc *doc)
 {
@@ -145,6 +174,12 @@
                              "must be %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT ", is %" G_GINT64_FORMAT, field->min,
                              field->max, number);
       return true;
+    case WC_JSON_NUMBER:
+      if (json_object_get_double (value) < (double)field->min || json_object_get_double (value) > (double)field->max)
+        return wc_json_fail (error, doc->name, wc_json_get_line (value), field->key,
+                             "must be %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT ", is %g", field->min, field->max,
+                             json_object_get_double (value));
+      return true;
     case WC_JSON_ARRAY:
       return check_count (doc, value, field, json_object_array_length (value), error);
     case WC_JSON_OBJECT:
@@ -171,6 +206,14 @@
   return json_object_object_get_ex (object, key, &value) ? (uint64_t)json_object_get_int64 (value) : fallback;
 }
 
+double
+wc_json_get_number (struct json_object *object, const char *key, double fallback)
+{
+  struct json_object *value;
+
+  return json_object_object_get_ex (object, key, &value) ? json_object_get_double (value) : fallback;
+}
+
 bool
 wc_json_get_bool (struct json_object *object, const char *key, bool fallback)
 {
@@ -283,7 +326,8 @@
 static bool
 check_type (const WcJsonDoc *doc, struct json_object *value, const WcJsonField *field, WcError *error)
 {
-  if (!json_object_is_type (value, TYPES[field->type]))
+  if (!json_object_is_type (value, TYPES[field->type]) &&
+      !(field->type == WC_JSON_NUMBER && json_object_is_type (value, json_type_int)))
     return wc_json_fail (error, doc->name, wc_json_get_line (value), field->key, "%s", EXPECTED[field->type]);
   if (TYPES[field->type] == json_type_string &&
       strlen (json_object_get_string (value)) != (size_t)json_object_get_string_len (value))
--- a/src/core/json_doc.h
+++ b/src/core/json_doc.h
@@ -21,6 +21,8 @@
 {
   /* Whole number in a range. */
   WC_JSON_UINT = 0,
+  /* Number with or without a fraction, in a range. */
+  WC_JSON_NUMBER,
   WC_JSON_BOOL,
   /* 1 to WC_JSON_NAME_MAX_BYTES letters, digits, '.', '_' and '-', starting with a letter or digit. */
   WC_JSON_NAME,
@@ -41,7 +43,7 @@
 
 /**
  * struct WcJsonField - a key that an object may have.
- * @min, @max: range of a WC_JSON_UINT; least and largest number of elements of a WC_JSON_ARRAY or WC_JSON_OBJECT.
+ * @min, @max: range of a WC_JSON_UINT or WC_JSON_NUMBER; least and largest number of elements of a WC_JSON_ARRAY or WC_JSON_OBJECT.
  * @choices: strings of a WC_JSON_CHOICE, ended by NULL.
  */
 typedef struct
@@ -66,6 +68,9 @@
  * Return: a new document, or NULL with PARSE or INVALID in @error.
  */
 WcJsonDoc *wc_json_doc_new (const char *name, const char *text, size_t size_bytes, WcError *error);
+
+/** wc_json_doc_load() - like wc_json_doc_new(), from a file of at most 64 kB. */
+WcJsonDoc *wc_json_doc_load (const char *path, WcError *error);
 void       wc_json_doc_delete (WcJsonDoc *doc);
 
 struct json_object *wc_json_doc_get_root (const WcJsonDoc *doc);
@@ -83,6 +88,7 @@
 
 /* Values of checked objects; @fallback when the key is absent. */
 uint64_t    wc_json_get_uint (struct json_object *object, const char *key, uint64_t fallback);
+double      wc_json_get_number (struct json_object *object, const char *key, double fallback);
 bool        wc_json_get_bool (struct json_object *object, const char *key, bool fallback);
 const char *wc_json_get_string (struct json_object *object, const char *key, const char *fallback);
 void        wc_json_get_address (struct json_object *object, const char *key, WcAddress *address);
--- a/src/edge/control_thread.c
+++ b/src/edge/control_thread.c
@@ -706,6 +706,8 @@
       else
         wc_control_list_failed (thread->control, now_us);
       break;
+    case WC_PLATFORM_READ_ITEMS:
+    case WC_PLATFORM_READ_CHANGES:
     case WC_PLATFORM_READ_COUNT:
       break;
     }
--- /dev/null
+++ b/src/edge/forward_server.c
@@ -0,0 +1,353 @@
+#include "edge/forward_server.h"
+
+#include <assert.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "edge/clock.h"
+#include "edge/event_log.h"
+#include "edge/http_server.h"
+#include "edge/socket_address.h"
+#include "edge/store_reader.h"
+#include "edge/store_view.h"
+#include "edge/udp_batch.h"
+#include "forward/forwarder.h"
+#include "packet_wire.h"
+
+enum
+{
+  /* Twice the flows of an instance at the size planned for, 11 million flows on 1,200 instances. */
+  MAX_FLOWS = 16384,
+  FLOW_TEXT_BYTES = 64,
+  /* The fabric asks twice a second and takes an instance out of rotation after two refusals. */
+  STOP_LEAST_US = 1100 * 1000,
+  /* No packet for this long shows that the fabric sends none any more. */
+  STOP_QUIET_US = 250 * 1000,
+  /* Left of the time for a planned stop when forwarding ends. */
+  STOP_RESERVE_US = 700 * 1000,
+  /* A gap between two ticks longer than this means that the machine stood still. */
+  PAUSE_US = 1000 * 1000
+};
+
+static const double TICK_S = 0.1;
+
+struct WcForwardServer
+{
+  const WcForwardSettings *settings;
+  const char              *path;
+  struct ev_loop          *loop;
+  WcEventLog              *log;
+  WcForwarder             *forwarder;
+  WcStoreReplica          *replica;
+  WcStoreReader           *reader;
+  WcUdpBatch              *packets;
+  WcHttpServer            *ready;
+  ev_io                    readable;
+  ev_timer                 tick;
+  ev_signal                signals[3];
+  bool                     is_loaded;
+  uint64_t                 now_us;
+  uint64_t                 last_packet_us;
+  uint64_t                 stop_us;
+  uint64_t                 counters[WC_DECISION_COUNT];
+  uint64_t                 malformed;
+};
+
+static bool open_sockets (WcForwardServer *server, WcError *error);
+static void start_watchers (WcForwardServer *server);
+static void packets_readable (struct ev_loop *loop, ev_io *watcher, int events);
+static void receive_packet (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes);
+static void forward_packet (void *user_data, const WcPacket *packet, const WcHost *host);
+static void reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
+static void log_decision (void *user_data, const WcDecision *decision);
+static void apply_change (void *user_data, const WcStoreChange *change);
+static void store_updated (void *user_data);
+static void answer_ready (void *user_data, WcHttpExchange *exchange);
+static void tick_passed (struct ev_loop *loop, ev_timer *watcher, int events);
+static void signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
+static void stop_when_quiet (WcForwardServer *server);
+static void log_state (WcForwardServer *server, const char *event);
+static void set_address (WcAddress *address, uint32_t ip, uint16_t port);
+
+static const WcForwarderOps FORWARDER_OPS = { forward_packet, reset_flow, log_decision };
+
+WcForwardServer *
+wc_forward_server_new (const WcForwardSettings *settings, const char *path, WcError *error)
+{
+  WcForwardServer          *server = g_new0 (WcForwardServer, 1);
+  const WcForwarderSettings limits = {
+    .domain = g_quark_from_string (settings->domain),
+    .max_flows = MAX_FLOWS,
+    .flow_life_us = (uint64_t)settings->flow_life_ms * 1000,
+  };
+
+  server->settings = settings;
+  server->path = path;
+  server->loop = ev_default_loop (EVFLAG_AUTO);
+  server->log = wc_event_log_new (server->loop, STDOUT_FILENO, settings->instance);
+  server->forwarder = wc_forwarder_new (&limits, &FORWARDER_OPS, server);
+  server->replica = wc_store_replica_new (limits.flow_life_us, apply_change, server);
+  if (!open_sockets (server, error))
+    {
+      wc_forward_server_delete (server);
+      return NULL;
+    }
+  start_watchers (server);
+  server->reader =
+      wc_store_reader_new (server->loop, &settings->store, server->replica, server->log, store_updated, server);
+  log_state (server, "started");
+  return server;
+}
+
+void
+wc_forward_server_delete (WcForwardServer *server)
+{
+  if (!server)
+    return;
+  wc_store_reader_delete (server->reader);
+  wc_http_server_delete (server->ready);
+  wc_udp_batch_delete (server->packets);
+  wc_store_replica_delete (server->replica);
+  wc_forwarder_delete (server->forwarder);
+  wc_event_log_delete (server->log);
+  g_free (server);
+}
+
+void
+wc_forward_server_run (WcForwardServer *server)
+{
+  assert (server != NULL);
+
+  ev_run (server->loop, 0);
+  log_state (server, "stopped");
+}
+
+/* local functions */
+
+static bool
+open_sockets (WcForwardServer *server, WcError *error)
+{
+  static const WcHttpServerOps ready_ops = { .request = answer_ready };
+  int                          fd = wc_socket_open_udp (&server->settings->packets, false, error);
+
+  if (fd < 0)
+    return false;
+  server->packets = wc_udp_batch_new (fd);
+  server->ready = wc_http_server_new (server->loop, &server->settings->ready, &ready_ops, server, error);
+  return server->ready != NULL;
+}
+
+/* Packets are read only when the view is loaded; until then the kernel keeps them. */
+static void
+start_watchers (WcForwardServer *server)
+{
+  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+
+  ev_io_init (&server->readable, packets_readable, wc_udp_batch_get_fd (server->packets), EV_READ);
+  server->readable.data = server;
+  ev_timer_init (&server->tick, tick_passed, TICK_S, TICK_S);
+  server->tick.data = server;
+  ev_timer_start (server->loop, &server->tick);
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      ev_signal_init (&server->signals[i], signal_received, numbers[i]);
+      server->signals[i].data = server;
+      ev_signal_start (server->loop, &server->signals[i]);
+    }
+  signal (SIGPIPE, SIG_IGN);
+}
+
+static void
+packets_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  WcForwardServer *server = watcher->data;
+
+  (void)loop;
+  (void)events;
+  server->now_us = wc_clock_monotonic_us ();
+  server->last_packet_us = server->now_us;
+  wc_udp_batch_receive (server->packets, receive_packet, server);
+  wc_udp_batch_flush (server->packets);
+}
+
+static void
+receive_packet (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes)
+{
+  WcForwardServer *server = user_data;
+  WcPacket         packet;
+
+  (void)source;
+  if (wc_packet_wire_read (data, size_bytes, &packet))
+    wc_forwarder_receive (server->forwarder, &packet, server->now_us);
+  else
+    server->malformed++;
+}
+
+static void
+forward_packet (void *user_data, const WcPacket *packet, const WcHost *host)
+{
+  WcForwardServer *server = user_data;
+  uint8_t          data[WC_PACKET_WIRE_HOST_BYTES + WC_PACKET_WIRE_MAX_BYTES];
+  size_t           size_bytes = wc_packet_wire_write_forwarded (packet, host->record.id, host->cookie, data);
+
+  wc_udp_batch_send (server->packets, &host->record.address, data, size_bytes);
+}
+
+/* Callers listen on the port number that instances receive packets on. */
+static void
+reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence)
+{
+  WcForwardServer *server = user_data;
+  uint8_t          data[WC_PACKET_WIRE_HEAD_BYTES];
+  WcAddress        caller;
+
+  set_address (&caller, key->caller_ip, server->settings->packets.port);
+  wc_udp_batch_send (server->packets, &caller, data, wc_packet_wire_write_reset (key, sequence, data));
+}
+
+static void
+log_decision (void *user_data, const WcDecision *decision)
+{
+  WcForwardServer *server = user_data;
+  WcEventLine     *line = wc_event_log_begin (server->log, "forward", wc_decision_get_name (decision->kind));
+  uint64_t         view_us = wc_store_replica_get_time_us (server->replica);
+  char             text[FLOW_TEXT_BYTES];
+
+  server->counters[decision->kind]++;
+  if (!line)
+    return;
+  if (decision->key)
+    {
+      const WcFlowKey *key = decision->key;
+
+      g_snprintf (text, sizeof text, "%u.%u.%u.%u:%u>%u.%u.%u.%u:%u", key->caller_ip >> 24, key->caller_ip >> 16 & 255,
+                  key->caller_ip >> 8 & 255, key->caller_ip & 255, key->caller_port, key->route_ip >> 24,
+                  key->route_ip >> 16 & 255, key->route_ip >> 8 & 255, key->route_ip & 255, key->route_port);
+      wc_event_line_add_text (line, "flow", text);
+    }
+  if (decision->host)
+    {
+      const WcHost *host = decision->host;
+
+      wc_event_line_add_hex (line, "host", host->record.id);
+      wc_event_line_add_text (line, "service", g_quark_to_string (host->record.service));
+      wc_event_line_add_text (line, "state", WC_HOST_STATE_STRINGS[host->record.state]);
+      wc_event_line_add_uint (line, "host_revision", host->revision);
+      wc_event_line_add_uint (line, "host_flows", host->flows);
+    }
+  if (decision->evidence_us > 0)
+    wc_event_line_add_uint (line, "evidence_ms", (server->now_us - decision->evidence_us) / 1000);
+  if (decision->count > 0)
+    wc_event_line_add_uint (line, "evidence_count", decision->count);
+  wc_event_line_add_uint (line, "config", decision->version);
+  wc_event_line_add_uint (line, "view_revision", wc_store_replica_get_revision (server->replica));
+  wc_event_line_add_uint (line, "view_age_ms", view_us > 0 ? (wc_clock_monotonic_us () - view_us) / 1000 : 0);
+  wc_event_line_end (line);
+}
+
+static void
+apply_change (void *user_data, const WcStoreChange *change)
+{
+  WcForwardServer *server = user_data;
+
+  server->now_us = wc_clock_monotonic_us ();
+  wc_store_view_apply (server->forwarder, server->log, change, server->now_us);
+}
+
+static void
+store_updated (void *user_data)
+{
+  WcForwardServer *server = user_data;
+
+  if (server->is_loaded || wc_store_replica_get_revision (server->replica) == 0 ||
+      !wc_forwarder_get_routes (server->forwarder))
+    return;
+  server->is_loaded = true;
+  ev_io_start (server->loop, &server->readable);
+  log_state (server, "ready");
+}
+
+static void
+answer_ready (void *user_data, WcHttpExchange *exchange)
+{
+  WcForwardServer *server = user_data;
+  bool             is_ready = server->is_loaded && server->stop_us == 0;
+
+  wc_http_exchange_respond (exchange, is_ready ? 200 : 503, NULL, NULL, 0);
+}
+
+static void
+tick_passed (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  WcForwardServer *server = watcher->data;
+  uint64_t         before_us = server->now_us;
+
+  (void)loop;
+  (void)events;
+  server->now_us = wc_clock_monotonic_us ();
+  if (before_us > 0 && server->now_us - before_us > PAUSE_US)
+    {
+      log_state (server, "paused");
+      wc_store_reader_restart (server->reader);
+    }
+  wc_forwarder_tick (server->forwarder, server->now_us);
+  wc_udp_batch_flush (server->packets);
+  if (server->stop_us > 0)
+    stop_when_quiet (server);
+}
+
+static void
+signal_received (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  WcForwardServer *server = watcher->data;
+
+  (void)events;
+  if (watcher->signum == SIGHUP)
+    {
+      log_state (server, "reload_requested");
+      return;
+    }
+  if (server->stop_us > 0)
+    ev_break (loop, EVBREAK_ALL);
+  server->stop_us = wc_clock_monotonic_us ();
+  log_state (server, "stopping");
+}
+
+/* Forwards until the fabric has taken this instance out of rotation, or the time for the stop is nearly over. */
+static void
+stop_when_quiet (WcForwardServer *server)
+{
+  uint64_t stopping_us = server->now_us - server->stop_us;
+  uint64_t limit_us = (uint64_t)server->settings->stop_limit_ms * 1000;
+
+  if (stopping_us + STOP_RESERVE_US >= limit_us ||
+      (stopping_us >= STOP_LEAST_US && server->now_us - server->last_packet_us >= STOP_QUIET_US))
+    ev_break (server->loop, EVBREAK_ALL);
+}
+
+static void
+log_state (WcForwardServer *server, const char *event)
+{
+  WcEventLine        *line = wc_event_log_begin (server->log, "serve", event);
+  const WcRouteTable *routes = wc_forwarder_get_routes (server->forwarder);
+
+  wc_event_line_add_text (line, "domain", server->settings->domain);
+  wc_event_line_add_uint (line, "config", routes ? wc_route_table_get_version (routes) : 0);
+  wc_event_line_add_uint (line, "view_revision", wc_store_replica_get_revision (server->replica));
+  wc_event_line_add_uint (line, "flows", wc_forwarder_get_flow_count (server->forwarder));
+  wc_event_line_end (line);
+}
+
+static void
+set_address (WcAddress *address, uint32_t ip, uint16_t port)
+{
+  memset (address, 0, sizeof *address);
+  address->family = 4;
+  address->port = port;
+  for (int i = 0; i < 4; i++)
+    address->ip[i] = (uint8_t)(ip >> (24 - 8 * i));
+}
--- a/src/emulator/http_server.c
+++ b/src/edge/http_server.c
@@ -1,4 +1,4 @@
-#include "emulator/http_server.h"
+#include "edge/http_server.h"
 
 #include <assert.h>
 #include <errno.h>
@@ -10,7 +10,8 @@
 #include <strings.h>
 #include <unistd.h>
 
-#include "emulator/emulator_net.h"
+#include "edge/socket.h"
+#include "edge/socket_address.h"
 
 enum
 {
@@ -107,9 +108,15 @@
 
   assert (ops != NULL && ops->request != NULL);
 
-  fd = wc_net_bind (SOCK_STREAM, address, error);
+  fd = wc_socket_listen (address);
   if (fd < 0)
-    return NULL;
+    {
+      char text[WC_ADDRESS_TEXT_BYTES];
+
+      wc_error_set (error, WC_STATUS_INVALID, "cannot listen on %s: %s", wc_address_format (address, text),
+                    g_strerror (errno));
+      return NULL;
+    }
   server = g_new0 (WcHttpServer, 1);
   server->loop = loop;
   server->fd = fd;
@@ -143,9 +150,13 @@
 void
 wc_http_server_get_address (const WcHttpServer *server, WcAddress *address)
 {
+  struct sockaddr_storage storage = { 0 };
+  socklen_t               length = sizeof storage;
+
   assert (server != NULL);
 
-  wc_net_get_local (server->fd, address);
+  getsockname (server->fd, (struct sockaddr *)&storage, &length);
+  (void)wc_socket_address_to (&storage, address);
 }
 
 size_t
--- a/src/emulator/http_server.h
+++ b/src/edge/http_server.h
@@ -1,5 +1,5 @@
-#ifndef WC_EMULATOR_HTTP_SERVER_H
-#define WC_EMULATOR_HTTP_SERVER_H
+#ifndef WC_EDGE_HTTP_SERVER_H
+#define WC_EDGE_HTTP_SERVER_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/edge/operator_api.c
+++ b/src/edge/operator_api.c
@@ -5,11 +5,11 @@
 
 #include <glib.h>
 #include <netinet/in.h>
-#include <ulfius.h>
 
 #include "edge/fault_request.h"
 #include "edge/metrics.h"
 #include "edge/socket_address.h"
+#include "edge/ulfius_library.h"
 
 enum
 {
@@ -19,6 +19,9 @@
   IDLE_LIMIT_S = 10
 };
 
+/* Set by the first wc_operator_api_new(), before any request can come. */
+static const WcUlfius *ulfius;
+
 struct WcOperatorApi
 {
   WcControlThread        *thread;
@@ -46,15 +49,19 @@
 
   assert (thread != NULL);
 
+  ulfius = wc_ulfius_load (error);
+  if (!ulfius)
+    return NULL;
   settings = wc_control_thread_get_settings (thread);
   api = g_new0 (WcOperatorApi, 1);
   api->thread = thread;
   wc_socket_address_from (&settings->operators, &api->address);
   if (settings->operators.family == 6)
-    result = ulfius_init_instance_ipv6 (&api->instance, settings->operators.port, (struct sockaddr_in6 *)&api->address,
-                                        U_USE_IPV6, NULL);
+    result = ulfius->ulfius_init_instance_ipv6 (&api->instance, settings->operators.port,
+                                                (struct sockaddr_in6 *)&api->address, U_USE_IPV6, NULL);
   else
-    result = ulfius_init_instance (&api->instance, settings->operators.port, (struct sockaddr_in *)&api->address, NULL);
+    result = ulfius->ulfius_init_instance (&api->instance, settings->operators.port,
+                                           (struct sockaddr_in *)&api->address, NULL);
   if (result != U_OK)
     {
       wc_error_set (error, WC_STATUS_NO_SPACE, "the operators' port cannot be set up");
@@ -63,19 +70,19 @@
     }
   api->instance.max_post_body_size = BODY_MAX_BYTES;
   api->instance.timeout = IDLE_LIMIT_S;
-  ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/health", 0, get_health, api);
-  ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/ready", 0, get_ready, api);
-  ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/status", 0, get_status, api);
-  ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/metrics", 0, get_metrics, api);
-  ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/events", 0, get_events, api);
+  ulfius->ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/health", 0, get_health, api);
+  ulfius->ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/ready", 0, get_ready, api);
+  ulfius->ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/status", 0, get_status, api);
+  ulfius->ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/metrics", 0, get_metrics, api);
+  ulfius->ulfius_add_endpoint_by_val (&api->instance, "GET", NULL, "/events", 0, get_events, api);
   if (settings->fault_injection)
-    ulfius_add_endpoint_by_val (&api->instance, "POST", NULL, "/faults", 0, post_faults, api);
-  ulfius_set_default_endpoint (&api->instance, not_found, api);
-  if (ulfius_start_framework (&api->instance) != U_OK)
+    ulfius->ulfius_add_endpoint_by_val (&api->instance, "POST", NULL, "/faults", 0, post_faults, api);
+  ulfius->ulfius_set_default_endpoint (&api->instance, not_found, api);
+  if (ulfius->ulfius_start_framework (&api->instance) != U_OK)
     {
       wc_error_set (error, WC_STATUS_INVALID, "operators' address %s cannot be bound",
                     wc_address_format (&settings->operators, text));
-      ulfius_clean_instance (&api->instance);
+      ulfius->ulfius_clean_instance (&api->instance);
       g_free (api);
       return NULL;
     }
@@ -87,8 +94,8 @@
 {
   if (!api)
     return;
-  ulfius_stop_framework (&api->instance);
-  ulfius_clean_instance (&api->instance);
+  ulfius->ulfius_stop_framework (&api->instance);
+  ulfius->ulfius_clean_instance (&api->instance);
   g_free (api);
 }
 
@@ -187,14 +194,14 @@
 static void
 reply (struct _u_response *response, unsigned int status, const char *type, const char *body)
 {
-  ulfius_set_string_body_response (response, status, body ? body : "");
-  u_map_put (response->map_header, "Content-Type", type);
+  ulfius->ulfius_set_string_body_response (response, status, body ? body : "");
+  ulfius->u_map_put (response->map_header, "Content-Type", type);
 }
 
 static uint64_t
 get_number (const struct _u_request *request, const char *key, uint64_t otherwise)
 {
-  const char *text = u_map_get (request->map_url, key);
+  const char *text = ulfius->u_map_get (request->map_url, key);
   guint64     value;
 
   return text && g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT64, &value, NULL) ? value : otherwise;
--- a/src/edge/platform_client.c
+++ b/src/edge/platform_client.c
@@ -30,24 +30,30 @@
   WcPlatformClient *client;
   WcPlatformRead    kind;
   bool              active;
-  char             *path;
-  uint32_t          wait_ms;
-  size_t            tried;
-  size_t            address;
-  int               descriptor;
-  bool              connecting;
-  bool              complete;
-  bool              too_large;
-  char             *request;
-  size_t            request_sent;
-  GByteArray       *body;
-  uint64_t          version;
-  char              field[HEADER_BYTES];
-  char              value[HEADER_BYTES];
-  bool              in_value;
-  http_parser       parser;
-  ev_io             io;
-  ev_timer          timer;
+  /* A request was sent or is being sent. */
+  bool     in_progress;
+  char    *path;
+  uint32_t wait_ms;
+  size_t   tried;
+  size_t   address;
+  int      descriptor;
+  /* The connection served an earlier read; the platform may have closed it since. */
+  bool reused;
+  /* At least one byte of the answer has come. */
+  bool        answered;
+  bool        connecting;
+  bool        complete;
+  bool        too_large;
+  char       *request;
+  size_t      request_sent;
+  GByteArray *body;
+  uint64_t    version;
+  char        field[HEADER_BYTES];
+  char        value[HEADER_BYTES];
+  bool        in_value;
+  http_parser parser;
+  ev_io       io;
+  ev_timer    timer;
 } Read;
 
 struct WcPlatformClient
@@ -65,6 +71,7 @@
 static void start_attempt (Read *read);
 static void attempt_failed (Read *read, const char *reason);
 static void finish (Read *read, WcPlatformResult result);
+static void keep_connection (Read *read);
 static void close_socket (Read *read);
 static void io_ready (struct ev_loop *loop, ev_io *watcher, int events);
 static void timer_passed (struct ev_loop *loop, ev_timer *watcher, int events);
@@ -126,6 +133,7 @@
   for (int i = 0; i < WC_PLATFORM_READ_COUNT; i++)
     {
       wc_platform_client_cancel (client, (WcPlatformRead)i);
+      close_socket (&client->reads[i]);
       g_byte_array_free (client->reads[i].body, TRUE);
       g_free (client->reads[i].path);
       g_free (client->reads[i].request);
@@ -162,7 +170,8 @@
   assert (client != NULL);
 
   read = &client->reads[kind];
-  close_socket (read);
+  if (read->active)
+    close_socket (read);
   ev_timer_stop (client->loop, &read->timer);
   read->active = false;
 }
@@ -198,19 +207,25 @@
       finish (read, WC_PLATFORM_READ_FAILED);
       return;
     }
-  read->address = (client->preferred + read->tried) % client->count;
-  read->tried++;
-  read->descriptor = wc_socket_connect (&client->addresses[read->address]);
+  read->reused = read->descriptor >= 0 && read->address == client->preferred && read->tried == 0;
+  if (!read->reused)
+    {
+      close_socket (read);
+      read->address = (client->preferred + read->tried) % client->count;
+      read->tried++;
+      read->descriptor = wc_socket_connect (&client->addresses[read->address]);
+    }
   if (read->descriptor < 0)
     {
       attempt_failed (read, g_strerror (errno));
       return;
     }
   g_free (read->request);
-  read->request = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", read->path,
+  read->request = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", read->path,
                                    wc_address_format (&client->addresses[read->address], host));
   read->request_sent = 0;
-  read->connecting = true;
+  read->connecting = !read->reused;
+  read->answered = false;
   read->complete = false;
   read->too_large = false;
   read->version = 0;
@@ -220,6 +235,7 @@
   g_byte_array_set_size (read->body, 0);
   http_parser_init (&read->parser, HTTP_RESPONSE);
   read->parser.data = read;
+  read->in_progress = true;
   wait_for (read, EV_WRITE);
   ev_timer_set (&read->timer, ANSWER_LIMIT_S + (double)read->wait_ms / 1000.0, 0.0);
   ev_timer_start (client->loop, &read->timer);
@@ -236,7 +252,7 @@
                   wc_address_format (&client->addresses[read->address], text), reason);
   close_socket (read);
   ev_timer_stop (client->loop, &read->timer);
-  if (read->tried >= client->count)
+  if (!(read->reused && !read->answered) && read->tried >= client->count)
     {
       finish (read, WC_PLATFORM_READ_FAILED);
       return;
@@ -252,7 +268,10 @@
   WcPlatformClient *client = read->client;
   GByteArray       *body = read->body;
 
-  close_socket (read);
+  if (result != WC_PLATFORM_READ_FAILED)
+    keep_connection (read);
+  else
+    close_socket (read);
   ev_timer_stop (client->loop, &read->timer);
   read->active = false;
   if (result != WC_PLATFORM_READ_FAILED)
@@ -263,9 +282,20 @@
   g_byte_array_free (body, TRUE);
 }
 
+static void
+keep_connection (Read *read)
+{
+  read->in_progress = false;
+  if (http_should_keep_alive (&read->parser))
+    ev_io_stop (read->client->loop, &read->io);
+  else
+    close_socket (read);
+}
+
 static void
 close_socket (Read *read)
 {
+  read->in_progress = false;
   ev_io_stop (read->client->loop, &read->io);
   if (read->descriptor >= 0)
     close (read->descriptor);
@@ -279,7 +309,7 @@
 
   (void)loop;
   (void)events;
-  if (read->descriptor >= 0)
+  if (read->in_progress)
     attempt_failed (read, "no answer in time");
   else
     start_attempt (read);
@@ -356,6 +386,7 @@
       attempt_failed (read, g_strerror (errno));
       return;
     }
+  read->answered = read->answered || got > 0;
   /* A size of 0 tells the parser that the connection was closed. */
   parsed = http_parser_execute (&read->parser, &PARSER_SETTINGS, buffer, (size_t)got);
   if (read->too_large)
@@ -364,8 +395,10 @@
     finish (read, WC_PLATFORM_READ_OK);
   else if (read->complete && read->parser.status_code == 304)
     finish (read, WC_PLATFORM_READ_UNCHANGED);
+  else if (read->complete && read->parser.status_code == 410)
+    finish (read, WC_PLATFORM_READ_EXPIRED);
   else if (read->complete)
-    attempt_failed (read, "the answer is neither 200 nor 304");
+    attempt_failed (read, "the answer is neither 200, 304 nor 410");
   else if (parsed != (size_t)got || got == 0)
     attempt_failed (read, "the answer is malformed or incomplete");
 }
--- a/src/edge/platform_client.h
+++ b/src/edge/platform_client.h
@@ -15,6 +15,9 @@
   WC_PLATFORM_READ_HEAD = 0,
   WC_PLATFORM_READ_PART,
   WC_PLATFORM_READ_LIST,
+  /* Items of the platform's store, and what has changed of them. */
+  WC_PLATFORM_READ_ITEMS,
+  WC_PLATFORM_READ_CHANGES,
   WC_PLATFORM_READ_COUNT
 } WcPlatformRead;
 
@@ -24,6 +27,8 @@
   WC_PLATFORM_READ_OK = 0,
   /* The watch ended without a newer version. */
   WC_PLATFORM_READ_UNCHANGED,
+  /* The history that was asked for is no longer kept. */
+  WC_PLATFORM_READ_EXPIRED,
   /* No platform answered with a value. */
   WC_PLATFORM_READ_FAILED
 } WcPlatformResult;
@@ -36,7 +41,7 @@
 typedef void (*WcPlatformCallback) (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
                                     const char *body, size_t size_bytes);
 
-/** struct WcPlatformClient - HTTP reads of the platform on one event loop. */
+/** struct WcPlatformClient - HTTP reads of the platform on one event loop; connections are kept between reads. */
 typedef struct WcPlatformClient WcPlatformClient;
 
 /** wc_platform_client_new() - @addresses are tried in order, beginning with the last one that answered. */
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -8,8 +8,6 @@
 
 enum
 {
-  /* A settings file has about 2 kB; a larger one is some other file. */
-  MAX_FILE_BYTES = 65536,
   MAX_PLATFORMS = 16,
   MAX_WORKERS = 64
 };
@@ -29,9 +27,11 @@
 static uint32_t line_of (struct json_object *root, const char *key);
 static bool     same_ip (const WcAddress *a, const WcAddress *b);
 
+static const char *const DATA_PATHS[] = { "datagrams", NULL };
 static const char *const LOG_LEVELS[] = { "error", "warning", "notice", "info", "debug", NULL };
 
 static const WcJsonField FIELDS[] = {
+  { "data_path", WC_JSON_CHOICE, false, 0, 0, DATA_PATHS },
   { "instance", WC_JSON_NAME, true, 0, 0, NULL },
   { "domain", WC_JSON_NAME, true, 0, 0, NULL },
   { "listen", WC_JSON_LISTEN_ADDRESS, true, 0, 0, NULL },
@@ -84,27 +84,8 @@
 wc_settings_load (const char *path, WcError *error)
 {
   WcSettings *settings = NULL;
-  WcJsonDoc  *doc;
-  GError     *failure = NULL;
-  char       *text;
-  gsize       size_bytes;
+  WcJsonDoc  *doc = wc_json_doc_load (path, error);
 
-  assert (path != NULL);
-
-  if (!g_file_get_contents (path, &text, &size_bytes, &failure))
-    {
-      wc_error_set (error, WC_STATUS_NOT_FOUND, "%s", failure->message);
-      g_error_free (failure);
-      return NULL;
-    }
-  if (size_bytes > MAX_FILE_BYTES)
-    {
-      wc_error_set (error, WC_STATUS_TOO_LARGE, "%s:1: the file has more than %d bytes", path, MAX_FILE_BYTES);
-      g_free (text);
-      return NULL;
-    }
-  doc = wc_json_doc_new (path, text, size_bytes, error);
-  g_free (text);
   if (doc)
     settings = read_settings (path, doc, error);
   wc_json_doc_delete (doc);
--- /dev/null
+++ b/src/edge/store_view.c
@@ -0,0 +1,82 @@
+#include "edge/store_view.h"
+
+#include <assert.h>
+
+#include "config_wire.h"
+#include "host_wire.h"
+
+static void apply_config (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us);
+static void
+apply_host (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t id, uint64_t now_us);
+static void log_rejected (WcEventLog *log, const char *event, const WcStoreChange *change, const char *reason);
+
+void
+wc_store_view_apply (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us)
+{
+  uint64_t id = wc_host_wire_key_id (change->key);
+
+  assert (forwarder != NULL && change != NULL);
+
+  if (wc_config_wire_is_key (change->key))
+    apply_config (forwarder, log, change, now_us);
+  else if (id != 0)
+    apply_host (forwarder, log, change, id, now_us);
+}
+
+/* local functions */
+
+static void
+apply_config (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us)
+{
+  WcError       error = { 0 };
+  WcRouteTable *routes;
+  gsize         size_bytes;
+  const void   *bytes;
+  size_t        skipped = 0;
+
+  if (!change->value)
+    {
+      log_rejected (log, "config_rejected", change, "the configuration was deleted");
+      return;
+    }
+  bytes = g_bytes_get_data (change->value, &size_bytes);
+  routes = wc_config_wire_read (bytes, size_bytes, &skipped, &error);
+  if (!routes || skipped > 0)
+    log_rejected (log, routes ? "route_rejected" : "config_rejected", change, error.message);
+  if (routes)
+    wc_forwarder_set_routes (forwarder, routes, now_us);
+}
+
+static void
+apply_host (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t id, uint64_t now_us)
+{
+  WcError      error = { 0 };
+  WcHostRecord record;
+  gsize        size_bytes;
+  const void  *bytes;
+
+  if (!change->value)
+    {
+      wc_forwarder_remove_host (forwarder, id, now_us);
+      return;
+    }
+  bytes = g_bytes_get_data (change->value, &size_bytes);
+  if (wc_host_wire_read (id, bytes, size_bytes, &record, &error) == WC_STATUS_OK)
+    {
+      wc_forwarder_put_host (forwarder, &record, change->revision, now_us);
+      return;
+    }
+  log_rejected (log, "host_rejected", change, error.message);
+  wc_forwarder_remove_host (forwarder, id, now_us);
+}
+
+static void
+log_rejected (WcEventLog *log, const char *event, const WcStoreChange *change, const char *reason)
+{
+  WcEventLine *line = wc_event_log_begin (log, "view", event);
+
+  wc_event_line_add_text (line, "key", change->key);
+  wc_event_line_add_uint (line, "revision", change->revision);
+  wc_event_line_add_text (line, "reason", reason);
+  wc_event_line_end (line);
+}
--- a/src/emulator/emulated_fabric.c
+++ b/src/emulator/emulated_fabric.c
@@ -8,7 +8,7 @@
 
 #include "emulator/emulator_json.h"
 #include "emulator/emulator_net.h"
-#include "emulator/http_server.h"
+#include "edge/http_server.h"
 
 enum
 {
--- a/src/emulator/emulated_platform.c
+++ b/src/emulator/emulated_platform.c
@@ -9,7 +9,7 @@
 #include <wigeoncart/register_split.h>
 
 #include "emulator/emulator_json.h"
-#include "emulator/http_server.h"
+#include "edge/http_server.h"
 
 enum
 {
--- a/src/emulator/emulated_target.c
+++ b/src/emulator/emulated_target.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "emulator/emulator_json.h"
-#include "emulator/http_server.h"
+#include "edge/http_server.h"
 #include "emulator/sheet.h"
 
 enum
--- a/src/emulator/emulated_targets.c
+++ b/src/emulator/emulated_targets.c
@@ -6,7 +6,7 @@
 #include <wigeoncart/name_id.h>
 
 #include "emulator/emulator_json.h"
-#include "emulator/http_server.h"
+#include "edge/http_server.h"
 
 enum
 {
--- a/src/emulator/emulator_json.h
+++ b/src/emulator/emulator_json.h
@@ -9,7 +9,7 @@
 #include <wigeoncart/address.h>
 #include <wigeoncart/status.h>
 
-#include "emulator/http_server.h"
+#include "edge/http_server.h"
 
 /** wc_emulator_json_parse() - JSON with comments; NULL with @error set when it is malformed or not an object. */
 struct json_object *wc_emulator_json_parse (const char *name, const char *text, size_t size_bytes, WcError *error);
--- /dev/null
+++ b/src/forward/decision.h
@@ -0,0 +1,55 @@
+#ifndef WC_FORWARD_DECISION_H
+#define WC_FORWARD_DECISION_H
+
+#include <stdint.h>
+
+#include "forward/host_table.h"
+#include "forward/packet.h"
+
+/* name, text in logs and metrics, help text of its counter */
+#define WC_DECISION_LIST(X)                                                                                            \
+  X (PLACED, "placed", "New flows given to a host.")                                                                   \
+  X (PLACED_AGAIN, "placed_again", "Flows given to another host because the first did not answer.")                    \
+  X (REJECTED_NO_ROUTE, "rejected_no_route", "New flows rejected because no route exists.")                            \
+  X (REJECTED_NO_HOST, "rejected_no_host", "New flows rejected because no host of the service is in use.")             \
+  X (RESET_NO_ROUTE, "reset_no_route", "Open flows reset because their route was removed.")                            \
+  X (RESET_HOST_GONE, "reset_host_gone", "Open flows reset because their host has left.")                              \
+  X (RESET_HOST_SILENT, "reset_host_silent", "Open flows reset because their host does not answer.")                   \
+  X (DROPPED_UNKNOWN_HOST, "dropped_unknown_host", "Packets dropped because their host is not known.")                 \
+  X (HOST_READY, "host_ready", "Hosts that became ready.")                                                             \
+  X (HOST_DRAINING, "host_draining", "Hosts that began to drain.")                                                     \
+  X (HOST_GONE, "host_gone", "Hosts that are no longer published.")                                                    \
+  X (HOST_SUSPECTED, "host_suspected", "Hosts taken out because they do not answer.")                                  \
+  X (HOST_CLEARED, "host_cleared", "Suspected hosts that answered again.")                                             \
+  X (ROUTES_IN_FORCE, "routes_in_force", "Configurations put in force.")
+
+#define WC_DECISION_ENUM(name, text, help) WC_DECISION_##name,
+
+/** enum WcDecisionKind - what was decided on a flow, or what the instance now believes. */
+typedef enum
+{
+  WC_DECISION_LIST (WC_DECISION_ENUM) WC_DECISION_COUNT
+} WcDecisionKind;
+
+const char *wc_decision_get_name (WcDecisionKind kind);
+const char *wc_decision_get_help (WcDecisionKind kind);
+
+/**
+ * struct WcDecision - a decision and the inputs that it rests on.
+ * @key: the flow; NULL when the decision is not about one flow.
+ * @host: the host, or NULL.
+ * @version: of the configuration in force; 0 for none.
+ * @evidence_us: since when the inputs say so, such as the first packet that was not answered; 0 when there is none.
+ * @count: how many flows or packets the evidence consists of.
+ */
+typedef struct
+{
+  WcDecisionKind   kind;
+  const WcFlowKey *key;
+  const WcHost    *host;
+  uint64_t         version;
+  uint64_t         evidence_us;
+  uint32_t         count;
+} WcDecision;
+
+#endif
--- /dev/null
+++ b/src/forward/forwarder.c
@@ -0,0 +1,321 @@
+#include "forward/forwarder.h"
+
+#include <assert.h>
+
+#include <glib.h>
+
+#include "core/mix.h"
+#include "forward/flow_table.h"
+#include "forward/placement.h"
+
+enum
+{
+  /* A caller gives up an opening after 1.4 s, so that nothing more of it is to come. */
+  OPENING_LIFE_US = 2 * 1000 * 1000,
+  /* The last packets of a flow that its caller closed. */
+  CLOSING_LIFE_US = 1 * 1000 * 1000,
+  /* Slots of the flow table visited at each tick; the whole table of a small instance within a second. */
+  WALK_SLOTS = 512
+};
+
+struct WcForwarder
+{
+  WcForwarderSettings settings;
+  WcForwarderOps      ops;
+  void               *user_data;
+  WcRouteTable       *routes;
+  WcHostTable        *hosts;
+  WcFlowTable        *flows;
+  uint64_t            now_us;
+};
+
+static void receive_opening (WcForwarder *forwarder, const WcPacket *packet);
+static void receive_open (WcForwarder *forwarder, const WcPacket *packet);
+static void observe (WcForwarder *forwarder, WcFlow *flow, const WcPacket *packet, WcHost *host);
+static void decide (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host);
+static void reset_flow (WcForwarder *forwarder, const WcPacket *packet, WcDecisionKind kind, const WcHost *host);
+static void set_host (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
+static void uncount (WcForwarder *forwarder, WcFlow *flow);
+static int  visit_old (void *user_data, WcFlow *flow);
+static int  is_sequence_after (uint32_t a, uint32_t b);
+
+WcForwarder *
+wc_forwarder_new (const WcForwarderSettings *settings, const WcForwarderOps *ops, void *user_data)
+{
+  WcForwarder *forwarder = g_new0 (WcForwarder, 1);
+
+  assert (settings != NULL && ops != NULL);
+  assert (ops->forward != NULL && ops->reset != NULL && ops->decided != NULL);
+
+  forwarder->settings = *settings;
+  forwarder->ops = *ops;
+  forwarder->user_data = user_data;
+  forwarder->hosts = wc_host_table_new (settings->flow_life_us);
+  forwarder->flows = wc_flow_table_new (settings->max_flows);
+  return forwarder;
+}
+
+void
+wc_forwarder_delete (WcForwarder *forwarder)
+{
+  if (!forwarder)
+    return;
+  wc_route_table_delete (forwarder->routes);
+  wc_host_table_delete (forwarder->hosts);
+  wc_flow_table_delete (forwarder->flows);
+  g_free (forwarder);
+}
+
+void
+wc_forwarder_set_routes (WcForwarder *forwarder, WcRouteTable *routes, uint64_t now_us)
+{
+  assert (forwarder != NULL && routes != NULL);
+
+  forwarder->now_us = now_us;
+  wc_route_table_delete (forwarder->routes);
+  forwarder->routes = routes;
+  decide (forwarder, WC_DECISION_ROUTES_IN_FORCE, NULL, NULL);
+}
+
+const WcRouteTable *
+wc_forwarder_get_routes (const WcForwarder *forwarder)
+{
+  return forwarder->routes;
+}
+
+void
+wc_forwarder_put_host (WcForwarder *forwarder, const WcHostRecord *record, uint64_t revision, uint64_t now_us)
+{
+  const WcHost *known = wc_host_table_find (forwarder->hosts, record->id);
+  WcHostState   before = known ? known->record.state : WC_HOST_GONE;
+  const WcHost *host;
+
+  forwarder->now_us = now_us;
+  host = wc_host_table_put (forwarder->hosts, record, revision, now_us);
+  if (record->state != before)
+    decide (forwarder, record->state == WC_HOST_READY ? WC_DECISION_HOST_READY : WC_DECISION_HOST_DRAINING, NULL, host);
+}
+
+void
+wc_forwarder_remove_host (WcForwarder *forwarder, uint64_t id, uint64_t now_us)
+{
+  const WcHost *known = wc_host_table_find (forwarder->hosts, id);
+
+  forwarder->now_us = now_us;
+  if (!known || known->record.state == WC_HOST_GONE)
+    return;
+  wc_host_table_set_gone (forwarder->hosts, id, now_us);
+  decide (forwarder, WC_DECISION_HOST_GONE, NULL, known);
+}
+
+void
+wc_forwarder_receive (WcForwarder *forwarder, const WcPacket *packet, uint64_t now_us)
+{
+  assert (forwarder != NULL && packet != NULL);
+
+  forwarder->now_us = now_us;
+  if (!forwarder->routes)
+    return;
+  if (packet->flags & WC_PACKET_SYN)
+    receive_opening (forwarder, packet);
+  else
+    receive_open (forwarder, packet);
+}
+
+void
+wc_forwarder_tick (WcForwarder *forwarder, uint64_t now_us)
+{
+  forwarder->now_us = now_us;
+  wc_flow_table_walk (forwarder->flows, WALK_SLOTS, visit_old, forwarder);
+  wc_host_table_forget (forwarder->hosts, now_us);
+}
+
+const WcHostTable *
+wc_forwarder_get_hosts (const WcForwarder *forwarder)
+{
+  return forwarder->hosts;
+}
+
+size_t
+wc_forwarder_get_flow_count (const WcForwarder *forwarder)
+{
+  return wc_flow_table_get_count (forwarder->flows);
+}
+
+/* local functions */
+
+static void
+receive_opening (WcForwarder *forwarder, const WcPacket *packet)
+{
+  const WcRoute *route = wc_route_table_find (forwarder->routes, &packet->key);
+  uint64_t       hash = wc_flow_key_hash (&packet->key);
+  WcFlow        *flow;
+  WcHost        *host;
+  WcPlacement    placement = { .domain = forwarder->settings.domain, .draw = hash };
+
+  if (!route)
+    {
+      reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_ROUTE, NULL);
+      return;
+    }
+  flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  if (flow && flow->state == WC_FLOW_OPENING)
+    placement.avoid = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+  placement.service = route->services[wc_route_pick_service (route, wc_mix64 (hash))].service;
+  host = wc_placement_choose (forwarder->hosts, &placement, forwarder->now_us);
+  for (size_t i = 0; !host && i < route->service_count; i++)
+    {
+      placement.service = route->services[i].service;
+      host =
+          route->services[i].weight > 0 ? wc_placement_choose (forwarder->hosts, &placement, forwarder->now_us) : NULL;
+    }
+  if (!host)
+    {
+      reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
+      return;
+    }
+  decide (forwarder, flow ? WC_DECISION_PLACED_AGAIN : WC_DECISION_PLACED, &packet->key, host);
+  if (!flow)
+    flow = wc_flow_table_add (forwarder->flows, &packet->key);
+  if (flow)
+    {
+      flow->state = WC_FLOW_OPENING;
+      flow->kind = (uint8_t)route->kind;
+      flow->sent_end = packet->sequence + 1;
+      flow->opened_us = forwarder->now_us;
+      flow->seen_us = forwarder->now_us;
+      set_host (forwarder, flow, host);
+    }
+  forwarder->ops.forward (forwarder->user_data, packet, host);
+}
+
+static void
+receive_open (WcForwarder *forwarder, const WcPacket *packet)
+{
+  WcHost *host = wc_host_table_find_cookie (forwarder->hosts, packet->cookie);
+  WcFlow *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+
+  if (!wc_route_table_find (forwarder->routes, &packet->key))
+    {
+      reset_flow (forwarder, packet, WC_DECISION_RESET_NO_ROUTE, host);
+      return;
+    }
+  if (!host)
+    {
+      decide (forwarder, WC_DECISION_DROPPED_UNKNOWN_HOST, &packet->key, NULL);
+      return;
+    }
+  if (!flow)
+    {
+      flow = wc_flow_table_add (forwarder->flows, &packet->key);
+      if (flow)
+        {
+          flow->opened_us = forwarder->now_us;
+          flow->sent_end = packet->sequence;
+          flow->acknowledged = packet->acknowledged;
+        }
+    }
+  if (flow)
+    observe (forwarder, flow, packet, host);
+  forwarder->ops.forward (forwarder->user_data, packet, host);
+}
+
+/* Learns from a packet of an open flow what its caller has sent and received. */
+static void
+observe (WcForwarder *forwarder, WcFlow *flow, const WcPacket *packet, WcHost *host)
+{
+  uint32_t end = packet->sequence + packet->data_bytes;
+
+  flow->seen_us = forwarder->now_us;
+  if (flow->state == WC_FLOW_OPENING)
+    {
+      flow->state = WC_FLOW_OPEN;
+      flow->acknowledged = packet->acknowledged;
+    }
+  set_host (forwarder, flow, host);
+  if (is_sequence_after (packet->acknowledged, flow->acknowledged))
+    flow->acknowledged = packet->acknowledged;
+  if (is_sequence_after (end, flow->sent_end))
+    flow->sent_end = end;
+  if (packet->flags & (WC_PACKET_FIN | WC_PACKET_RST))
+    {
+      flow->state = WC_FLOW_CLOSING;
+      uncount (forwarder, flow);
+    }
+}
+
+static void
+decide (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host)
+{
+  const WcDecision decision = {
+    .kind = kind,
+    .key = key,
+    .host = host,
+    .version = forwarder->routes ? wc_route_table_get_version (forwarder->routes) : 0,
+  };
+
+  forwarder->ops.decided (forwarder->user_data, &decision);
+}
+
+static void
+reset_flow (WcForwarder *forwarder, const WcPacket *packet, WcDecisionKind kind, const WcHost *host)
+{
+  WcFlow *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+
+  decide (forwarder, kind, &packet->key, host);
+  forwarder->ops.reset (forwarder->user_data, &packet->key, packet->acknowledged);
+  if (!flow)
+    return;
+  uncount (forwarder, flow);
+  wc_flow_table_remove (forwarder->flows, flow);
+}
+
+static void
+set_host (WcForwarder *forwarder, WcFlow *flow, WcHost *host)
+{
+  if (flow->counted && flow->cookie == host->cookie)
+    return;
+  uncount (forwarder, flow);
+  flow->cookie = host->cookie;
+  if (flow->state == WC_FLOW_CLOSING)
+    return;
+  flow->counted = 1;
+  host->flows++;
+}
+
+static void
+uncount (WcForwarder *forwarder, WcFlow *flow)
+{
+  WcHost *host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+
+  if (flow->counted && host && host->flows > 0)
+    host->flows--;
+  flow->counted = 0;
+}
+
+static int
+visit_old (void *user_data, WcFlow *flow)
+{
+  static const uint64_t LIFE_US[] = {
+    [WC_FLOW_OPENING] = OPENING_LIFE_US,
+    [WC_FLOW_OPEN] = UINT64_MAX,
+    [WC_FLOW_CLOSING] = CLOSING_LIFE_US,
+  };
+  WcForwarder *forwarder = user_data;
+  uint64_t     life_us = LIFE_US[flow->state];
+  uint32_t     idle_ms = forwarder->routes ? wc_route_table_get_idle_timeout_ms (forwarder->routes) : 0;
+
+  if (flow->state == WC_FLOW_OPEN && idle_ms > 0)
+    life_us = (uint64_t)idle_ms * 1000;
+  if (forwarder->now_us - flow->seen_us < life_us &&
+      forwarder->now_us - flow->opened_us < forwarder->settings.flow_life_us)
+    return TRUE;
+  uncount (forwarder, flow);
+  return FALSE;
+}
+
+static int
+is_sequence_after (uint32_t a, uint32_t b)
+{
+  return (int32_t)(a - b) > 0;
+}
--- /dev/null
+++ b/src/forward/forwarder.h
@@ -0,0 +1,70 @@
+#ifndef WC_FORWARD_FORWARDER_H
+#define WC_FORWARD_FORWARDER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "forward/decision.h"
+#include "forward/host_table.h"
+#include "forward/packet.h"
+#include "forward/route_table.h"
+
+/**
+ * struct WcForwarderSettings - limits of a forwarder.
+ * @domain: quark of the failure domain of this instance.
+ * @max_flows: flows remembered.
+ * @flow_life_us: a flow may live this long; so long a host that is gone is still known.
+ */
+typedef struct
+{
+  uint32_t domain;
+  uint32_t max_flows;
+  uint64_t flow_life_us;
+} WcForwarderSettings;
+
+/**
+ * struct WcForwarderOps - what a forwarder does.
+ * @forward: send a packet to a host; its cookie is the host's.
+ * @reset: send a reset to the caller of a flow; @sequence is what the caller acknowledged last.
+ * @decided: a decision was made.
+ */
+typedef struct
+{
+  void (*forward) (void *user_data, const WcPacket *packet, const WcHost *host);
+  void (*reset) (void *user_data, const WcFlowKey *key, uint32_t sequence);
+  void (*decided) (void *user_data, const WcDecision *decision);
+} WcForwarderOps;
+
+/**
+ * struct WcForwarder - decides where each packet of a caller goes. Has no socket and no clock.
+ *
+ * The cookie in the packets of an open flow names its host, so that an instance that never saw the flow forwards it
+ * too.
+ */
+typedef struct WcForwarder WcForwarder;
+
+WcForwarder *wc_forwarder_new (const WcForwarderSettings *settings, const WcForwarderOps *ops, void *user_data);
+void         wc_forwarder_delete (WcForwarder *forwarder);
+
+/** wc_forwarder_set_routes() - put a configuration in force; takes over @routes. */
+void wc_forwarder_set_routes (WcForwarder *forwarder, WcRouteTable *routes, uint64_t now_us);
+
+/** wc_forwarder_get_routes() - the configuration in force, or NULL. */
+const WcRouteTable *wc_forwarder_get_routes (const WcForwarder *forwarder);
+
+/** wc_forwarder_put_host() - a host was published or its entry has changed. */
+void wc_forwarder_put_host (WcForwarder *forwarder, const WcHostRecord *record, uint64_t revision, uint64_t now_us);
+
+/** wc_forwarder_remove_host() - a host is no longer published, or its entry cannot be used. */
+void wc_forwarder_remove_host (WcForwarder *forwarder, uint64_t id, uint64_t now_us);
+
+/** wc_forwarder_receive() - a packet from a caller. */
+void wc_forwarder_receive (WcForwarder *forwarder, const WcPacket *packet, uint64_t now_us);
+
+/** wc_forwarder_tick() - forget old flows and hosts; to be called several times a second. */
+void wc_forwarder_tick (WcForwarder *forwarder, uint64_t now_us);
+
+const WcHostTable *wc_forwarder_get_hosts (const WcForwarder *forwarder);
+size_t             wc_forwarder_get_flow_count (const WcForwarder *forwarder);
+
+#endif
--- /dev/null
+++ b/src/forward/host_table.c
@@ -0,0 +1,173 @@
+#include "forward/host_table.h"
+
+#include <assert.h>
+
+#include <glib.h>
+
+#include "core/mix.h"
+
+const char *const WC_HOST_STATE_STRINGS[WC_HOST_STATE_COUNT] = { "ready", "draining", "gone" };
+
+struct WcHostTable
+{
+  uint64_t    keep_gone_us;
+  GPtrArray  *hosts;
+  GHashTable *by_id;
+  GHashTable *by_cookie;
+};
+
+static uint32_t cookie_of (uint64_t id);
+static void     claim_cookie (WcHostTable *table, WcHost *host);
+static void     reset_evidence (WcHost *host);
+
+WcHostTable *
+wc_host_table_new (uint64_t keep_gone_us)
+{
+  WcHostTable *table = g_new0 (WcHostTable, 1);
+
+  table->keep_gone_us = keep_gone_us;
+  table->hosts = g_ptr_array_new_with_free_func (g_free);
+  table->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
+  table->by_cookie = g_hash_table_new (NULL, NULL);
+  return table;
+}
+
+void
+wc_host_table_delete (WcHostTable *table)
+{
+  if (!table)
+    return;
+  g_hash_table_destroy (table->by_cookie);
+  g_hash_table_destroy (table->by_id);
+  g_ptr_array_free (table->hosts, TRUE);
+  g_free (table);
+}
+
+WcHost *
+wc_host_table_put (WcHostTable *table, const WcHostRecord *record, uint64_t revision, uint64_t now_us)
+{
+  WcHost *host;
+
+  assert (table != NULL && record != NULL);
+  assert (record->id != 0 && record->state != WC_HOST_GONE);
+
+  host = wc_host_table_find (table, record->id);
+  if (!host)
+    {
+      host = g_new0 (WcHost, 1);
+      host->record = *record;
+      host->cookie = cookie_of (record->id);
+      g_ptr_array_add (table->hosts, host);
+      g_hash_table_insert (table->by_id, &host->record.id, host);
+      claim_cookie (table, host);
+    }
+  else if (host->record.born_ms != record->born_ms)
+    reset_evidence (host);
+  host->record = *record;
+  host->revision = revision;
+  host->warm_deadline_us = now_us + (uint64_t)record->warm_up_left_ms * 1000;
+  host->gone_us = 0;
+  host->forget_deadline_us = 0;
+  return host;
+}
+
+WcHost *
+wc_host_table_set_gone (WcHostTable *table, uint64_t id, uint64_t now_us)
+{
+  WcHost *host = wc_host_table_find (table, id);
+
+  if (!host || host->record.state == WC_HOST_GONE)
+    return host;
+  host->record.state = WC_HOST_GONE;
+  host->gone_us = now_us;
+  host->forget_deadline_us = now_us + table->keep_gone_us;
+  return host;
+}
+
+size_t
+wc_host_table_forget (WcHostTable *table, uint64_t now_us)
+{
+  size_t removed = 0;
+
+  for (guint i = table->hosts->len; i > 0; i--)
+    {
+      WcHost *host = table->hosts->pdata[i - 1];
+
+      if (host->record.state != WC_HOST_GONE || now_us < host->forget_deadline_us || host->flows > 0)
+        continue;
+      g_hash_table_remove (table->by_id, &host->record.id);
+      if (g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (host->cookie)) == host)
+        g_hash_table_remove (table->by_cookie, GUINT_TO_POINTER (host->cookie));
+      g_ptr_array_remove_index_fast (table->hosts, i - 1);
+      removed++;
+    }
+  return removed;
+}
+
+WcHost *
+wc_host_table_find (const WcHostTable *table, uint64_t id)
+{
+  assert (table != NULL);
+
+  return g_hash_table_lookup (table->by_id, &id);
+}
+
+WcHost *
+wc_host_table_find_cookie (const WcHostTable *table, uint32_t cookie)
+{
+  assert (table != NULL);
+
+  return g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (cookie));
+}
+
+size_t
+wc_host_table_get_count (const WcHostTable *table)
+{
+  return table->hosts->len;
+}
+
+WcHost *
+wc_host_table_get (const WcHostTable *table, size_t index)
+{
+  assert (index < table->hosts->len);
+
+  return table->hosts->pdata[index];
+}
+
+/* local functions */
+
+/* Identifiers of up to 32 bits name themselves, so that only longer ones can collide. */
+static uint32_t
+cookie_of (uint64_t id)
+{
+  uint32_t cookie = id <= UINT32_MAX ? (uint32_t)id : (uint32_t)wc_mix64 (id);
+
+  return cookie != 0 ? cookie : 1;
+}
+
+/* Of two hosts with one cookie, the lower identifier keeps it on every instance, whichever was seen first. */
+static void
+claim_cookie (WcHostTable *table, WcHost *host)
+{
+  WcHost *holder = g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (host->cookie));
+
+  if (holder && holder->record.id < host->record.id)
+    {
+      host->ambiguous = true;
+      return;
+    }
+  if (holder)
+    holder->ambiguous = true;
+  g_hash_table_insert (table->by_cookie, GUINT_TO_POINTER (host->cookie), host);
+}
+
+/* A host that started again under its identifier knows nothing of before. */
+static void
+reset_evidence (WcHost *host)
+{
+  host->life_us = 0;
+  host->silent_flows = 0;
+  host->silent_since_us = 0;
+  host->suspect_deadline_us = 0;
+  host->suspicions = 0;
+}
--- /dev/null
+++ b/src/forward/host_table.h
@@ -0,0 +1,103 @@
+#ifndef WC_FORWARD_HOST_TABLE_H
+#define WC_FORWARD_HOST_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <wigeoncart/address.h>
+
+/** enum WcHostState - what the platform last said of a host. */
+typedef enum
+{
+  /* Takes new flows. */
+  WC_HOST_READY = 0,
+  /* Will leave; keeps its flows. */
+  WC_HOST_DRAINING,
+  /* No longer published; its flows may live on for a while. */
+  WC_HOST_GONE,
+  WC_HOST_STATE_COUNT
+} WcHostState;
+
+/** WC_HOST_STATE_STRINGS - name of each state for logs, indexed by WcHostState. */
+extern const char *const WC_HOST_STATE_STRINGS[WC_HOST_STATE_COUNT];
+
+/**
+ * struct WcHostRecord - a host as published.
+ * @id: never 0.
+ * @service, @domain: GLib quarks of the names.
+ * @slots: requests that the host runs at once.
+ * @warm_up_left_ms: how much longer the host was slow after its start when it published this.
+ * @born_ms: wall-clock time of the host's start, from the host's own clock; 0 when not published. Compared only with
+ *   other values of the same host.
+ */
+typedef struct
+{
+  uint64_t    id;
+  uint32_t    service;
+  uint32_t    domain;
+  WcAddress   address;
+  WcHostState state;
+  uint16_t    slots;
+  uint32_t    warm_up_left_ms;
+  uint64_t    born_ms;
+} WcHostRecord;
+
+/**
+ * struct WcHost - a host, and what this instance knows of it beyond the record.
+ * @cookie: names the host in the packets of its flows; never 0.
+ * @ambiguous: another host has the same cookie; this one gets no new flows.
+ * @revision: revision of the store at which the record was written.
+ * @flows: open flows of this instance.
+ * @busy_flows: those of them with a request that is not answered.
+ * @warm_deadline_us: until then the host is slow after its start.
+ * @gone_us: since when the host is not published; 0 while it is.
+ * @forget_deadline_us: from then on a host that is gone is forgotten.
+ * @life_us: when a packet last showed that the host is alive.
+ * @silent_flows: flows that sent again in vain since then.
+ * @silent_since_us: when the first of them sent what was not acknowledged; 0 for none.
+ * @suspect_deadline_us: until then the host is suspected to be unreachable and gets no new flows.
+ * @suspicions: how often it was suspected again without a sign of life in between.
+ */
+typedef struct
+{
+  WcHostRecord record;
+  uint32_t     cookie;
+  bool         ambiguous;
+  uint64_t     revision;
+  uint32_t     flows;
+  uint32_t     busy_flows;
+  uint64_t     warm_deadline_us;
+  uint64_t     gone_us;
+  uint64_t     forget_deadline_us;
+  uint64_t     life_us;
+  uint32_t     silent_flows;
+  uint64_t     silent_since_us;
+  uint64_t     suspect_deadline_us;
+  uint32_t     suspicions;
+} WcHost;
+
+/** struct WcHostTable - hosts by identifier and by cookie, those that are gone included until they are forgotten. */
+typedef struct WcHostTable WcHostTable;
+
+/** wc_host_table_new() - @keep_gone_us: how long flows of a host that is gone are still forwarded. */
+WcHostTable *wc_host_table_new (uint64_t keep_gone_us);
+void         wc_host_table_delete (WcHostTable *table);
+
+/** wc_host_table_put() - add or update a host. Return: the host. */
+WcHost *wc_host_table_put (WcHostTable *table, const WcHostRecord *record, uint64_t revision, uint64_t now_us);
+
+/** wc_host_table_set_gone() - the host is no longer published. Return: the host, or NULL when it is not known. */
+WcHost *wc_host_table_set_gone (WcHostTable *table, uint64_t id, uint64_t now_us);
+
+/** wc_host_table_forget() - remove hosts that have been gone for long. Return: how many. */
+size_t wc_host_table_forget (WcHostTable *table, uint64_t now_us);
+
+WcHost *wc_host_table_find (const WcHostTable *table, uint64_t id);
+WcHost *wc_host_table_find_cookie (const WcHostTable *table, uint32_t cookie);
+
+/* All hosts in no particular order; valid until the next put or forget. */
+size_t  wc_host_table_get_count (const WcHostTable *table);
+WcHost *wc_host_table_get (const WcHostTable *table, size_t index);
+
+#endif
--- /dev/null
+++ b/src/forward/store_change.c
@@ -0,0 +1,45 @@
+#include "forward/store_change.h"
+
+#include <assert.h>
+
+static void clear_change (gpointer data);
+
+void
+wc_store_reply_init (WcStoreReply *reply)
+{
+  assert (reply != NULL);
+
+  reply->changes = g_array_new (FALSE, FALSE, sizeof (WcStoreChange));
+  g_array_set_clear_func (reply->changes, clear_change);
+  reply->has_more = false;
+  reply->revision = 0;
+}
+
+void
+wc_store_reply_finish (WcStoreReply *reply)
+{
+  if (!reply->changes)
+    return;
+  g_array_free (reply->changes, TRUE);
+  reply->changes = NULL;
+}
+
+void
+wc_store_reply_add (WcStoreReply *reply, const char *key, GBytes *value, uint64_t revision)
+{
+  const WcStoreChange change = { g_strdup (key), value, revision };
+
+  g_array_append_val (reply->changes, change);
+}
+
+/* local functions */
+
+static void
+clear_change (gpointer data)
+{
+  WcStoreChange *change = data;
+
+  g_free (change->key);
+  if (change->value)
+    g_bytes_unref (change->value);
+}
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -1,6 +1,6 @@
 #include "test_main.h"
 
-#include "emulator/http_server.h"
+#include "edge/http_server.h"
 #include "http_fixture.h"
 
 /* A server whose exchanges the test answers itself. */
