--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -457,6 +457,231 @@
   assert(message->base.descriptor == &wc__peer_frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wc__peer_entry__init
+                     (Wc__PeerEntry         *message)
+{
+  static const Wc__PeerEntry init_value = WC__PEER_ENTRY__INIT;
+  *message = init_value;
+}
+size_t wc__peer_entry__get_packed_size
+                     (const Wc__PeerEntry *message)
+{
+  assert(message->base.descriptor == &wc__peer_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wc__peer_entry__pack
+                     (const Wc__PeerEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wc__peer_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wc__peer_entry__pack_to_buffer
+                     (const Wc__PeerEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wc__peer_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wc__PeerEntry *
+       wc__peer_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wc__PeerEntry *)
+     protobuf_c_message_unpack (&wc__peer_entry__descriptor,
+                                allocator, len, data);
+}
+void   wc__peer_entry__free_unpacked
+                     (Wc__PeerEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wc__peer_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wc__host_report__init
+                     (Wc__HostReport         *message)
+{
+  static const Wc__HostReport init_value = WC__HOST_REPORT__INIT;
+  *message = init_value;
+}
+size_t wc__host_report__get_packed_size
+                     (const Wc__HostReport *message)
+{
+  assert(message->base.descriptor == &wc__host_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wc__host_report__pack
+                     (const Wc__HostReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wc__host_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wc__host_report__pack_to_buffer
+                     (const Wc__HostReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wc__host_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wc__HostReport *
+       wc__host_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wc__HostReport *)
+     protobuf_c_message_unpack (&wc__host_report__descriptor,
+                                allocator, len, data);
+}
+void   wc__host_report__free_unpacked
+                     (Wc__HostReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wc__host_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wc__peer_news__init
+                     (Wc__PeerNews         *message)
+{
+  static const Wc__PeerNews init_value = WC__PEER_NEWS__INIT;
+  *message = init_value;
+}
+size_t wc__peer_news__get_packed_size
+                     (const Wc__PeerNews *message)
+{
+  assert(message->base.descriptor == &wc__peer_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wc__peer_news__pack
+                     (const Wc__PeerNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wc__peer_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wc__peer_news__pack_to_buffer
+                     (const Wc__PeerNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wc__peer_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wc__PeerNews *
+       wc__peer_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wc__PeerNews *)
+     protobuf_c_message_unpack (&wc__peer_news__descriptor,
+                                allocator, len, data);
+}
+void   wc__peer_news__free_unpacked
+                     (Wc__PeerNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wc__peer_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wc__view_change__init
+                     (Wc__ViewChange         *message)
+{
+  static const Wc__ViewChange init_value = WC__VIEW_CHANGE__INIT;
+  *message = init_value;
+}
+size_t wc__view_change__get_packed_size
+                     (const Wc__ViewChange *message)
+{
+  assert(message->base.descriptor == &wc__view_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wc__view_change__pack
+                     (const Wc__ViewChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wc__view_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wc__view_change__pack_to_buffer
+                     (const Wc__ViewChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wc__view_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wc__ViewChange *
+       wc__view_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wc__ViewChange *)
+     protobuf_c_message_unpack (&wc__view_change__descriptor,
+                                allocator, len, data);
+}
+void   wc__view_change__free_unpacked
+                     (Wc__ViewChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wc__view_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wc__view_changes__init
+                     (Wc__ViewChanges         *message)
+{
+  static const Wc__ViewChanges init_value = WC__VIEW_CHANGES__INIT;
+  *message = init_value;
+}
+size_t wc__view_changes__get_packed_size
+                     (const Wc__ViewChanges *message)
+{
+  assert(message->base.descriptor == &wc__view_changes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wc__view_changes__pack
+                     (const Wc__ViewChanges *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wc__view_changes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wc__view_changes__pack_to_buffer
+                     (const Wc__ViewChanges *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wc__view_changes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wc__ViewChanges *
+       wc__view_changes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wc__ViewChanges *)
+     protobuf_c_message_unpack (&wc__view_changes__descriptor,
+                                allocator, len, data);
+}
+void   wc__view_changes__free_unpacked
+                     (Wc__ViewChanges *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wc__view_changes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wc__answer_ref__field_descriptors[4] =
 {
   {
@@ -2131,3 +2356,414 @@
   (ProtobufCMessageInit) wc__peer_frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wc__peer_entry__field_descriptors[5] =
+{
+  {
+    "ip",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerEntry, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerEntry, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerEntry, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerEntry, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerEntry, heartbeat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wc__peer_entry__field_indices_by_name[] = {
+  3,   /* field[3] = domain */
+  4,   /* field[4] = heartbeat */
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = ip */
+  1,   /* field[1] = port */
+};
+static const ProtobufCIntRange wc__peer_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wc__peer_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wc.PeerEntry",
+  "PeerEntry",
+  "Wc__PeerEntry",
+  "wc",
+  sizeof(Wc__PeerEntry),
+  5,
+  wc__peer_entry__field_descriptors,
+  wc__peer_entry__field_indices_by_name,
+  1,  wc__peer_entry__number_ranges,
+  (ProtobufCMessageInit) wc__peer_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wc__host_report__field_descriptors[4] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, host),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silent_flows",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, silent_flows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silent_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, silent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, life_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wc__host_report__field_indices_by_name[] = {
+  0,   /* field[0] = host */
+  3,   /* field[3] = life_age_ms */
+  1,   /* field[1] = silent_flows */
+  2,   /* field[2] = silent_ms */
+};
+static const ProtobufCIntRange wc__host_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wc__host_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wc.HostReport",
+  "HostReport",
+  "Wc__HostReport",
+  "wc",
+  sizeof(Wc__HostReport),
+  4,
+  wc__host_report__field_descriptors,
+  wc__host_report__field_indices_by_name,
+  1,  wc__host_report__number_ranges,
+  (ProtobufCMessageInit) wc__host_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wc__peer_news__field_descriptors[6] =
+{
+  {
+    "sender",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerNews, sender),
+    &wc__peer_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerNews, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerNews, view_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stopping",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerNews, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wc__PeerNews, n_known),
+    offsetof(Wc__PeerNews, known),
+    &wc__peer_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wc__PeerNews, n_hosts),
+    offsetof(Wc__PeerNews, hosts),
+    &wc__host_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wc__peer_news__field_indices_by_name[] = {
+  5,   /* field[5] = hosts */
+  4,   /* field[4] = known */
+  1,   /* field[1] = revision */
+  0,   /* field[0] = sender */
+  3,   /* field[3] = stopping */
+  2,   /* field[2] = view_age_ms */
+};
+static const ProtobufCIntRange wc__peer_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wc__peer_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wc.PeerNews",
+  "PeerNews",
+  "Wc__PeerNews",
+  "wc",
+  sizeof(Wc__PeerNews),
+  6,
+  wc__peer_news__field_descriptors,
+  wc__peer_news__field_indices_by_name,
+  1,  wc__peer_news__number_ranges,
+  (ProtobufCMessageInit) wc__peer_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wc__view_change__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChange, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChange, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChange, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChange, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wc__view_change__field_indices_by_name[] = {
+  2,   /* field[2] = deleted */
+  0,   /* field[0] = key */
+  3,   /* field[3] = revision */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange wc__view_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wc__view_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wc.ViewChange",
+  "ViewChange",
+  "Wc__ViewChange",
+  "wc",
+  sizeof(Wc__ViewChange),
+  4,
+  wc__view_change__field_descriptors,
+  wc__view_change__field_indices_by_name,
+  1,  wc__view_change__number_ranges,
+  (ProtobufCMessageInit) wc__view_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wc__view_changes__field_descriptors[3] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChanges, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChanges, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wc__ViewChanges, n_changes),
+    offsetof(Wc__ViewChanges, changes),
+    &wc__view_change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wc__view_changes__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  2,   /* field[2] = changes */
+  0,   /* field[0] = revision */
+};
+static const ProtobufCIntRange wc__view_changes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wc__view_changes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wc.ViewChanges",
+  "ViewChanges",
+  "Wc__ViewChanges",
+  "wc",
+  sizeof(Wc__ViewChanges),
+  3,
+  wc__view_changes__field_descriptors,
+  wc__view_changes__field_indices_by_name,
+  1,  wc__view_changes__number_ranges,
+  (ProtobufCMessageInit) wc__view_changes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -25,6 +25,11 @@
 typedef struct Wc__ConfigId Wc__ConfigId;
 typedef struct Wc__MemberNote Wc__MemberNote;
 typedef struct Wc__PeerFrame Wc__PeerFrame;
+typedef struct Wc__PeerEntry Wc__PeerEntry;
+typedef struct Wc__HostReport Wc__HostReport;
+typedef struct Wc__PeerNews Wc__PeerNews;
+typedef struct Wc__ViewChange Wc__ViewChange;
+typedef struct Wc__ViewChanges Wc__ViewChanges;
 
 
 /* --- enums --- */
@@ -296,6 +301,91 @@
     , WC__PEER_FRAME__KIND__NONE, 0, 0, 0, 0, NULL, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, {0,NULL} }
 
 
+/*
+ * An instance that forwards packets, as others know it. 
+ */
+struct  Wc__PeerEntry
+{
+  ProtobufCMessage base;
+  uint32_t ip;
+  uint32_t port;
+  uint64_t incarnation;
+  char *domain;
+  uint64_t heartbeat;
+};
+#define WC__PEER_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wc__peer_entry__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * What the flows of one instance show of a host. 
+ */
+struct  Wc__HostReport
+{
+  ProtobufCMessage base;
+  uint64_t host;
+  uint32_t silent_flows;
+  uint32_t silent_ms;
+  uint32_t life_age_ms;
+};
+#define WC__HOST_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wc__host_report__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Datagram between instances that forward packets: the sender's state, and some of those that it knows. 
+ */
+struct  Wc__PeerNews
+{
+  ProtobufCMessage base;
+  Wc__PeerEntry *sender;
+  uint64_t revision;
+  uint32_t view_age_ms;
+  protobuf_c_boolean stopping;
+  size_t n_known;
+  Wc__PeerEntry **known;
+  size_t n_hosts;
+  Wc__HostReport **hosts;
+};
+#define WC__PEER_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wc__peer_news__descriptor) \
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * A change of the platform's store. 
+ */
+struct  Wc__ViewChange
+{
+  ProtobufCMessage base;
+  char *key;
+  ProtobufCBinaryData value;
+  protobuf_c_boolean deleted;
+  uint64_t revision;
+};
+#define WC__VIEW_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wc__view_change__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+
+
+/*
+ * Changes of the platform's store that one instance passes on to another. 
+ */
+struct  Wc__ViewChanges
+{
+  ProtobufCMessage base;
+  uint64_t revision;
+  uint32_t age_ms;
+  size_t n_changes;
+  Wc__ViewChange **changes;
+};
+#define WC__VIEW_CHANGES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wc__view_changes__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 /* Wc__AnswerRef methods */
 void   wc__answer_ref__init
                      (Wc__AnswerRef         *message);
@@ -486,6 +576,101 @@
 void   wc__peer_frame__free_unpacked
                      (Wc__PeerFrame *message,
                       ProtobufCAllocator *allocator);
+/* Wc__PeerEntry methods */
+void   wc__peer_entry__init
+                     (Wc__PeerEntry         *message);
+size_t wc__peer_entry__get_packed_size
+                     (const Wc__PeerEntry   *message);
+size_t wc__peer_entry__pack
+                     (const Wc__PeerEntry   *message,
+                      uint8_t             *out);
+size_t wc__peer_entry__pack_to_buffer
+                     (const Wc__PeerEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Wc__PeerEntry *
+       wc__peer_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wc__peer_entry__free_unpacked
+                     (Wc__PeerEntry *message,
+                      ProtobufCAllocator *allocator);
+/* Wc__HostReport methods */
+void   wc__host_report__init
+                     (Wc__HostReport         *message);
+size_t wc__host_report__get_packed_size
+                     (const Wc__HostReport   *message);
+size_t wc__host_report__pack
+                     (const Wc__HostReport   *message,
+                      uint8_t             *out);
+size_t wc__host_report__pack_to_buffer
+                     (const Wc__HostReport   *message,
+                      ProtobufCBuffer     *buffer);
+Wc__HostReport *
+       wc__host_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wc__host_report__free_unpacked
+                     (Wc__HostReport *message,
+                      ProtobufCAllocator *allocator);
+/* Wc__PeerNews methods */
+void   wc__peer_news__init
+                     (Wc__PeerNews         *message);
+size_t wc__peer_news__get_packed_size
+                     (const Wc__PeerNews   *message);
+size_t wc__peer_news__pack
+                     (const Wc__PeerNews   *message,
+                      uint8_t             *out);
+size_t wc__peer_news__pack_to_buffer
+                     (const Wc__PeerNews   *message,
+                      ProtobufCBuffer     *buffer);
+Wc__PeerNews *
+       wc__peer_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wc__peer_news__free_unpacked
+                     (Wc__PeerNews *message,
+                      ProtobufCAllocator *allocator);
+/* Wc__ViewChange methods */
+void   wc__view_change__init
+                     (Wc__ViewChange         *message);
+size_t wc__view_change__get_packed_size
+                     (const Wc__ViewChange   *message);
+size_t wc__view_change__pack
+                     (const Wc__ViewChange   *message,
+                      uint8_t             *out);
+size_t wc__view_change__pack_to_buffer
+                     (const Wc__ViewChange   *message,
+                      ProtobufCBuffer     *buffer);
+Wc__ViewChange *
+       wc__view_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wc__view_change__free_unpacked
+                     (Wc__ViewChange *message,
+                      ProtobufCAllocator *allocator);
+/* Wc__ViewChanges methods */
+void   wc__view_changes__init
+                     (Wc__ViewChanges         *message);
+size_t wc__view_changes__get_packed_size
+                     (const Wc__ViewChanges   *message);
+size_t wc__view_changes__pack
+                     (const Wc__ViewChanges   *message,
+                      uint8_t             *out);
+size_t wc__view_changes__pack_to_buffer
+                     (const Wc__ViewChanges   *message,
+                      ProtobufCBuffer     *buffer);
+Wc__ViewChanges *
+       wc__view_changes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wc__view_changes__free_unpacked
+                     (Wc__ViewChanges *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wc__AnswerRef_Closure)
@@ -518,6 +703,21 @@
 typedef void (*Wc__PeerFrame_Closure)
                  (const Wc__PeerFrame *message,
                   void *closure_data);
+typedef void (*Wc__PeerEntry_Closure)
+                 (const Wc__PeerEntry *message,
+                  void *closure_data);
+typedef void (*Wc__HostReport_Closure)
+                 (const Wc__HostReport *message,
+                  void *closure_data);
+typedef void (*Wc__PeerNews_Closure)
+                 (const Wc__PeerNews *message,
+                  void *closure_data);
+typedef void (*Wc__ViewChange_Closure)
+                 (const Wc__ViewChange *message,
+                  void *closure_data);
+typedef void (*Wc__ViewChanges_Closure)
+                 (const Wc__ViewChanges *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -538,6 +738,11 @@
 extern const ProtobufCMessageDescriptor wc__member_note__descriptor;
 extern const ProtobufCMessageDescriptor wc__peer_frame__descriptor;
 extern const ProtobufCEnumDescriptor    wc__peer_frame__kind__descriptor;
+extern const ProtobufCMessageDescriptor wc__peer_entry__descriptor;
+extern const ProtobufCMessageDescriptor wc__host_report__descriptor;
+extern const ProtobufCMessageDescriptor wc__peer_news__descriptor;
+extern const ProtobufCMessageDescriptor wc__view_change__descriptor;
+extern const ProtobufCMessageDescriptor wc__view_changes__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -7,14 +7,16 @@
 
 #include <ev.h>
 #include <glib.h>
+#include <sodium.h>
 
 #include "edge/clock.h"
 #include "edge/event_log.h"
 #include "edge/http_server.h"
 #include "edge/socket_address.h"
-#include "edge/store_reader.h"
+#include "edge/peer_port.h"
 #include "edge/store_view.h"
 #include "edge/udp_batch.h"
+#include "edge/view_reader.h"
 #include "forward/forwarder.h"
 #include "packet_wire.h"
 
@@ -35,6 +37,14 @@
 
 static const double TICK_S = 0.1;
 
+enum
+{
+  /* Two datagrams of up to 500 bytes a round are 1 kB/s; the planned size allows 2 kB/s. */
+  NEWS_INTERVAL_US = 500 * 1000,
+  /* Without the store for this long, and without a word from any peer, an instance is cut off from both. */
+  ISOLATED_US = 3000 * 1000
+};
+
 struct WcForwardServer
 {
   const WcForwardSettings *settings;
@@ -43,7 +53,9 @@
   WcEventLog              *log;
   WcForwarder             *forwarder;
   WcStoreReplica          *replica;
-  WcStoreReader           *reader;
+  WcPeerTable             *peers;
+  WcPeerPort              *peer_port;
+  WcViewReader            *reader;
   WcUdpBatch              *packets;
   WcHttpServer            *ready;
   ev_io                    readable;
@@ -53,25 +65,30 @@
   uint64_t                 now_us;
   uint64_t                 last_packet_us;
   uint64_t                 stop_us;
+  uint64_t                 news_deadline_us;
   uint64_t                 counters[WC_DECISION_COUNT];
   uint64_t                 malformed;
 };
 
-static bool open_sockets (WcForwardServer *server, WcError *error);
-static void start_watchers (WcForwardServer *server);
-static void packets_readable (struct ev_loop *loop, ev_io *watcher, int events);
-static void receive_packet (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes);
-static void forward_packet (void *user_data, const WcPacket *packet, const WcHost *host);
-static void reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
-static void log_decision (void *user_data, const WcDecision *decision);
-static void apply_change (void *user_data, const WcStoreChange *change);
-static void store_updated (void *user_data);
-static void answer_ready (void *user_data, WcHttpExchange *exchange);
-static void tick_passed (struct ev_loop *loop, ev_timer *watcher, int events);
-static void signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
-static void stop_when_quiet (WcForwardServer *server);
-static void log_state (WcForwardServer *server, const char *event);
-static void set_address (WcAddress *address, uint32_t ip, uint16_t port);
+static uint64_t draw_incarnation (void);
+static bool     open_sockets (WcForwardServer *server, WcError *error);
+static void     start_watchers (WcForwardServer *server);
+static void     packets_readable (struct ev_loop *loop, ev_io *watcher, int events);
+static void     receive_packet (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes);
+static void     forward_packet (void *user_data, const WcPacket *packet, const WcHost *host);
+static void     reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
+static void     log_decision (void *user_data, const WcDecision *decision);
+static void     apply_change (void *user_data, const WcStoreChange *change);
+static void     view_updated (void *user_data);
+static void     answer_ready (void *user_data, WcHttpExchange *exchange);
+static bool     is_isolated (const WcForwardServer *server);
+static void     fill_news (void *user_data, WcPeerNews *news);
+static void     news_heard (void *user_data, const WcPeerNews *news);
+static void     tick_passed (struct ev_loop *loop, ev_timer *watcher, int events);
+static void     signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
+static void     stop_when_quiet (WcForwardServer *server);
+static void     log_state (WcForwardServer *server, const char *event);
+static void     set_address (WcAddress *address, uint32_t ip, uint16_t port);
 
 static const WcForwarderOps FORWARDER_OPS = { forward_packet, reset_flow, log_decision };
 
@@ -85,20 +102,29 @@
     .flow_life_us = (uint64_t)settings->flow_life_ms * 1000,
   };
 
+  const WcPeerEntry self = {
+    .address = settings->peers,
+    .incarnation = draw_incarnation (),
+    .domain = limits.domain,
+  };
+
   server->settings = settings;
   server->path = path;
   server->loop = ev_default_loop (EVFLAG_AUTO);
   server->log = wc_event_log_new (server->loop, STDOUT_FILENO, settings->instance);
   server->forwarder = wc_forwarder_new (&limits, &FORWARDER_OPS, server);
   server->replica = wc_store_replica_new (limits.flow_life_us, apply_change, server);
+  server->peers = wc_peer_table_new (&self);
+  wc_peer_table_set_seeds (server->peers, settings->seeds, settings->seed_count);
   if (!open_sockets (server, error))
     {
       wc_forward_server_delete (server);
       return NULL;
     }
   start_watchers (server);
-  server->reader =
-      wc_store_reader_new (server->loop, &settings->store, server->replica, server->log, store_updated, server);
+  wc_peer_port_send_news (server->peer_port, wc_clock_monotonic_us ());
+  server->reader = wc_view_reader_new (server->loop, &settings->store, server->replica, server->peers, server->log,
+                                       view_updated, server);
   log_state (server, "started");
   return server;
 }
@@ -108,7 +134,9 @@
 {
   if (!server)
     return;
-  wc_store_reader_delete (server->reader);
+  wc_view_reader_delete (server->reader);
+  wc_peer_port_delete (server->peer_port);
+  wc_peer_table_delete (server->peers);
   wc_http_server_delete (server->ready);
   wc_udp_batch_delete (server->packets);
   wc_store_replica_delete (server->replica);
@@ -128,6 +156,16 @@
 
 /* local functions */
 
+static uint64_t
+draw_incarnation (void)
+{
+  uint64_t incarnation = 0;
+
+  while (incarnation == 0)
+    randombytes_buf (&incarnation, sizeof incarnation);
+  return incarnation;
+}
+
 static bool
 open_sockets (WcForwardServer *server, WcError *error)
 {
@@ -138,7 +176,11 @@
     return false;
   server->packets = wc_udp_batch_new (fd);
   server->ready = wc_http_server_new (server->loop, &server->settings->ready, &ready_ops, server, error);
-  return server->ready != NULL;
+  if (!server->ready)
+    return false;
+  server->peer_port = wc_peer_port_new (server->loop, &server->settings->peers, server->peers, server->replica,
+                                        fill_news, news_heard, server, error);
+  return server->peer_port != NULL;
 }
 
 /* Packets are read only when the view is loaded; until then the kernel keeps them. */
@@ -259,10 +301,11 @@
 }
 
 static void
-store_updated (void *user_data)
+view_updated (void *user_data)
 {
   WcForwardServer *server = user_data;
 
+  wc_peer_port_view_changed (server->peer_port);
   if (server->is_loaded || wc_store_replica_get_revision (server->replica) == 0 ||
       !wc_forwarder_get_routes (server->forwarder))
     return;
@@ -275,11 +318,42 @@
 answer_ready (void *user_data, WcHttpExchange *exchange)
 {
   WcForwardServer *server = user_data;
-  bool             is_ready = server->is_loaded && server->stop_us == 0;
+  bool             is_ready = server->is_loaded && server->stop_us == 0 && !is_isolated (server);
 
   wc_http_exchange_respond (exchange, is_ready ? 200 : 503, NULL, NULL, 0);
 }
 
+/*
+ * An instance that is cut off from the store and from all its peers knows less and less of the hosts. Callers are
+ * better served by the others; when there are none, the fabric goes on using this one.
+ */
+static bool
+is_isolated (const WcForwardServer *server)
+{
+  uint64_t now_us = wc_clock_monotonic_us ();
+
+  return now_us - wc_store_replica_get_time_us (server->replica) > ISOLATED_US &&
+         wc_peer_table_is_alone (server->peers, ISOLATED_US, now_us);
+}
+
+static void
+fill_news (void *user_data, WcPeerNews *news)
+{
+  WcForwardServer *server = user_data;
+  uint64_t         view_us = wc_store_replica_get_time_us (server->replica);
+
+  news->revision = wc_store_replica_get_revision (server->replica);
+  news->view_age_ms = view_us > 0 ? (uint32_t)((wc_clock_monotonic_us () - view_us) / 1000) : UINT32_MAX;
+  news->stopping = server->stop_us > 0;
+}
+
+static void
+news_heard (void *user_data, const WcPeerNews *news)
+{
+  (void)user_data;
+  (void)news;
+}
+
 static void
 tick_passed (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -292,9 +366,16 @@
   if (before_us > 0 && server->now_us - before_us > PAUSE_US)
     {
       log_state (server, "paused");
-      wc_store_reader_restart (server->reader);
+      wc_view_reader_restart (server->reader);
     }
   wc_forwarder_tick (server->forwarder, server->now_us);
+  wc_peer_port_tick (server->peer_port, server->now_us);
+  if (server->now_us >= server->news_deadline_us)
+    {
+      server->news_deadline_us = server->now_us + NEWS_INTERVAL_US;
+      wc_peer_table_forget (server->peers, server->now_us);
+      wc_peer_port_send_news (server->peer_port, server->now_us);
+    }
   wc_udp_batch_flush (server->packets);
   if (server->stop_us > 0)
     stop_when_quiet (server);
--- /dev/null
+++ b/src/edge/peer_port.c
@@ -0,0 +1,234 @@
+#include "edge/peer_port.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "edge/clock.h"
+#include "edge/http_server.h"
+#include "edge/socket_address.h"
+#include "edge/udp_batch.h"
+
+enum
+{
+  /* Longer than any peer waits. */
+  WAIT_MAX_MS = 5000
+};
+
+/* A peer that waits for changes after a revision. */
+typedef struct
+{
+  WcHttpExchange *exchange;
+  uint64_t        revision;
+  uint64_t        deadline_us;
+} Waiter;
+
+struct WcPeerPort
+{
+  struct ev_loop       *loop;
+  WcPeerTable          *peers;
+  const WcStoreReplica *replica;
+  WcPeerPortFill        fill;
+  WcPeerPortHeard       heard;
+  void                 *user_data;
+  WcUdpBatch           *datagrams;
+  WcHttpServer         *server;
+  ev_io                 readable;
+  GArray               *waiters;
+};
+
+static void     datagrams_readable (struct ev_loop *loop, ev_io *watcher, int events);
+static void     receive_news (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes);
+static void     send_news (WcPeerPort *port, const WcAddress *target, uint64_t now_us);
+static void     request_received (void *user_data, WcHttpExchange *exchange);
+static void     request_aborted (void *user_data, WcHttpExchange *exchange);
+static void     answer (WcPeerPort *port, WcHttpExchange *exchange, uint64_t revision);
+static uint64_t get_number (const WcHttpExchange *exchange, const char *name);
+
+WcPeerPort *
+wc_peer_port_new (struct ev_loop *loop, const WcAddress *address, WcPeerTable *peers, const WcStoreReplica *replica,
+                  WcPeerPortFill fill, WcPeerPortHeard heard, void *user_data, WcError *error)
+{
+  static const WcHttpServerOps ops = { .request = request_received, .aborted = request_aborted };
+  int                          fd = wc_socket_open_udp (address, false, error);
+  WcPeerPort                  *port;
+
+  assert (loop != NULL && peers != NULL && replica != NULL && fill != NULL && heard != NULL);
+
+  if (fd < 0)
+    return NULL;
+  port = g_new0 (WcPeerPort, 1);
+  port->loop = loop;
+  port->peers = peers;
+  port->replica = replica;
+  port->fill = fill;
+  port->heard = heard;
+  port->user_data = user_data;
+  port->datagrams = wc_udp_batch_new (fd);
+  port->waiters = g_array_new (FALSE, FALSE, sizeof (Waiter));
+  ev_io_init (&port->readable, datagrams_readable, fd, EV_READ);
+  port->readable.data = port;
+  ev_io_start (loop, &port->readable);
+  port->server = wc_http_server_new (loop, address, &ops, port, error);
+  if (port->server)
+    return port;
+  wc_peer_port_delete (port);
+  return NULL;
+}
+
+void
+wc_peer_port_delete (WcPeerPort *port)
+{
+  if (!port)
+    return;
+  ev_io_stop (port->loop, &port->readable);
+  wc_http_server_delete (port->server);
+  wc_udp_batch_delete (port->datagrams);
+  g_array_free (port->waiters, TRUE);
+  g_free (port);
+}
+
+void
+wc_peer_port_send_news (WcPeerPort *port, uint64_t now_us)
+{
+  WcAddress targets[WC_PEER_TARGETS];
+  size_t    count = wc_peer_table_pick_targets (port->peers, now_us, targets);
+
+  for (size_t i = 0; i < count; i++)
+    send_news (port, &targets[i], now_us);
+  wc_udp_batch_flush (port->datagrams);
+}
+
+void
+wc_peer_port_view_changed (WcPeerPort *port)
+{
+  uint64_t revision = wc_store_replica_get_revision (port->replica);
+
+  for (guint i = port->waiters->len; i > 0; i--)
+    {
+      const Waiter waiter = g_array_index (port->waiters, Waiter, i - 1);
+
+      if (waiter.revision >= revision)
+        continue;
+      g_array_remove_index_fast (port->waiters, i - 1);
+      answer (port, waiter.exchange, waiter.revision);
+    }
+}
+
+void
+wc_peer_port_tick (WcPeerPort *port, uint64_t now_us)
+{
+  for (guint i = port->waiters->len; i > 0; i--)
+    {
+      const Waiter waiter = g_array_index (port->waiters, Waiter, i - 1);
+
+      if (now_us < waiter.deadline_us)
+        continue;
+      g_array_remove_index_fast (port->waiters, i - 1);
+      answer (port, waiter.exchange, waiter.revision);
+    }
+}
+
+/* local functions */
+
+static void
+datagrams_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  WcPeerPort *port = watcher->data;
+
+  (void)loop;
+  (void)events;
+  wc_udp_batch_receive (port->datagrams, receive_news, port);
+  wc_udp_batch_flush (port->datagrams);
+}
+
+static void
+receive_news (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes)
+{
+  WcPeerPort *port = user_data;
+  uint64_t    now_us = wc_clock_monotonic_us ();
+  WcPeerNews  news;
+
+  (void)source;
+  if (wc_peer_news_unpack (data, size_bytes, &news) != WC_STATUS_OK)
+    return;
+  if (wc_peer_table_hear (port->peers, &news, now_us))
+    send_news (port, &news.sender.address, now_us);
+  port->heard (port->user_data, &news);
+}
+
+static void
+send_news (WcPeerPort *port, const WcAddress *target, uint64_t now_us)
+{
+  WcPeerNews news = { 0 };
+  uint8_t    data[WC_PEER_NEWS_MAX_BYTES];
+  size_t     size_bytes;
+
+  wc_peer_table_write (port->peers, &news, now_us);
+  port->fill (port->user_data, &news);
+  size_bytes = wc_peer_news_pack (&news, data);
+  if (size_bytes > 0)
+    wc_udp_batch_send (port->datagrams, target, data, size_bytes);
+}
+
+static void
+request_received (void *user_data, WcHttpExchange *exchange)
+{
+  WcPeerPort  *port = user_data;
+  uint64_t     revision = get_number (exchange, "after");
+  uint64_t     wait_ms = get_number (exchange, "wait_ms");
+  const Waiter waiter = { exchange, revision, wc_clock_monotonic_us () + MIN (wait_ms, WAIT_MAX_MS) * 1000 };
+
+  if (strcmp (wc_http_exchange_get_path (exchange), "/changes") != 0)
+    wc_http_exchange_respond (exchange, 404, NULL, NULL, 0);
+  else if (wc_store_replica_get_revision (port->replica) == 0)
+    wc_http_exchange_respond (exchange, 503, NULL, NULL, 0);
+  else if (wait_ms == 0 || revision < wc_store_replica_get_revision (port->replica))
+    answer (port, exchange, revision);
+  else
+    g_array_append_val (port->waiters, waiter);
+}
+
+static void
+request_aborted (void *user_data, WcHttpExchange *exchange)
+{
+  WcPeerPort *port = user_data;
+
+  for (guint i = 0; i < port->waiters->len; i++)
+    if (g_array_index (port->waiters, Waiter, i).exchange == exchange)
+      {
+        g_array_remove_index_fast (port->waiters, i);
+        return;
+      }
+}
+
+static void
+answer (WcPeerPort *port, WcHttpExchange *exchange, uint64_t revision)
+{
+  uint64_t     age_us = wc_clock_monotonic_us () - wc_store_replica_get_time_us (port->replica);
+  WcStoreReply reply;
+  GBytes      *body;
+  gsize        size_bytes;
+  const void  *data;
+
+  wc_store_reply_init (&reply);
+  if (wc_store_replica_get_changes (port->replica, revision, &reply))
+    {
+      body = wc_view_changes_pack (&reply, (uint32_t)MIN (age_us / 1000, UINT32_MAX));
+      data = g_bytes_get_data (body, &size_bytes);
+      wc_http_exchange_respond (exchange, 200, NULL, data, size_bytes);
+      g_bytes_unref (body);
+    }
+  else
+    wc_http_exchange_respond (exchange, 410, NULL, NULL, 0);
+  wc_store_reply_finish (&reply);
+}
+
+static uint64_t
+get_number (const WcHttpExchange *exchange, const char *name)
+{
+  const char *text = wc_http_exchange_get_parameter (exchange, name);
+
+  return text ? g_ascii_strtoull (text, NULL, 10) : 0;
+}
--- a/src/edge/platform_client.c
+++ b/src/edge/platform_client.c
@@ -21,7 +21,7 @@
   HEADER_BYTES = 64
 };
 
-/* Time for one platform to answer, on top of the time that a watch may take. */
+/* Time for one platform to answer, on top of the time that a watch may take, unless set otherwise. */
 static const double ANSWER_LIMIT_S = 2.0;
 static const double BLOCKED_DELAY_S = 0.05;
 
@@ -63,6 +63,7 @@
   size_t             count;
   size_t             preferred;
   bool               blocked;
+  double             answer_limit_s;
   WcPlatformCallback callback;
   void              *user_data;
   Read               reads[WC_PLATFORM_READ_COUNT];
@@ -71,6 +72,7 @@
 static void start_attempt (Read *read);
 static void attempt_failed (Read *read, const char *reason);
 static void finish (Read *read, WcPlatformResult result);
+static void limit_answer (Read *read, uint32_t wait_ms);
 static void keep_connection (Read *read);
 static void close_socket (Read *read);
 static void io_ready (struct ev_loop *loop, ev_io *watcher, int events);
@@ -107,6 +109,7 @@
   client->loop = loop;
   client->addresses = g_memdup2 (addresses, count * sizeof *addresses);
   client->count = count;
+  client->answer_limit_s = ANSWER_LIMIT_S;
   client->callback = callback;
   client->user_data = user_data;
   for (int i = 0; i < WC_PLATFORM_READ_COUNT; i++)
@@ -142,6 +145,14 @@
   g_free (client);
 }
 
+void
+wc_platform_client_set_answer_limit_us (WcPlatformClient *client, uint64_t limit_us)
+{
+  assert (client != NULL && limit_us > 0);
+
+  client->answer_limit_s = (double)limit_us / 1e6;
+}
+
 void
 wc_platform_client_get (WcPlatformClient *client, WcPlatformRead kind, const char *path, uint32_t wait_ms)
 {
@@ -237,8 +248,7 @@
   read->parser.data = read;
   read->in_progress = true;
   wait_for (read, EV_WRITE);
-  ev_timer_set (&read->timer, ANSWER_LIMIT_S + (double)read->wait_ms / 1000.0, 0.0);
-  ev_timer_start (client->loop, &read->timer);
+  limit_answer (read, read->connecting ? 0 : read->wait_ms);
 }
 
 /* Tries the next platform, or reports the failure when all were tried. */
@@ -282,6 +292,14 @@
   g_byte_array_free (body, TRUE);
 }
 
+static void
+limit_answer (Read *read, uint32_t wait_ms)
+{
+  ev_timer_stop (read->client->loop, &read->timer);
+  ev_timer_set (&read->timer, read->client->answer_limit_s + (double)wait_ms / 1000.0, 0.0);
+  ev_timer_start (read->client->loop, &read->timer);
+}
+
 static void
 keep_connection (Read *read)
 {
@@ -357,6 +375,7 @@
           return false;
         }
       read->connecting = false;
+      limit_answer (read, read->wait_ms);
     }
   left = strlen (read->request) - read->request_sent;
   sent = send (read->descriptor, read->request + read->request_sent, left, MSG_NOSIGNAL);
--- a/src/edge/platform_client.h
+++ b/src/edge/platform_client.h
@@ -49,6 +49,9 @@
                                           WcPlatformCallback callback, void *user_data);
 void              wc_platform_client_delete (WcPlatformClient *client);
 
+/** wc_platform_client_set_answer_limit_us() - time to connect, and to answer on top of the wait; 2 s unless set. */
+void wc_platform_client_set_answer_limit_us (WcPlatformClient *client, uint64_t limit_us);
+
 /**
  * wc_platform_client_get() - start a read; one of the same kind in progress is dropped without an answer.
  * @path: with its query.
--- /dev/null
+++ b/src/edge/view_reader.c
@@ -0,0 +1,322 @@
+#include "edge/view_reader.h"
+
+#include <assert.h>
+
+#include <glib.h>
+
+#include "edge/clock.h"
+#include "edge/platform_client.h"
+#include "forward/store_sync.h"
+#include "forward/view_source.h"
+#include "store_wire.h"
+
+enum
+{
+  /*
+   * How long a read waits for changes. With the limit on the answer, a connection that went silent is noticed within
+   * 2 s; the platform allows 3 s until a configuration is in force.
+   */
+  WATCH_MS = 1000,
+  /* The store takes 4 ms to answer, and up to 100 times as long when it is slow. */
+  STORE_ANSWER_US = 1000 * 1000,
+  /* A peer answers within 10 ms, and within some hundred when its processor is taken. */
+  PEER_ANSWER_US = 400 * 1000,
+  /* A peer whose view is older than two waits of a watch cannot read the store itself. */
+  PEER_VIEW_MAX_US = 2500 * 1000,
+  /* How long a peer that could not be read from is passed over. */
+  PEER_AVOID_US = 2000 * 1000,
+  /* Pause before the next choice when there is no source at all. */
+  SHORTEST_PAUSE_US = 20 * 1000
+};
+
+struct WcViewReader
+{
+  struct ev_loop      *loop;
+  WcStoreReplica      *replica;
+  WcPeerTable         *peers;
+  WcStoreSync         *sync;
+  WcPlatformClient    *store;
+  WcPlatformClient    *peer;
+  WcViewSource         source;
+  uint64_t             store_avoid_deadline_us;
+  bool                 store_lost;
+  WcEventLog          *log;
+  WcViewReaderUpdated  updated;
+  void                *user_data;
+  ev_timer             pause;
+  WcViewReaderCounters counters;
+};
+
+static void read_next (WcViewReader *reader);
+static void read_store (WcViewReader *reader, WcStoreRead read, const char *after_key);
+static void read_peer (WcViewReader *reader, WcStoreRead read);
+static void set_source (WcViewReader *reader, const WcViewSource *source);
+static void pause_passed (struct ev_loop *loop, ev_timer *watcher, int events);
+static void read_ended (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
+                        const char *body, size_t size_bytes);
+static bool decode (const WcViewReader *reader, const char *body, size_t size_bytes, WcStoreReply *reply,
+                    uint64_t *age_us, WcError *error);
+static void answered (WcViewReader *reader, WcPlatformRead read, const WcStoreReply *reply, uint64_t age_us);
+static void read_failed (WcViewReader *reader, const char *reason);
+static void avoid_peer (WcViewReader *reader);
+static void log_state (WcViewReader *reader, const char *event, const char *reason);
+
+WcViewReader *
+wc_view_reader_new (struct ev_loop *loop, const WcAddress *store, WcStoreReplica *replica, WcPeerTable *peers,
+                    WcEventLog *log, WcViewReaderUpdated updated, void *user_data)
+{
+  WcViewReader *reader = g_new0 (WcViewReader, 1);
+
+  assert (loop != NULL && store != NULL && replica != NULL && peers != NULL && updated != NULL);
+
+  reader->loop = loop;
+  reader->replica = replica;
+  reader->peers = peers;
+  reader->sync = wc_store_sync_new (replica);
+  reader->store = wc_platform_client_new (loop, store, 1, read_ended, reader);
+  wc_platform_client_set_answer_limit_us (reader->store, STORE_ANSWER_US);
+  reader->source.kind = WC_VIEW_SOURCE_NONE;
+  reader->log = log;
+  reader->updated = updated;
+  reader->user_data = user_data;
+  ev_timer_init (&reader->pause, pause_passed, 0.0, 0.0);
+  reader->pause.data = reader;
+  read_next (reader);
+  return reader;
+}
+
+void
+wc_view_reader_delete (WcViewReader *reader)
+{
+  if (!reader)
+    return;
+  ev_timer_stop (reader->loop, &reader->pause);
+  wc_platform_client_delete (reader->store);
+  wc_platform_client_delete (reader->peer);
+  wc_store_sync_delete (reader->sync);
+  g_free (reader);
+}
+
+void
+wc_view_reader_restart (WcViewReader *reader)
+{
+  WcPlatformClient *clients[] = { reader->store, reader->peer };
+
+  ev_timer_stop (reader->loop, &reader->pause);
+  for (size_t i = 0; i < G_N_ELEMENTS (clients); i++)
+    if (clients[i])
+      {
+        wc_platform_client_cancel (clients[i], WC_PLATFORM_READ_ITEMS);
+        wc_platform_client_cancel (clients[i], WC_PLATFORM_READ_CHANGES);
+      }
+  reader->store_avoid_deadline_us = 0;
+  read_next (reader);
+}
+
+const WcViewReaderCounters *
+wc_view_reader_get_counters (const WcViewReader *reader)
+{
+  return &reader->counters;
+}
+
+/* local functions */
+
+static void
+read_next (WcViewReader *reader)
+{
+  uint64_t     now_us = wc_clock_monotonic_us ();
+  WcViewSource source = wc_view_source_choose (reader->peers, reader->store_avoid_deadline_us, now_us);
+  const char  *after_key;
+  WcStoreRead  read;
+
+  set_source (reader, &source);
+  read = wc_store_sync_next (reader->sync, &after_key);
+  switch (source.kind)
+    {
+    case WC_VIEW_SOURCE_STORE:
+      read_store (reader, read, after_key);
+      break;
+    case WC_VIEW_SOURCE_PEER:
+      read_peer (reader, read);
+      break;
+    case WC_VIEW_SOURCE_NONE:
+      ev_timer_set (&reader->pause,
+                    (double)MAX (source.deadline_us, now_us + SHORTEST_PAUSE_US) / 1e6 - (double)now_us / 1e6, 0.0);
+      ev_timer_start (reader->loop, &reader->pause);
+      break;
+    }
+}
+
+static void
+read_store (WcViewReader *reader, WcStoreRead read, const char *after_key)
+{
+  char *path;
+
+  reader->counters.store_reads++;
+  if (read == WC_STORE_READ_RANGE)
+    {
+      path = wc_store_wire_range_path (after_key);
+      wc_platform_client_get (reader->store, WC_PLATFORM_READ_ITEMS, path, 0);
+    }
+  else
+    {
+      path = wc_store_wire_watch_path (wc_store_replica_get_revision (reader->replica), WATCH_MS);
+      wc_platform_client_get (reader->store, WC_PLATFORM_READ_CHANGES, path, WATCH_MS);
+    }
+  g_free (path);
+}
+
+/* A peer gives everything at once, as changes since revision 0. */
+static void
+read_peer (WcViewReader *reader, WcStoreRead read)
+{
+  bool     is_range = read == WC_STORE_READ_RANGE;
+  uint64_t revision = is_range ? 0 : wc_store_replica_get_revision (reader->replica);
+  uint32_t wait_ms = is_range ? 0 : WATCH_MS;
+  char    *path = g_strdup_printf ("/changes?after=%" G_GUINT64_FORMAT "&wait_ms=%u", revision, wait_ms);
+
+  reader->counters.peer_reads++;
+  wc_platform_client_get (reader->peer, is_range ? WC_PLATFORM_READ_ITEMS : WC_PLATFORM_READ_CHANGES, path, wait_ms);
+  g_free (path);
+}
+
+static void
+set_source (WcViewReader *reader, const WcViewSource *source)
+{
+  bool is_same = source->kind == reader->source.kind &&
+                 (source->kind != WC_VIEW_SOURCE_PEER || wc_address_equal (&source->peer, &reader->source.peer));
+
+  if (is_same)
+    return;
+  if (source->kind == WC_VIEW_SOURCE_PEER)
+    {
+      wc_platform_client_delete (reader->peer);
+      reader->peer = wc_platform_client_new (reader->loop, &source->peer, 1, read_ended, reader);
+      wc_platform_client_set_answer_limit_us (reader->peer, PEER_ANSWER_US);
+    }
+  reader->source = *source;
+  log_state (reader, "source_chosen", "");
+}
+
+static void
+pause_passed (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  read_next (watcher->data);
+}
+
+static void
+read_ended (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version, const char *body,
+            size_t size_bytes)
+{
+  WcViewReader *reader = user_data;
+  WcStoreReply  reply;
+  WcError       error;
+  uint64_t      age_us = 0;
+
+  (void)version;
+  if (result == WC_PLATFORM_READ_EXPIRED)
+    {
+      log_state (reader, "history_expired", "the changes since this revision are no longer kept");
+      wc_store_sync_expired (reader->sync);
+      read_next (reader);
+      return;
+    }
+  if (result != WC_PLATFORM_READ_OK)
+    {
+      read_failed (reader, "no answer");
+      return;
+    }
+  wc_store_reply_init (&reply);
+  if (decode (reader, body, size_bytes, &reply, &age_us, &error))
+    answered (reader, read, &reply, age_us);
+  else
+    read_failed (reader, error.message);
+  wc_store_reply_finish (&reply);
+}
+
+static bool
+decode (const WcViewReader *reader, const char *body, size_t size_bytes, WcStoreReply *reply, uint64_t *age_us,
+        WcError *error)
+{
+  uint32_t age_ms = 0;
+
+  if (reader->source.kind == WC_VIEW_SOURCE_STORE)
+    return wc_store_wire_read (body, size_bytes, reply, error) == WC_STATUS_OK;
+  if (wc_view_changes_unpack (body, size_bytes, reply, &age_ms) != WC_STATUS_OK)
+    {
+      wc_error_set (error, WC_STATUS_PARSE, "the peer's answer cannot be decoded");
+      return false;
+    }
+  *age_us = (uint64_t)age_ms * 1000;
+  return true;
+}
+
+static void
+answered (WcViewReader *reader, WcPlatformRead read, const WcStoreReply *reply, uint64_t age_us)
+{
+  uint64_t now_us = wc_clock_monotonic_us ();
+
+  if (reader->source.kind == WC_VIEW_SOURCE_STORE && reader->store_lost)
+    {
+      reader->store_lost = false;
+      log_state (reader, "store_back", "");
+    }
+  wc_store_sync_answered (reader->sync, read == WC_PLATFORM_READ_ITEMS ? WC_STORE_READ_RANGE : WC_STORE_READ_CHANGES,
+                          reply, age_us, now_us);
+  if (reader->source.kind == WC_VIEW_SOURCE_PEER &&
+      now_us - wc_store_replica_get_time_us (reader->replica) > PEER_VIEW_MAX_US)
+    avoid_peer (reader);
+  reader->updated (reader->user_data);
+  read_next (reader);
+}
+
+static void
+read_failed (WcViewReader *reader, const char *reason)
+{
+  uint64_t now_us = wc_clock_monotonic_us ();
+
+  reader->counters.failures++;
+  if (reader->source.kind == WC_VIEW_SOURCE_PEER)
+    {
+      log_state (reader, "peer_read_failed", reason);
+      avoid_peer (reader);
+    }
+  else
+    {
+      if (!reader->store_lost)
+        log_state (reader, "store_lost", reason);
+      reader->store_lost = true;
+      reader->store_avoid_deadline_us = now_us + wc_store_sync_failed (reader->sync);
+    }
+  read_next (reader);
+}
+
+static void
+avoid_peer (WcViewReader *reader)
+{
+  WcPeer *peer = wc_peer_table_find (reader->peers, &reader->source.peer);
+
+  if (peer)
+    peer->avoid_deadline_us = wc_clock_monotonic_us () + PEER_AVOID_US;
+}
+
+static void
+log_state (WcViewReader *reader, const char *event, const char *reason)
+{
+  static const char *const kinds[] = { "store", "peer", "none" };
+  uint64_t                 time_us = wc_store_replica_get_time_us (reader->replica);
+  WcEventLine             *line = wc_event_log_begin (reader->log, "view", event);
+  char                     text[WC_ADDRESS_TEXT_BYTES];
+
+  wc_event_line_add_text (line, "source", kinds[reader->source.kind]);
+  if (reader->source.kind == WC_VIEW_SOURCE_PEER)
+    wc_event_line_add_text (line, "peer", wc_address_format (&reader->source.peer, text));
+  wc_event_line_add_uint (line, "view_revision", wc_store_replica_get_revision (reader->replica));
+  if (time_us > 0)
+    wc_event_line_add_uint (line, "view_age_ms", (wc_clock_monotonic_us () - time_us) / 1000);
+  if (reason[0] != '\0')
+    wc_event_line_add_text (line, "reason", reason);
+  wc_event_line_end (line);
+}
--- /dev/null
+++ b/src/forward/peer_news.c
@@ -0,0 +1,169 @@
+#include "forward/peer_news.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "wigeoncart.pb-c.h"
+
+static void pack_entry (const WcPeerEntry *entry, Wc__PeerEntry *message);
+static bool unpack_entry (const Wc__PeerEntry *message, WcPeerEntry *entry);
+
+size_t
+wc_peer_news_pack (const WcPeerNews *news, uint8_t out[WC_PEER_NEWS_MAX_BYTES])
+{
+  Wc__PeerNews    message = WC__PEER_NEWS__INIT;
+  Wc__PeerEntry   sender;
+  Wc__PeerEntry   entries[WC_PEER_NEWS_ENTRIES];
+  Wc__PeerEntry  *entry_list[WC_PEER_NEWS_ENTRIES];
+  Wc__HostReport  hosts[WC_PEER_NEWS_HOSTS];
+  Wc__HostReport *host_list[WC_PEER_NEWS_HOSTS];
+
+  assert (news != NULL);
+  assert (news->known_count <= WC_PEER_NEWS_ENTRIES && news->host_count <= WC_PEER_NEWS_HOSTS);
+
+  pack_entry (&news->sender, &sender);
+  for (size_t i = 0; i < news->known_count; i++)
+    {
+      pack_entry (&news->known[i], &entries[i]);
+      entry_list[i] = &entries[i];
+    }
+  for (size_t i = 0; i < news->host_count; i++)
+    {
+      wc__host_report__init (&hosts[i]);
+      hosts[i].host = news->hosts[i].host;
+      hosts[i].silent_flows = news->hosts[i].silent_flows;
+      hosts[i].silent_ms = news->hosts[i].silent_ms;
+      hosts[i].life_age_ms = news->hosts[i].life_age_ms;
+      host_list[i] = &hosts[i];
+    }
+  message.sender = &sender;
+  message.revision = news->revision;
+  message.view_age_ms = news->view_age_ms;
+  message.stopping = news->stopping;
+  message.n_known = news->known_count;
+  message.known = entry_list;
+  message.n_hosts = news->host_count;
+  message.hosts = host_list;
+  if (wc__peer_news__get_packed_size (&message) > WC_PEER_NEWS_MAX_BYTES)
+    return 0;
+  return wc__peer_news__pack (&message, out);
+}
+
+WcStatus
+wc_peer_news_unpack (const uint8_t *data, size_t size_bytes, WcPeerNews *news)
+{
+  Wc__PeerNews *message = wc__peer_news__unpack (NULL, size_bytes, data);
+  WcStatus      status = WC_STATUS_OK;
+
+  assert (news != NULL);
+
+  if (!message)
+    return WC_STATUS_PARSE;
+  memset (news, 0, sizeof *news);
+  if (!message->sender || !unpack_entry (message->sender, &news->sender) || message->n_known > WC_PEER_NEWS_ENTRIES ||
+      message->n_hosts > WC_PEER_NEWS_HOSTS)
+    status = WC_STATUS_INVALID;
+  for (size_t i = 0; status == WC_STATUS_OK && i < message->n_known; i++)
+    if (unpack_entry (message->known[i], &news->known[news->known_count]))
+      news->known_count++;
+  for (size_t i = 0; status == WC_STATUS_OK && i < message->n_hosts; i++)
+    news->hosts[news->host_count++] = (WcHostReport){
+      .host = message->hosts[i]->host,
+      .silent_flows = message->hosts[i]->silent_flows,
+      .silent_ms = message->hosts[i]->silent_ms,
+      .life_age_ms = message->hosts[i]->life_age_ms,
+    };
+  news->revision = message->revision;
+  news->view_age_ms = message->view_age_ms;
+  news->stopping = message->stopping;
+  wc__peer_news__free_unpacked (message, NULL);
+  return status;
+}
+
+GBytes *
+wc_view_changes_pack (const WcStoreReply *reply, uint32_t age_ms)
+{
+  Wc__ViewChanges  message = WC__VIEW_CHANGES__INIT;
+  size_t           count = reply->changes->len;
+  Wc__ViewChange  *changes = g_new0 (Wc__ViewChange, count);
+  Wc__ViewChange **list = g_new0 (Wc__ViewChange *, count);
+  size_t           size_bytes;
+  uint8_t         *data;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const WcStoreChange *change = &g_array_index (reply->changes, WcStoreChange, i);
+
+      wc__view_change__init (&changes[i]);
+      changes[i].key = change->key;
+      changes[i].revision = change->revision;
+      changes[i].deleted = change->value == NULL;
+      if (change->value)
+        changes[i].value.data = (uint8_t *)g_bytes_get_data (change->value, &changes[i].value.len);
+      list[i] = &changes[i];
+    }
+  message.revision = reply->revision;
+  message.age_ms = age_ms;
+  message.n_changes = count;
+  message.changes = list;
+  size_bytes = wc__view_changes__get_packed_size (&message);
+  data = g_malloc (size_bytes);
+  wc__view_changes__pack (&message, data);
+  g_free (list);
+  g_free (changes);
+  return g_bytes_new_take (data, size_bytes);
+}
+
+WcStatus
+wc_view_changes_unpack (const void *data, size_t size_bytes, WcStoreReply *reply, uint32_t *age_ms)
+{
+  Wc__ViewChanges *message = wc__view_changes__unpack (NULL, size_bytes, data);
+
+  assert (reply != NULL && age_ms != NULL);
+
+  if (!message)
+    return WC_STATUS_PARSE;
+  for (size_t i = 0; i < message->n_changes; i++)
+    {
+      const Wc__ViewChange *change = message->changes[i];
+
+      wc_store_reply_add (reply, change->key,
+                          change->deleted ? NULL : g_bytes_new (change->value.data, change->value.len),
+                          change->revision);
+    }
+  reply->revision = message->revision;
+  *age_ms = message->age_ms;
+  wc__view_changes__free_unpacked (message, NULL);
+  return WC_STATUS_OK;
+}
+
+/* local functions */
+
+static void
+pack_entry (const WcPeerEntry *entry, Wc__PeerEntry *message)
+{
+  wc__peer_entry__init (message);
+  memcpy (&message->ip, entry->address.ip, sizeof message->ip);
+  message->port = entry->address.port;
+  message->incarnation = entry->incarnation;
+  message->domain = (char *)g_quark_to_string (entry->domain);
+  message->heartbeat = entry->heartbeat;
+}
+
+static bool
+unpack_entry (const Wc__PeerEntry *message, WcPeerEntry *entry)
+{
+  size_t length = strlen (message->domain);
+
+  if (message->ip == 0 || message->port == 0 || message->port > UINT16_MAX || message->incarnation == 0 ||
+      length == 0 || length >= WC_PEER_DOMAIN_BYTES)
+    return false;
+  memset (entry, 0, sizeof *entry);
+  entry->address.family = 4;
+  memcpy (entry->address.ip, &message->ip, sizeof message->ip);
+  entry->address.port = (uint16_t)message->port;
+  entry->incarnation = message->incarnation;
+  entry->domain = g_quark_from_string (message->domain);
+  entry->heartbeat = message->heartbeat;
+  return true;
+}
--- /dev/null
+++ b/src/forward/peer_news.h
@@ -0,0 +1,82 @@
+#ifndef WC_FORWARD_PEER_NEWS_H
+#define WC_FORWARD_PEER_NEWS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <wigeoncart/address.h>
+#include <wigeoncart/status.h>
+
+#include "forward/store_change.h"
+
+enum
+{
+  /* A datagram that is not split on any usual link. */
+  WC_PEER_NEWS_MAX_BYTES = 1400,
+  /* Other instances named in a datagram; with the reports on hosts it stays below WC_PEER_NEWS_MAX_BYTES. */
+  WC_PEER_NEWS_ENTRIES = 8,
+  WC_PEER_NEWS_HOSTS = 16,
+  WC_PEER_DOMAIN_BYTES = 64
+};
+
+/**
+ * struct WcPeerEntry - an instance, as one instance tells another.
+ * @address: for peers, IPv4.
+ * @incarnation: drawn at each start.
+ * @domain: quark of its failure domain.
+ * @heartbeat: raised by the instance itself; a higher one is newer.
+ */
+typedef struct
+{
+  WcAddress address;
+  uint64_t  incarnation;
+  uint32_t  domain;
+  uint64_t  heartbeat;
+} WcPeerEntry;
+
+/**
+ * struct WcHostReport - what the flows of one instance show of a host.
+ * @silent_flows: flows that sent again in vain since the host's last sign of life.
+ * @silent_ms: for how long.
+ * @life_age_ms: age of the last sign of life.
+ */
+typedef struct
+{
+  uint64_t host;
+  uint32_t silent_flows;
+  uint32_t silent_ms;
+  uint32_t life_age_ms;
+} WcHostReport;
+
+/**
+ * struct WcPeerNews - datagram between instances.
+ * @revision: of the sender's view of the store.
+ * @view_age_ms: when the store last confirmed that view; UINT32_MAX for never.
+ * @stopping: the sender is in a planned stop.
+ */
+typedef struct
+{
+  WcPeerEntry  sender;
+  uint64_t     revision;
+  uint32_t     view_age_ms;
+  bool         stopping;
+  size_t       known_count;
+  WcPeerEntry  known[WC_PEER_NEWS_ENTRIES];
+  size_t       host_count;
+  WcHostReport hosts[WC_PEER_NEWS_HOSTS];
+} WcPeerNews;
+
+/** wc_peer_news_pack() - encode. Return: bytes written; 0 when they would not fit. */
+size_t wc_peer_news_pack (const WcPeerNews *news, uint8_t out[WC_PEER_NEWS_MAX_BYTES]);
+
+/** wc_peer_news_unpack() - decode. Return: WC_STATUS_OK, or PARSE or INVALID. */
+WcStatus wc_peer_news_unpack (const uint8_t *data, size_t size_bytes, WcPeerNews *news);
+
+/** wc_view_changes_pack() - encode changes of the store for another instance. */
+GBytes *wc_view_changes_pack (const WcStoreReply *reply, uint32_t age_ms);
+
+/** wc_view_changes_unpack() - decode. @reply: an empty one. Return: WC_STATUS_OK or PARSE. */
+WcStatus wc_view_changes_unpack (const void *data, size_t size_bytes, WcStoreReply *reply, uint32_t *age_ms);
+
+#endif
--- /dev/null
+++ b/src/forward/peer_table.c
@@ -0,0 +1,296 @@
+#include "forward/peer_table.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "core/mix.h"
+
+enum
+{
+  SEEDS_MAX = 16,
+  /* Six rounds of news; two may be lost on the way of a heartbeat through a third instance. */
+  LIVE_US = 3 * 1000 * 1000,
+  /* An instance that is cut off for a while is found again without a seed. */
+  FORGET_US = 60 * 1000 * 1000,
+  /* Another incarnation at a known address is believed from others only when the known one has been silent this long.
+   */
+  REPLACE_US = 1500 * 1000,
+  /* Rounds between two datagrams to a seed; they join groups that found each other separately. */
+  SEED_ROUNDS = 8,
+  /* Rounds between two datagrams to another failure domain. */
+  OTHER_DOMAIN_ROUNDS = 2
+};
+
+struct WcPeerTable
+{
+  WcPeerEntry self;
+  GPtrArray  *peers;
+  WcAddress   seeds[SEEDS_MAX];
+  size_t      seed_count;
+  uint64_t    rounds;
+  uint64_t    state;
+};
+
+static WcPeer  *add_peer (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
+static void     hear_of (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
+static uint64_t draw (WcPeerTable *table);
+static bool     is_self (const WcPeerTable *table, const WcAddress *address);
+static WcPeer  *pick_peer (WcPeerTable *table, bool own_domain, uint64_t now_us);
+static bool     pick_seed (WcPeerTable *table, WcAddress *address);
+
+WcPeerTable *
+wc_peer_table_new (const WcPeerEntry *self)
+{
+  WcPeerTable *table = g_new0 (WcPeerTable, 1);
+
+  assert (self != NULL && self->incarnation != 0);
+
+  table->self = *self;
+  table->peers = g_ptr_array_new_with_free_func (g_free);
+  table->state = self->incarnation;
+  return table;
+}
+
+void
+wc_peer_table_delete (WcPeerTable *table)
+{
+  if (!table)
+    return;
+  g_ptr_array_free (table->peers, TRUE);
+  g_free (table);
+}
+
+void
+wc_peer_table_set_seeds (WcPeerTable *table, const WcAddress *seeds, size_t count)
+{
+  assert (table != NULL);
+
+  table->seed_count = 0;
+  for (size_t i = 0; i < count && table->seed_count < SEEDS_MAX; i++)
+    if (!is_self (table, &seeds[i]))
+      table->seeds[table->seed_count++] = seeds[i];
+}
+
+bool
+wc_peer_table_hear (WcPeerTable *table, const WcPeerNews *news, uint64_t now_us)
+{
+  const WcPeerEntry *sender = &news->sender;
+  WcPeer            *peer;
+  bool               is_new;
+
+  assert (table != NULL);
+
+  if (is_self (table, &sender->address))
+    return false;
+  peer = wc_peer_table_find (table, &sender->address);
+  is_new = !peer || peer->met_us == 0 || peer->entry.incarnation != sender->incarnation;
+  if (!peer)
+    peer = add_peer (table, sender, now_us);
+  if (is_new || sender->heartbeat > peer->entry.heartbeat)
+    peer->heard_us = now_us;
+  peer->entry = *sender;
+  peer->met_us = now_us;
+  peer->revision = news->revision;
+  peer->view_us = news->view_age_ms == UINT32_MAX || (uint64_t)news->view_age_ms * 1000 > now_us
+                      ? 0
+                      : now_us - (uint64_t)news->view_age_ms * 1000;
+  peer->stopping = news->stopping;
+  for (size_t i = 0; i < news->known_count; i++)
+    hear_of (table, &news->known[i], now_us);
+  return is_new;
+}
+
+/* The instances named are drawn anew each time, so that all get around. */
+void
+wc_peer_table_write (WcPeerTable *table, WcPeerNews *news, uint64_t now_us)
+{
+  size_t start;
+
+  assert (table != NULL && news != NULL);
+
+  table->self.heartbeat++;
+  news->sender = table->self;
+  news->known_count = 0;
+  if (table->peers->len == 0)
+    return;
+  start = draw (table) % table->peers->len;
+  for (size_t i = 0; i < table->peers->len && news->known_count < WC_PEER_NEWS_ENTRIES; i++)
+    {
+      const WcPeer *peer = table->peers->pdata[(start + i) % table->peers->len];
+
+      if (wc_peer_is_live (peer, now_us))
+        news->known[news->known_count++] = peer->entry;
+    }
+}
+
+size_t
+wc_peer_table_pick_targets (WcPeerTable *table, uint64_t now_us, WcAddress targets[WC_PEER_TARGETS])
+{
+  const WcPeer *own = pick_peer (table, true, now_us);
+  const WcPeer *other = pick_peer (table, false, now_us);
+  size_t        count = 0;
+
+  table->rounds++;
+  if (own)
+    targets[count++] = own->entry.address;
+  if (other && (!own || table->rounds % OTHER_DOMAIN_ROUNDS == 0))
+    targets[count++] = other->entry.address;
+  if (count < WC_PEER_TARGETS && ((!own && !other) || table->rounds % SEED_ROUNDS == 1) &&
+      pick_seed (table, &targets[count]))
+    count++;
+  return count;
+}
+
+void
+wc_peer_table_forget (WcPeerTable *table, uint64_t now_us)
+{
+  for (guint i = table->peers->len; i > 0; i--)
+    {
+      const WcPeer *peer = table->peers->pdata[i - 1];
+
+      if (now_us - peer->heard_us >= FORGET_US)
+        g_ptr_array_remove_index_fast (table->peers, i - 1);
+    }
+}
+
+size_t
+wc_peer_table_get_count (const WcPeerTable *table)
+{
+  return table->peers->len;
+}
+
+WcPeer *
+wc_peer_table_get (const WcPeerTable *table, size_t index)
+{
+  assert (index < table->peers->len);
+
+  return table->peers->pdata[index];
+}
+
+WcPeer *
+wc_peer_table_find (const WcPeerTable *table, const WcAddress *address)
+{
+  for (guint i = 0; i < table->peers->len; i++)
+    {
+      WcPeer *peer = table->peers->pdata[i];
+
+      if (wc_address_equal (&peer->entry.address, address))
+        return peer;
+    }
+  return NULL;
+}
+
+const WcPeerEntry *
+wc_peer_table_get_self (const WcPeerTable *table)
+{
+  return &table->self;
+}
+
+bool
+wc_peer_is_live (const WcPeer *peer, uint64_t now_us)
+{
+  return !peer->stopping && now_us - peer->heard_us < LIVE_US;
+}
+
+bool
+wc_peer_table_is_alone (const WcPeerTable *table, uint64_t silence_us, uint64_t now_us)
+{
+  bool any_met = false;
+
+  for (guint i = 0; i < table->peers->len; i++)
+    {
+      const WcPeer *peer = table->peers->pdata[i];
+
+      if (peer->met_us == 0)
+        continue;
+      any_met = true;
+      if (now_us - peer->met_us < silence_us)
+        return false;
+    }
+  return any_met;
+}
+
+/* local functions */
+
+static WcPeer *
+add_peer (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us)
+{
+  WcPeer *peer = g_new0 (WcPeer, 1);
+
+  peer->entry = *entry;
+  peer->heard_us = now_us;
+  g_ptr_array_add (table->peers, peer);
+  return peer;
+}
+
+static void
+hear_of (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us)
+{
+  WcPeer *peer;
+
+  if (is_self (table, &entry->address))
+    return;
+  peer = wc_peer_table_find (table, &entry->address);
+  if (!peer)
+    {
+      add_peer (table, entry, now_us);
+      return;
+    }
+  if (peer->entry.incarnation == entry->incarnation)
+    {
+      if (entry->heartbeat <= peer->entry.heartbeat)
+        return;
+    }
+  else if (now_us - peer->heard_us < REPLACE_US)
+    return;
+  else
+    peer->stopping = false;
+  peer->entry = *entry;
+  peer->heard_us = now_us;
+}
+
+static uint64_t
+draw (WcPeerTable *table)
+{
+  table->state++;
+  return wc_mix64 (table->state);
+}
+
+static bool
+is_self (const WcPeerTable *table, const WcAddress *address)
+{
+  return wc_address_equal (&table->self.address, address);
+}
+
+/* A peer that is not live may be back; it gets a datagram when no live one is known. */
+static WcPeer *
+pick_peer (WcPeerTable *table, bool own_domain, uint64_t now_us)
+{
+  WcPeer  *chosen = NULL;
+  WcPeer  *silent = NULL;
+  uint64_t seen = 0;
+
+  for (guint i = 0; i < table->peers->len; i++)
+    {
+      WcPeer *peer = table->peers->pdata[i];
+
+      if ((peer->entry.domain == table->self.domain) != own_domain)
+        continue;
+      if (!wc_peer_is_live (peer, now_us))
+        silent = peer;
+      else if (draw (table) % ++seen == 0)
+        chosen = peer;
+    }
+  return chosen ? chosen : silent;
+}
+
+static bool
+pick_seed (WcPeerTable *table, WcAddress *address)
+{
+  if (table->seed_count == 0)
+    return false;
+  *address = table->seeds[draw (table) % table->seed_count];
+  return true;
+}
--- /dev/null
+++ b/src/forward/peer_table.h
@@ -0,0 +1,77 @@
+#ifndef WC_FORWARD_PEER_TABLE_H
+#define WC_FORWARD_PEER_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "forward/peer_news.h"
+
+enum
+{
+  /* Datagrams that an instance sends at each round of news. */
+  WC_PEER_TARGETS = 2
+};
+
+/**
+ * struct WcPeer - what this instance knows of another one.
+ * @heard_us: when its heartbeat last rose, told by itself or by others.
+ * @met_us: when it last sent something itself; 0 for never.
+ * @revision, @view_us: revision of its view, and when the store confirmed that view, as it said itself.
+ * @stopping: it is in a planned stop.
+ * @avoid_deadline_us: until then it is not read from, because a read failed.
+ */
+typedef struct
+{
+  WcPeerEntry entry;
+  uint64_t    heard_us;
+  uint64_t    met_us;
+  uint64_t    revision;
+  uint64_t    view_us;
+  bool        stopping;
+  uint64_t    avoid_deadline_us;
+} WcPeer;
+
+/**
+ * struct WcPeerTable - the other instances, learnt from seeds and from each other's news.
+ *
+ * Nobody keeps a list of instances. Each one sends its own heartbeat and a few others' to some peers at a time.
+ */
+typedef struct WcPeerTable WcPeerTable;
+
+/** wc_peer_table_new() - @self: this instance. */
+WcPeerTable *wc_peer_table_new (const WcPeerEntry *self);
+void         wc_peer_table_delete (WcPeerTable *table);
+
+/** wc_peer_table_set_seeds() - addresses at which there may be instances; they replace earlier ones. */
+void wc_peer_table_set_seeds (WcPeerTable *table, const WcAddress *seeds, size_t count);
+
+/** wc_peer_table_hear() - news from a peer. Return: true when the sender was not known and should get news at once. */
+bool wc_peer_table_hear (WcPeerTable *table, const WcPeerNews *news, uint64_t now_us);
+
+/** wc_peer_table_write() - fill in the sender and some known instances; raises the own heartbeat. */
+void wc_peer_table_write (WcPeerTable *table, WcPeerNews *news, uint64_t now_us);
+
+/**
+ * wc_peer_table_pick_targets() - to whom to send news in this round.
+ *
+ * Return: how many addresses were written.
+ */
+size_t wc_peer_table_pick_targets (WcPeerTable *table, uint64_t now_us, WcAddress targets[WC_PEER_TARGETS]);
+
+/** wc_peer_table_forget() - remove instances that have been silent for long. */
+void wc_peer_table_forget (WcPeerTable *table, uint64_t now_us);
+
+size_t  wc_peer_table_get_count (const WcPeerTable *table);
+WcPeer *wc_peer_table_get (const WcPeerTable *table, size_t index);
+WcPeer *wc_peer_table_find (const WcPeerTable *table, const WcAddress *address);
+
+const WcPeerEntry *wc_peer_table_get_self (const WcPeerTable *table);
+
+/** wc_peer_is_live() - it was heard of lately and is not about to stop. */
+bool wc_peer_is_live (const WcPeer *peer, uint64_t now_us);
+
+/** wc_peer_table_is_alone() - peers are known, but none has sent anything for @silence_us. */
+bool wc_peer_table_is_alone (const WcPeerTable *table, uint64_t silence_us, uint64_t now_us);
+
+#endif
--- a/src/forward/store_replica.c
+++ b/src/forward/store_replica.c
@@ -33,7 +33,8 @@
 };
 
 static void take_change (WcStoreReplica *replica, const WcStoreChange *change, uint64_t now_us);
-static void finish_read (WcStoreReplica *replica, uint64_t now_us);
+static void finish_read (WcStoreReplica *replica, uint64_t age_us, uint64_t now_us);
+static void confirm (WcStoreReplica *replica, uint64_t revision, uint64_t age_us, uint64_t now_us);
 static void set_item (WcStoreReplica *replica, Item *item, const WcStoreChange *change, uint64_t now_us);
 static void forget_deletions (WcStoreReplica *replica, uint64_t now_us);
 static void free_item (gpointer data);
@@ -87,7 +88,7 @@
 }
 
 bool
-wc_store_replica_add_page (WcStoreReplica *replica, const WcStoreReply *reply, uint64_t now_us)
+wc_store_replica_add_page (WcStoreReplica *replica, const WcStoreReply *reply, uint64_t age_us, uint64_t now_us)
 {
   assert (replica != NULL && reply != NULL);
 
@@ -97,7 +98,7 @@
     take_change (replica, &g_array_index (reply->changes, WcStoreChange, i), now_us);
   if (reply->has_more && reply->changes->len > 0)
     return false;
-  finish_read (replica, now_us);
+  finish_read (replica, age_us, now_us);
   return true;
 }
 
@@ -108,10 +109,7 @@
 
   for (guint i = 0; i < reply->changes->len; i++)
     take_change (replica, &g_array_index (reply->changes, WcStoreChange, i), now_us);
-  if (reply->revision > replica->revision)
-    replica->revision = reply->revision;
-  if (now_us - age_us > replica->time_us && reply->revision >= replica->revision)
-    replica->time_us = now_us - age_us;
+  confirm (replica, reply->revision, age_us, now_us);
   forget_deletions (replica, now_us);
 }
 
@@ -166,7 +164,7 @@
  * deletion is not known, so the lowest possible one is kept: a later write of the item must not look old.
  */
 static void
-finish_read (WcStoreReplica *replica, uint64_t now_us)
+finish_read (WcStoreReplica *replica, uint64_t age_us, uint64_t now_us)
 {
   GHashTableIter iter;
   gpointer       key;
@@ -183,16 +181,27 @@
       set_item (replica, item, &change, now_us);
       replica->apply (replica->user_data, &change);
     }
-  if (replica->first_page_revision > replica->revision)
-    replica->revision = replica->first_page_revision;
+  confirm (replica, replica->first_page_revision, age_us, now_us);
   /* Items that came and went before the read began are not known here. */
   if (replica->first_page_revision > replica->forgotten_revision)
     replica->forgotten_revision = replica->first_page_revision;
-  replica->time_us = now_us;
   replica->first_page_revision = 0;
   forget_deletions (replica, now_us);
 }
 
+/* A source that is behind this replica does not confirm it. */
+static void
+confirm (WcStoreReplica *replica, uint64_t revision, uint64_t age_us, uint64_t now_us)
+{
+  uint64_t time_us = now_us > age_us ? now_us - age_us : 0;
+
+  if (revision < replica->revision)
+    return;
+  replica->revision = revision;
+  if (time_us > replica->time_us)
+    replica->time_us = time_us;
+}
+
 static void
 set_item (WcStoreReplica *replica, Item *item, const WcStoreChange *change, uint64_t now_us)
 {
--- a/src/forward/store_replica.h
+++ b/src/forward/store_replica.h
@@ -33,14 +33,15 @@
 
 /**
  * wc_store_replica_add_page() - a page of the whole range.
+ * @age_us: how old the source's own knowledge was when it answered; 0 for the store.
  *
  * Return: true when it was the last one, and the range is whole.
  */
-bool wc_store_replica_add_page (WcStoreReplica *replica, const WcStoreReply *reply, uint64_t now_us);
+bool wc_store_replica_add_page (WcStoreReplica *replica, const WcStoreReply *reply, uint64_t age_us, uint64_t now_us);
 
 /**
  * wc_store_replica_add_changes() - changes since wc_store_replica_get_revision().
- * @age_us: how old the source's own knowledge was when it answered; 0 for the store.
+ * @age_us: as for wc_store_replica_add_page().
  */
 void
 wc_store_replica_add_changes (WcStoreReplica *replica, const WcStoreReply *reply, uint64_t age_us, uint64_t now_us);
--- a/src/forward/store_sync.c
+++ b/src/forward/store_sync.c
@@ -57,19 +57,20 @@
 }
 
 void
-wc_store_sync_answered (WcStoreSync *sync, WcStoreRead read, const WcStoreReply *reply, uint64_t now_us)
+wc_store_sync_answered (WcStoreSync *sync, WcStoreRead read, const WcStoreReply *reply, uint64_t age_us,
+                        uint64_t now_us)
 {
   assert (sync != NULL && reply != NULL);
 
   sync->failures = 0;
   if (read == WC_STORE_READ_CHANGES)
     {
-      wc_store_replica_add_changes (sync->replica, reply, 0, now_us);
+      wc_store_replica_add_changes (sync->replica, reply, age_us, now_us);
       return;
     }
   if (!sync->after_key)
     wc_store_replica_begin (sync->replica);
-  sync->whole = wc_store_replica_add_page (sync->replica, reply, now_us);
+  sync->whole = wc_store_replica_add_page (sync->replica, reply, age_us, now_us);
   g_free (sync->after_key);
   sync->after_key = NULL;
   if (!sync->whole)
--- a/src/forward/store_sync.h
+++ b/src/forward/store_sync.h
@@ -31,8 +31,12 @@
  */
 WcStoreRead wc_store_sync_next (WcStoreSync *sync, const char **after_key);
 
-/** wc_store_sync_answered() - the read has brought @reply. */
-void wc_store_sync_answered (WcStoreSync *sync, WcStoreRead read, const WcStoreReply *reply, uint64_t now_us);
+/**
+ * wc_store_sync_answered() - the read has brought @reply.
+ * @age_us: how old the source's own knowledge was when it answered; 0 for the store.
+ */
+void wc_store_sync_answered (WcStoreSync *sync, WcStoreRead read, const WcStoreReply *reply, uint64_t age_us,
+                             uint64_t now_us);
 
 /** wc_store_sync_expired() - the source no longer keeps the changes that were asked for. */
 void wc_store_sync_expired (WcStoreSync *sync);
--- /dev/null
+++ b/src/forward/view_source.h
@@ -0,0 +1,40 @@
+#ifndef WC_FORWARD_VIEW_SOURCE_H
+#define WC_FORWARD_VIEW_SOURCE_H
+
+#include <stdint.h>
+
+#include "forward/peer_table.h"
+
+/** enum WcViewSourceKind - where to read the view from next. */
+typedef enum
+{
+  WC_VIEW_SOURCE_STORE = 0,
+  WC_VIEW_SOURCE_PEER,
+  /* Nobody can be read from; try again at the deadline. */
+  WC_VIEW_SOURCE_NONE
+} WcViewSourceKind;
+
+/**
+ * struct WcViewSource - where to read the view from next.
+ * @peer: address of the peer; only for WC_VIEW_SOURCE_PEER.
+ * @deadline_us: when to choose again; only for WC_VIEW_SOURCE_NONE.
+ */
+typedef struct
+{
+  WcViewSourceKind kind;
+  WcAddress        peer;
+  uint64_t         deadline_us;
+} WcViewSource;
+
+/**
+ * wc_view_source_choose() - the reader of each failure domain reads the store, all others read from it.
+ * @store_avoid_deadline_us: until then the store is not read, because a read of this instance failed.
+ *
+ * Every instance orders the live instances of its domain in the same way and reads from the first one that it does not
+ * avoid; when that is the instance itself, from the store. So a reader that is dead, frozen, cut off or refused by the
+ * store is passed over by each instance on its own, and the next one takes its place without any agreement. An instance
+ * that cannot read the store takes what any peer of any domain knows.
+ */
+WcViewSource wc_view_source_choose (const WcPeerTable *peers, uint64_t store_avoid_deadline_us, uint64_t now_us);
+
+#endif
