Notice silent hosts from callers' packets and end flows that wait for them

A packet that acknowledges more shows that a host lives; a packet that is sent again shows that it did not answer. Two flows in silence take a host out of placement, three requests of open flows in silence for 300 ms end its flows, unless most hosts look silent at once. An opening without an answer after 40 ms is given to a second host, once.

Ruled out: openings placed again every 40 ms, and openings as evidence for a reset. An open flow now stays with the host that its first packet named, since a second answer changes the cookie in the caller's later packets.

--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -32,7 +32,7 @@
   /* Left of the time for a planned stop when forwarding ends. */
   STOP_RESERVE_US = 700 * 1000,
   /* A gap between two ticks longer than this means that the machine stood still. */
-  PAUSE_US = 1000 * 1000
+  PAUSE_US = 400 * 1000
 };
 
 static const double TICK_S = 0.1;
@@ -60,6 +60,7 @@
   WcHttpServer            *ready;
   ev_io                    readable;
   ev_timer                 tick;
+  ev_timer                 check;
   ev_signal                signals[3];
   bool                     is_loaded;
   uint64_t                 now_us;
@@ -74,6 +75,8 @@
 static bool     open_sockets (WcForwardServer *server, WcError *error);
 static void     start_watchers (WcForwardServer *server);
 static void     packets_readable (struct ev_loop *loop, ev_io *watcher, int events);
+static void     check_passed (struct ev_loop *loop, ev_timer *watcher, int events);
+static void     check_forwarder (WcForwardServer *server);
 static void     receive_packet (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes);
 static void     forward_packet (void *user_data, const WcPacket *packet, const WcHost *host);
 static void     reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
@@ -191,6 +194,8 @@
 
   ev_io_init (&server->readable, packets_readable, wc_udp_batch_get_fd (server->packets), EV_READ);
   server->readable.data = server;
+  ev_timer_init (&server->check, check_passed, 0.0, 0.0);
+  server->check.data = server;
   ev_timer_init (&server->tick, tick_passed, TICK_S, TICK_S);
   server->tick.data = server;
   ev_timer_start (server->loop, &server->tick);
@@ -213,7 +218,33 @@
   server->now_us = wc_clock_monotonic_us ();
   server->last_packet_us = server->now_us;
   wc_udp_batch_receive (server->packets, receive_packet, server);
+  check_forwarder (server);
+}
+
+static void
+check_passed (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  WcForwardServer *server = watcher->data;
+
+  (void)loop;
+  (void)events;
+  server->now_us = wc_clock_monotonic_us ();
+  check_forwarder (server);
+}
+
+/* Does what is due, and sets the timer for what will be. */
+static void
+check_forwarder (WcForwardServer *server)
+{
+  uint64_t deadline_us;
+
+  wc_forwarder_check (server->forwarder, server->now_us);
   wc_udp_batch_flush (server->packets);
+  deadline_us = wc_forwarder_get_deadline_us (server->forwarder);
+  if (deadline_us == UINT64_MAX || ev_is_active (&server->check))
+    return;
+  ev_timer_set (&server->check, deadline_us > server->now_us ? (double)(deadline_us - server->now_us) / 1e6 : 0.0, 0.0);
+  ev_timer_start (server->loop, &server->check);
 }
 
 static void
@@ -366,6 +397,7 @@
   if (before_us > 0 && server->now_us - before_us > PAUSE_US)
     {
       log_state (server, "paused");
+      wc_forwarder_paused (server->forwarder, server->now_us);
       wc_view_reader_restart (server->reader);
     }
   wc_forwarder_tick (server->forwarder, server->now_us);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -6,18 +6,30 @@
 
 #include "core/mix.h"
 #include "forward/flow_table.h"
+#include "forward/host_evidence.h"
+#include "forward/opening_queue.h"
 #include "forward/placement.h"
 
 enum
 {
   /* A caller gives up an opening after 1.4 s, so that nothing more of it is to come. */
   OPENING_LIFE_US = 2 * 1000 * 1000,
+  /* A host answers an opening within 4 ms, in another domain within 12 ms; a packet is lost now and then. */
+  OPENING_ANSWER_US = 40 * 1000,
   /* The last packets of a flow that its caller closed. */
   CLOSING_LIFE_US = 1 * 1000 * 1000,
   /* Slots of the flow table visited at each tick; the whole table of a small instance within a second. */
   WALK_SLOTS = 512
 };
 
+/* A walk that ends the flows of a host. */
+typedef struct
+{
+  WcForwarder   *forwarder;
+  const WcHost  *host;
+  WcDecisionKind kind;
+} EndOfFlows;
+
 struct WcForwarder
 {
   WcForwarderSettings settings;
@@ -26,18 +38,29 @@
   WcRouteTable       *routes;
   WcHostTable        *hosts;
   WcFlowTable        *flows;
+  WcOpeningQueue     *openings;
   uint64_t            now_us;
 };
 
-static void receive_opening (WcForwarder *forwarder, const WcPacket *packet);
-static void receive_open (WcForwarder *forwarder, const WcPacket *packet);
-static void observe (WcForwarder *forwarder, WcFlow *flow, const WcPacket *packet, WcHost *host);
-static void decide (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host);
-static void reset_flow (WcForwarder *forwarder, const WcPacket *packet, WcDecisionKind kind, const WcHost *host);
-static void set_host (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
-static void uncount (WcForwarder *forwarder, WcFlow *flow);
-static int  visit_old (void *user_data, WcFlow *flow);
-static int  is_sequence_after (uint32_t a, uint32_t b);
+static void     receive_opening (WcForwarder *forwarder, const WcPacket *packet);
+static void     receive_open (WcForwarder *forwarder, const WcPacket *packet);
+static WcHost  *place (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, const WcFlow *flow);
+static void     open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet);
+static uint32_t cookie_of (const WcFlow *flow, const WcPacket *packet);
+static void     observe (WcForwarder *forwarder, WcFlow *flow, const WcPacket *packet, WcHost *host);
+static void     see_life (WcForwarder *forwarder, WcHost *host);
+static void     see_silence (WcForwarder *forwarder, WcFlow *flow, WcHost *host, uint64_t since_us, bool is_request);
+static void     judge (WcForwarder *forwarder, WcHost *host);
+static bool     most_hosts_are_silent (const WcForwarder *forwarder);
+static void     end_flows (WcForwarder *forwarder, const WcHost *host, WcDecisionKind kind);
+static int      visit_of_host (void *user_data, WcFlow *flow);
+static void     decide (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host);
+static void     reset_flow (WcForwarder *forwarder, const WcPacket *packet, WcDecisionKind kind, const WcHost *host);
+static void     set_host (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
+static void     count (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
+static void     uncount (WcForwarder *forwarder, WcFlow *flow);
+static int      visit_old (void *user_data, WcFlow *flow);
+static int      is_sequence_after (uint32_t a, uint32_t b);
 
 WcForwarder *
 wc_forwarder_new (const WcForwarderSettings *settings, const WcForwarderOps *ops, void *user_data)
@@ -52,6 +75,7 @@
   forwarder->user_data = user_data;
   forwarder->hosts = wc_host_table_new (settings->flow_life_us);
   forwarder->flows = wc_flow_table_new (settings->max_flows);
+  forwarder->openings = wc_opening_queue_new ();
   return forwarder;
 }
 
@@ -63,6 +87,7 @@
   wc_route_table_delete (forwarder->routes);
   wc_host_table_delete (forwarder->hosts);
   wc_flow_table_delete (forwarder->flows);
+  wc_opening_queue_delete (forwarder->openings);
   g_free (forwarder);
 }
 
@@ -127,9 +152,46 @@
 {
   forwarder->now_us = now_us;
   wc_flow_table_walk (forwarder->flows, WALK_SLOTS, visit_old, forwarder);
+  for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
+    judge (forwarder, wc_host_table_get (forwarder->hosts, i));
   wc_host_table_forget (forwarder->hosts, now_us);
 }
 
+void
+wc_forwarder_paused (WcForwarder *forwarder, uint64_t now_us)
+{
+  for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
+    wc_host_evidence_clear (wc_host_table_get (forwarder->hosts, i), now_us);
+  wc_opening_queue_clear (forwarder->openings);
+}
+
+uint64_t
+wc_forwarder_get_deadline_us (const WcForwarder *forwarder)
+{
+  return wc_opening_queue_get_deadline_us (forwarder->openings);
+}
+
+void
+wc_forwarder_check (WcForwarder *forwarder, uint64_t now_us)
+{
+  WcPacket packet;
+
+  forwarder->now_us = now_us;
+  while (wc_opening_queue_take (forwarder->openings, now_us, &packet))
+    {
+      const WcRoute *route = forwarder->routes ? wc_route_table_find (forwarder->routes, &packet.key) : NULL;
+      WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet.key);
+      WcHost        *host;
+
+      if (!route || !flow || flow->state != WC_FLOW_OPENING)
+        continue;
+      host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+      if (host)
+        see_silence (forwarder, flow, host, flow->opened_us, false);
+      open_flow (forwarder, route, &packet);
+    }
+}
+
 const WcHostTable *
 wc_forwarder_get_hosts (const WcForwarder *forwarder)
 {
@@ -148,27 +210,34 @@
 receive_opening (WcForwarder *forwarder, const WcPacket *packet)
 {
   const WcRoute *route = wc_route_table_find (forwarder->routes, &packet->key);
-  uint64_t       hash = wc_flow_key_hash (&packet->key);
-  WcFlow        *flow;
+  WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet->key);
   WcHost        *host;
-  WcPlacement    placement = { .domain = forwarder->settings.domain, .draw = hash };
 
   if (!route)
     {
       reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_ROUTE, NULL);
       return;
     }
-  flow = wc_flow_table_find (forwarder->flows, &packet->key);
   if (flow && flow->state == WC_FLOW_OPENING)
-    placement.avoid = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
-  placement.service = route->services[wc_route_pick_service (route, wc_mix64 (hash))].service;
-  host = wc_placement_choose (forwarder->hosts, &placement, forwarder->now_us);
-  for (size_t i = 0; !host && i < route->service_count; i++)
     {
-      placement.service = route->services[i].service;
-      host =
-          route->services[i].weight > 0 ? wc_placement_choose (forwarder->hosts, &placement, forwarder->now_us) : NULL;
+      host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+      if (host)
+        see_silence (forwarder, flow, host, flow->opened_us, false);
     }
+  open_flow (forwarder, route, packet);
+}
+
+/*
+ * Gives a flow that is not open to a host, or to another one than before. Several hosts may answer an opening; the
+ * caller goes on with one of them, and the others hold nothing that could run.
+ */
+static void
+open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet)
+{
+  WcFlow *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  WcHost *host = place (forwarder, route, packet, flow);
+  bool    is_first = flow == NULL;
+
   if (!host)
     {
       reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
@@ -185,15 +254,37 @@
       flow->opened_us = forwarder->now_us;
       flow->seen_us = forwarder->now_us;
       set_host (forwarder, flow, host);
+      if (is_first)
+        wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_US);
     }
   forwarder->ops.forward (forwarder->user_data, packet, host);
 }
 
+static WcHost *
+place (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, const WcFlow *flow)
+{
+  uint64_t    hash = wc_flow_key_hash (&packet->key);
+  WcPlacement placement = { .domain = forwarder->settings.domain, .draw = hash };
+  WcHost     *host;
+
+  if (flow && flow->state == WC_FLOW_OPENING)
+    placement.avoid = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+  placement.service = route->services[wc_route_pick_service (route, wc_mix64 (hash))].service;
+  host = wc_placement_choose (forwarder->hosts, &placement, forwarder->now_us);
+  for (size_t i = 0; !host && i < route->service_count; i++)
+    {
+      placement.service = route->services[i].service;
+      if (route->services[i].weight > 0)
+        host = wc_placement_choose (forwarder->hosts, &placement, forwarder->now_us);
+    }
+  return host;
+}
+
 static void
 receive_open (WcForwarder *forwarder, const WcPacket *packet)
 {
-  WcHost *host = wc_host_table_find_cookie (forwarder->hosts, packet->cookie);
   WcFlow *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  WcHost *host = wc_host_table_find_cookie (forwarder->hosts, cookie_of (flow, packet));
 
   if (!wc_route_table_find (forwarder->routes, &packet->key))
     {
@@ -220,28 +311,115 @@
   forwarder->ops.forward (forwarder->user_data, packet, host);
 }
 
+/*
+ * The first packet behind an opening names the host that the caller chose. When a second host answered the opening too,
+ * the caller's later packets may name that one until the chosen host's next answer.
+ */
+static uint32_t
+cookie_of (const WcFlow *flow, const WcPacket *packet)
+{
+  return flow && flow->state != WC_FLOW_OPENING ? flow->cookie : packet->cookie;
+}
+
 /* Learns from a packet of an open flow what its caller has sent and received. */
 static void
 observe (WcForwarder *forwarder, WcFlow *flow, const WcPacket *packet, WcHost *host)
 {
   uint32_t end = packet->sequence + packet->data_bytes;
+  bool     was_opening = flow->state == WC_FLOW_OPENING;
 
   flow->seen_us = forwarder->now_us;
-  if (flow->state == WC_FLOW_OPENING)
+  set_host (forwarder, flow, host);
+  if (was_opening)
+    flow->state = WC_FLOW_OPEN;
+  if (was_opening || is_sequence_after (packet->acknowledged, flow->acknowledged))
     {
-      flow->state = WC_FLOW_OPEN;
       flow->acknowledged = packet->acknowledged;
+      flow->request_us = 0;
+      see_life (forwarder, host);
     }
-  set_host (forwarder, flow, host);
-  if (is_sequence_after (packet->acknowledged, flow->acknowledged))
-    flow->acknowledged = packet->acknowledged;
   if (is_sequence_after (end, flow->sent_end))
-    flow->sent_end = end;
+    {
+      flow->sent_end = end;
+      if (flow->request_us == 0)
+        flow->request_us = forwarder->now_us;
+    }
+  else if (packet->data_bytes > 0 && flow->request_us > 0)
+    see_silence (forwarder, flow, host, flow->request_us, true);
   if (packet->flags & (WC_PACKET_FIN | WC_PACKET_RST))
     {
       flow->state = WC_FLOW_CLOSING;
-      uncount (forwarder, flow);
+      flow->request_us = 0;
+    }
+  count (forwarder, flow, host);
+}
+
+static void
+see_life (WcForwarder *forwarder, WcHost *host)
+{
+  if (wc_host_evidence_life (host, forwarder->now_us))
+    decide (forwarder, WC_DECISION_HOST_CLEARED, NULL, host);
+}
+
+static void
+see_silence (WcForwarder *forwarder, WcFlow *flow, WcHost *host, uint64_t since_us, bool is_request)
+{
+  if (wc_host_evidence_silence (host, flow, since_us, is_request, forwarder->now_us))
+    decide (forwarder, WC_DECISION_HOST_SUSPECTED, NULL, host);
+}
+
+/* Ends flows of a host that is dead, so that their callers open new ones and do not wait for it. */
+static void
+judge (WcForwarder *forwarder, WcHost *host)
+{
+  if (wc_host_evidence_is_dead (host, forwarder->now_us) && !most_hosts_are_silent (forwarder))
+    end_flows (forwarder, host, WC_DECISION_RESET_HOST_SILENT);
+}
+
+/* When most hosts look silent at once, it is this instance that does not see their callers in time. */
+static bool
+most_hosts_are_silent (const WcForwarder *forwarder)
+{
+  size_t silent = 0;
+  size_t active = 0;
+
+  for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
+    {
+      const WcHost *host = wc_host_table_get (forwarder->hosts, i);
+
+      if (host->flows == 0)
+        continue;
+      active++;
+      if (host->silent_flows > 0)
+        silent++;
     }
+  return silent * 2 > active;
+}
+
+static void
+end_flows (WcForwarder *forwarder, const WcHost *host, WcDecisionKind kind)
+{
+  EndOfFlows end = { forwarder, host, kind };
+
+  wc_flow_table_walk_all (forwarder->flows, visit_of_host, &end);
+}
+
+/*
+ * A flow with a request that must not run twice is left alone: its caller would not repeat the request, and the answer
+ * may still come when only the way to the host is cut.
+ */
+static int
+visit_of_host (void *user_data, WcFlow *flow)
+{
+  const EndOfFlows *end = user_data;
+
+  if (flow->cookie != end->host->cookie || flow->state != WC_FLOW_OPEN ||
+      (flow->kind == WC_TRAFFIC_ONCE && flow->request_us > 0))
+    return TRUE;
+  decide (end->forwarder, end->kind, &flow->key, end->host);
+  end->forwarder->ops.reset (end->forwarder->user_data, &flow->key, flow->acknowledged);
+  uncount (end->forwarder, flow);
+  return FALSE;
 }
 
 static void
@@ -273,14 +451,24 @@
 static void
 set_host (WcForwarder *forwarder, WcFlow *flow, WcHost *host)
 {
-  if (flow->counted && flow->cookie == host->cookie)
-    return;
-  uncount (forwarder, flow);
+  if (flow->cookie != host->cookie)
+    uncount (forwarder, flow);
   flow->cookie = host->cookie;
-  if (flow->state == WC_FLOW_CLOSING)
-    return;
-  flow->counted = 1;
-  host->flows++;
+  count (forwarder, flow, host);
+}
+
+/* Keeps the numbers of flows of the host in step with the state of the flow. */
+static void
+count (WcForwarder *forwarder, WcFlow *flow, WcHost *host)
+{
+  bool counted = flow->state != WC_FLOW_CLOSING;
+  bool busy = counted && flow->request_us > 0;
+
+  (void)forwarder;
+  host->flows += (uint32_t)(counted - flow->counted);
+  host->busy_flows += (uint32_t)(busy - flow->busy);
+  flow->counted = counted;
+  flow->busy = busy;
 }
 
 static void
@@ -288,9 +476,13 @@
 {
   WcHost *host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
 
-  if (flow->counted && host && host->flows > 0)
-    host->flows--;
+  if (host)
+    {
+      host->flows -= flow->counted;
+      host->busy_flows -= flow->busy;
+    }
   flow->counted = 0;
+  flow->busy = 0;
 }
 
 static int
--- /dev/null
+++ b/src/forward/host_evidence.h
@@ -0,0 +1,37 @@
+#ifndef WC_FORWARD_HOST_EVIDENCE_H
+#define WC_FORWARD_HOST_EVIDENCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "forward/flow_table.h"
+#include "forward/host_table.h"
+
+/*
+ * Load pattern: a host that crashes silently, or whose links are cut, goes on getting a share of all requests until the
+ * platform notices after some seconds; each of them costs its caller the whole time limit. Hosts answer callers
+ * directly, so that the only evidence is in what the callers send: a packet that acknowledges more than before shows
+ * that the host lives, and a packet that is sent again shows that it did not answer within 200 ms.
+ */
+
+/** wc_host_evidence_life() - a caller received something from the host. Return: true when the host was suspected. */
+bool wc_host_evidence_life (WcHost *host, uint64_t now_us);
+
+/**
+ * wc_host_evidence_silence() - a flow's packet was not answered.
+ * @flow: counted once until the next sign of life.
+ * @since_us: when the packet was first forwarded.
+ * @is_request: the packet belongs to an open flow. An opening that is not answered is a reason to place flows
+ * elsewhere; it does not show that the host is dead, because another host may have answered it.
+ *
+ * Return: true when the host becomes suspected by this.
+ */
+bool wc_host_evidence_silence (WcHost *host, WcFlow *flow, uint64_t since_us, bool is_request, uint64_t now_us);
+
+/** wc_host_evidence_is_dead() - the evidence is strong enough to end flows that wait for the host. */
+bool wc_host_evidence_is_dead (const WcHost *host, uint64_t now_us);
+
+/** wc_host_evidence_clear() - forget what was seen; used when this instance itself stood still. */
+void wc_host_evidence_clear (WcHost *host, uint64_t now_us);
+
+#endif
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -55,7 +55,8 @@
  * @forget_deadline_us: from then on a host that is gone is forgotten.
  * @life_us: when a packet last showed that the host is alive.
  * @silent_flows: flows that sent again in vain since then.
- * @silent_since_us: when the first of them sent what was not acknowledged; 0 for none.
+ * @silent_requests: those of them that were open and sent data.
+ * @silent_since_us: when the first of these sent what was not answered; 0 for none.
  * @suspect_deadline_us: until then the host is suspected to be unreachable and gets no new flows.
  * @suspicions: how often it was suspected again without a sign of life in between.
  */
@@ -72,6 +73,7 @@
   uint64_t     forget_deadline_us;
   uint64_t     life_us;
   uint32_t     silent_flows;
+  uint32_t     silent_requests;
   uint64_t     silent_since_us;
   uint64_t     suspect_deadline_us;
   uint32_t     suspicions;
--- /dev/null
+++ b/src/forward/opening_queue.h
@@ -0,0 +1,29 @@
+#ifndef WC_FORWARD_OPENING_QUEUE_H
+#define WC_FORWARD_OPENING_QUEUE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "forward/packet.h"
+
+/** struct WcOpeningQueue - bounded queue of opening packets, each with a deadline; deadlines never decrease. */
+typedef struct WcOpeningQueue WcOpeningQueue;
+
+WcOpeningQueue *wc_opening_queue_new (void);
+void            wc_opening_queue_delete (WcOpeningQueue *queue);
+
+/** wc_opening_queue_add() - keep a copy of a packet; one with data, or one too many, is not kept. */
+void wc_opening_queue_add (WcOpeningQueue *queue, const WcPacket *packet, uint64_t deadline_us);
+
+/** wc_opening_queue_get_deadline_us() - deadline of the first packet; UINT64_MAX when the queue is empty. */
+uint64_t wc_opening_queue_get_deadline_us (const WcOpeningQueue *queue);
+
+/**
+ * wc_opening_queue_take() - take the first packet whose deadline has passed.
+ * @packet: refers to memory of the queue until the next call.
+ */
+bool wc_opening_queue_take (WcOpeningQueue *queue, uint64_t now_us, WcPacket *packet);
+
+void wc_opening_queue_clear (WcOpeningQueue *queue);
+
+#endif
