Do not judge hosts while this instance works late

The trace: an instance on 0.038 cores applied a storm of configurations, 170 ms each, while instances were added; flows moved to them with requests that were seen here, and their answers were seen there, so that two requests looked silent for 700 ms and their live host's flows were reset.

Late ticks and full batches now clear the evidence, and two flows count only when both go on repeating here.

--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -42,7 +42,11 @@
   /* Two datagrams of up to 500 bytes a round are 1 kB/s; the planned size allows 2 kB/s. */
   NEWS_INTERVAL_US = 500 * 1000,
   /* Without the store for this long, and without a word from any peer, an instance is cut off from both. */
-  ISOLATED_US = 3000 * 1000
+  ISOLATED_US = 3000 * 1000,
+  /* Ticks are 100 ms apart; a processor with a quota stands still for up to 90 ms of each 100. */
+  LATE_TICK_US = 250 * 1000,
+  /* Batches between two ticks that left packets behind. */
+  LATE_BATCHES = 2
 };
 
 struct WcForwardServer
@@ -66,6 +70,8 @@
   uint64_t                 now_us;
   uint64_t                 last_packet_us;
   uint64_t                 stop_us;
+  uint64_t                 tick_us;
+  uint32_t                 full_batches;
   uint64_t                 news_deadline_us;
   size_t                   next_report;
   uint64_t                 counters[WC_DECISION_COUNT];
@@ -89,6 +95,7 @@
 static void     fill_news (void *user_data, WcPeerNews *news);
 static void     fill_loads (WcForwardServer *server, WcPeerNews *news);
 static void     news_heard (void *user_data, const WcPeerNews *news);
+static bool     is_late (WcForwardServer *server);
 static void     tick_passed (struct ev_loop *loop, ev_timer *watcher, int events);
 static void     signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
 static void     stop_when_quiet (WcForwardServer *server);
@@ -219,7 +226,8 @@
   (void)events;
   server->now_us = wc_clock_monotonic_us ();
   server->last_packet_us = server->now_us;
-  wc_udp_batch_receive (server->packets, receive_packet, server);
+  if (wc_udp_batch_receive (server->packets, receive_packet, server) == WC_UDP_BATCH_DATAGRAMS)
+    server->full_batches++;
   check_forwarder (server);
 }
 
@@ -408,6 +416,18 @@
                               now_us);
 }
 
+/* A tick that comes late, or a socket that was never empty, means that packets wait for this instance's processor. */
+static bool
+is_late (WcForwardServer *server)
+{
+  bool late = server->tick_us > 0 && server->now_us - server->tick_us > LATE_TICK_US;
+
+  late = late || server->full_batches >= LATE_BATCHES;
+  server->tick_us = server->now_us;
+  server->full_batches = 0;
+  return late;
+}
+
 static void
 tick_passed (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -417,10 +437,11 @@
   (void)loop;
   (void)events;
   server->now_us = wc_clock_monotonic_us ();
+  if (is_late (server))
+    wc_forwarder_delayed (server->forwarder, server->now_us);
   if (before_us > 0 && server->now_us - before_us > PAUSE_US)
     {
       log_state (server, "paused");
-      wc_forwarder_paused (server->forwarder, server->now_us);
       wc_view_reader_restart (server->reader);
     }
   wc_forwarder_tick (server->forwarder, server->now_us);
--- a/src/edge/udp_batch.c
+++ b/src/edge/udp_batch.c
@@ -11,16 +11,15 @@
 
 enum
 {
-  BATCH_DATAGRAMS = 64,
   DATAGRAM_BYTES = 1536
 };
 
 typedef struct
 {
-  struct mmsghdr          headers[BATCH_DATAGRAMS];
-  struct iovec            vectors[BATCH_DATAGRAMS];
-  struct sockaddr_storage addresses[BATCH_DATAGRAMS];
-  uint8_t                 data[BATCH_DATAGRAMS][DATAGRAM_BYTES];
+  struct mmsghdr          headers[WC_UDP_BATCH_DATAGRAMS];
+  struct iovec            vectors[WC_UDP_BATCH_DATAGRAMS];
+  struct sockaddr_storage addresses[WC_UDP_BATCH_DATAGRAMS];
+  uint8_t                 data[WC_UDP_BATCH_DATAGRAMS][DATAGRAM_BYTES];
 } Buffers;
 
 struct WcUdpBatch
@@ -67,9 +66,9 @@
   Buffers *in = &batch->in;
   int      count;
 
-  for (unsigned i = 0; i < BATCH_DATAGRAMS; i++)
+  for (unsigned i = 0; i < WC_UDP_BATCH_DATAGRAMS; i++)
     in->headers[i].msg_hdr.msg_namelen = sizeof in->addresses[i];
-  count = recvmmsg (batch->fd, in->headers, BATCH_DATAGRAMS, MSG_DONTWAIT, NULL);
+  count = recvmmsg (batch->fd, in->headers, WC_UDP_BATCH_DATAGRAMS, MSG_DONTWAIT, NULL);
   if (count <= 0)
     return 0;
   for (int i = 0; i < count; i++)
@@ -92,7 +91,7 @@
 
   if (size_bytes > DATAGRAM_BYTES)
     return;
-  if (batch->queued == BATCH_DATAGRAMS)
+  if (batch->queued == WC_UDP_BATCH_DATAGRAMS)
     wc_udp_batch_flush (batch);
   i = batch->queued++;
   memcpy (out->data[i], data, size_bytes);
@@ -124,7 +123,7 @@
 static void
 init_buffers (Buffers *buffers)
 {
-  for (unsigned i = 0; i < BATCH_DATAGRAMS; i++)
+  for (unsigned i = 0; i < WC_UDP_BATCH_DATAGRAMS; i++)
     {
       buffers->vectors[i].iov_base = buffers->data[i];
       buffers->vectors[i].iov_len = DATAGRAM_BYTES;
--- a/src/edge/udp_batch.h
+++ b/src/edge/udp_batch.h
@@ -6,6 +6,12 @@
 
 #include <wigeoncart/address.h>
 
+enum
+{
+  /* Datagrams received or sent with one call at most. */
+  WC_UDP_BATCH_DATAGRAMS = 64
+};
+
 /** struct WcUdpBatch - sends and receives datagrams of one socket in batches; all memory is allocated up front. */
 typedef struct WcUdpBatch WcUdpBatch;
 
--- a/src/forward/flow_table.h
+++ b/src/forward/flow_table.h
@@ -23,6 +23,7 @@
  * @acknowledged: what the caller acknowledged last.
  * @opened_us, @seen_us: first and last packet.
  * @request_us: when the caller sent the oldest data that were not answered yet; 0 for none.
+ * @repeats: how often the caller sent again without a sign of life of the host in between.
  * @silent_us: when the flow was last counted as evidence of a silent host.
  * @counted: the flow counts in the flows of its host.
  * @busy: the flow counts in the busy flows of its host, that is, @request_us is set.
@@ -35,6 +36,7 @@
   uint32_t  acknowledged;
   uint8_t   state;
   uint8_t   kind;
+  uint8_t   repeats;
   uint8_t   counted : 1;
   uint8_t   busy : 1;
   uint64_t  opened_us;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -178,7 +178,7 @@
 }
 
 void
-wc_forwarder_paused (WcForwarder *forwarder, uint64_t now_us)
+wc_forwarder_delayed (WcForwarder *forwarder, uint64_t now_us)
 {
   for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
     wc_host_evidence_clear (wc_host_table_get (forwarder->hosts, i), now_us);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -71,8 +71,8 @@
 /** wc_forwarder_tick() - forget old flows and hosts; to be called several times a second. */
 void wc_forwarder_tick (WcForwarder *forwarder, uint64_t now_us);
 
-/** wc_forwarder_paused() - this instance stood still, so that what it saw of hosts is no evidence. */
-void wc_forwarder_paused (WcForwarder *forwarder, uint64_t now_us);
+/** wc_forwarder_delayed() - this instance stood still or works late, so that what it saw of hosts is no evidence. */
+void wc_forwarder_delayed (WcForwarder *forwarder, uint64_t now_us);
 
 /** wc_forwarder_get_deadline_us() - when wc_forwarder_check() must be called; UINT64_MAX for never. */
 uint64_t wc_forwarder_get_deadline_us (const WcForwarder *forwarder);
--- a/src/forward/host_evidence.c
+++ b/src/forward/host_evidence.c
@@ -12,6 +12,7 @@
   DEAD_SILENCE_US = 300 * 1000,
   /* With fewer requests, silence must last for more repetitions of a caller, which come after 200, 600 and 1,400 ms. */
   DEAD_FEW_REQUESTS = 2,
+  DEAD_FEW_REPEATS = 2,
   DEAD_FEW_SILENCE_US = 700 * 1000,
   /* A suspected host gets a new flow as a trial after this time, doubled for each suspicion in a row up to the limit.
    */
@@ -27,6 +28,7 @@
   host->life_us = now_us;
   host->silent_flows = 0;
   host->silent_requests = 0;
+  host->repeating_requests = 0;
   host->silent_since_us = 0;
   host->suspect_deadline_us = 0;
   host->suspicions = 0;
@@ -40,9 +42,17 @@
 
   assert (host != NULL && flow != NULL);
 
-  /* The host answered another flow since, or this flow counts already. */
-  if (since_us <= host->life_us || flow->silent_us > host->life_us)
+  /* The host answered another flow since. */
+  if (since_us <= host->life_us)
     return false;
+  /* This flow counts already. */
+  if (flow->silent_us > host->life_us)
+    {
+      if (is_request && flow->repeats < UINT8_MAX && ++flow->repeats == DEAD_FEW_REPEATS)
+        host->repeating_requests++;
+      return false;
+    }
+  flow->repeats = 1;
   flow->silent_us = now_us;
   host->silent_flows++;
   if (is_request)
@@ -67,7 +77,7 @@
   uint64_t silence_us = host->silent_since_us > 0 ? now_us - host->silent_since_us : 0;
 
   return (host->silent_requests >= DEAD_REQUESTS && silence_us >= DEAD_SILENCE_US) ||
-         (host->silent_requests >= DEAD_FEW_REQUESTS && silence_us >= DEAD_FEW_SILENCE_US);
+         (host->repeating_requests >= DEAD_FEW_REQUESTS && silence_us >= DEAD_FEW_SILENCE_US);
 }
 
 void
--- a/src/forward/host_evidence.h
+++ b/src/forward/host_evidence.h
@@ -24,6 +24,9 @@
  * @is_request: the packet belongs to an open flow. An opening that is not answered is a reason to place flows
  * elsewhere; it does not show that the host is dead, because another host may have answered it.
  *
+ * A flow that has moved to another instance looks silent too, because its answers are seen there; it does not repeat
+ * here, however. So few flows are evidence only when they go on repeating.
+ *
  * Return: true when the host becomes suspected by this.
  */
 bool wc_host_evidence_silence (WcHost *host, WcFlow *flow, uint64_t since_us, bool is_request, uint64_t now_us);
@@ -31,7 +34,7 @@
 /** wc_host_evidence_is_dead() - the evidence is strong enough to end flows that wait for the host. */
 bool wc_host_evidence_is_dead (const WcHost *host, uint64_t now_us);
 
-/** wc_host_evidence_clear() - forget what was seen; used when this instance itself stood still. */
+/** wc_host_evidence_clear() - forget what was seen; used when this instance itself stood still or works late. */
 void wc_host_evidence_clear (WcHost *host, uint64_t now_us);
 
 #endif
--- a/src/forward/host_table.c
+++ b/src/forward/host_table.c
@@ -168,6 +168,7 @@
   host->life_us = 0;
   host->silent_flows = 0;
   host->silent_requests = 0;
+  host->repeating_requests = 0;
   host->silent_since_us = 0;
   host->suspect_deadline_us = 0;
   host->suspicions = 0;
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -59,6 +59,7 @@
  * @life_us: when a packet last showed that the host is alive.
  * @silent_flows: flows that sent again in vain since then.
  * @silent_requests: those of them that were open and sent data.
+ * @repeating_requests: those of these that were sent again more than once.
  * @silent_since_us: when the first of these sent what was not answered; 0 for none.
  * @suspect_deadline_us: until then the host is suspected to be unreachable and gets no new flows.
  * @suspicions: how often it was suspected again without a sign of life in between.
@@ -78,6 +79,7 @@
   uint64_t     life_us;
   uint32_t     silent_flows;
   uint32_t     silent_requests;
+  uint32_t     repeating_requests;
   uint64_t     silent_since_us;
   uint64_t     suspect_deadline_us;
   uint32_t     suspicions;
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -10,8 +10,8 @@
   /* Taken for the service time of a host that has not answered yet; the usual work takes 5 to 30 ms. */
   SERVICE_TIME_US = 20 * 1000,
   /*
-   * What another domain costs. Its delay is 16 ms in all; the rest stands for the risk that the link is cut while the flow
-   * lives. With 16 ms, three times as many requests failed in cuts.
+   * What another domain costs. Its delay is 16 ms in all; the rest stands for the risk that the link is cut while the
+   * flow lives. With 16 ms, three times as many requests failed in cuts.
    */
   OTHER_DOMAIN_US = 50 * 1000,
   /* An open flow counts as this part of a request in progress: callers pause for seconds between requests of 25 ms. */
