--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -432,6 +432,7 @@
   WcForwardServer *server = user_data;
   uint64_t         now_us = wc_clock_monotonic_us ();
 
+  wc_forwarder_set_domain_peers (server->forwarder, wc_peer_table_count_domain (server->peers, now_us));
   for (size_t i = 0; i < news->host_count; i++)
     wc_forwarder_report_load (server->forwarder, news->sender.incarnation, news->hosts[i].host, news->hosts[i].busy,
                               now_us);
