Add a soak of real processes; let the instances of a domain read the view as a tree

make soak runs four instances between emulated callers, hosts and store, injects faults drawn from a seed (kill, stop, pause, store failures, harmed connections, history, configuration storms, draining and silent hosts, reused addresses, garbage, settings, cuts, loss) and checks the promises from what callers and hosts see.

Each instance now serves up to 8.

--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -21,8 +21,9 @@
   STORE_ANSWER_US = 1000 * 1000,
   /* A peer answers within 10 ms, and within some hundred when its processor is taken. */
   PEER_ANSWER_US = 400 * 1000,
-  /* A peer whose view is older than two waits of a watch cannot read the store itself. */
-  PEER_VIEW_MAX_US = 2500 * 1000,
+  /* A view that came through three peers is confirmed within three waits of a watch; an older one comes from nowhere.
+   */
+  PEER_VIEW_MAX_US = 3500 * 1000,
   /* How long a peer that could not be read from is passed over. */
   PEER_AVOID_US = 2000 * 1000,
   /* Pause before the next choice when there is no source at all. */
--- a/src/forward/view_source.c
+++ b/src/forward/view_source.c
@@ -3,21 +3,29 @@
 #include <assert.h>
 #include <stdbool.h>
 
-static const WcPeer *first_of_domain (const WcPeerTable *peers, uint64_t now_us);
+enum
+{
+  /* A change of 1 kB goes out 8 times from an instance; a domain of 240 instances is 3 levels deep. */
+  CHILDREN = 8
+};
+
+static const WcPeer *parent_in_domain (const WcPeerTable *peers, uint64_t now_us);
+static const WcPeer *nth_in_domain (const WcPeerTable *peers, size_t number, uint64_t now_us);
+static bool          is_usable (const WcPeer *peer, const WcPeerEntry *self, uint64_t now_us);
 static const WcPeer *freshest (const WcPeerTable *peers, uint64_t now_us);
 static WcViewSource  source_of (const WcPeer *peer);
 
 WcViewSource
 wc_view_source_choose (const WcPeerTable *peers, uint64_t store_avoid_deadline_us, uint64_t now_us)
 {
-  const WcPeer *first;
+  const WcPeer *parent;
   const WcPeer *best;
 
   assert (peers != NULL);
 
-  first = first_of_domain (peers, now_us);
-  if (first)
-    return source_of (first);
+  parent = parent_in_domain (peers, now_us);
+  if (parent)
+    return source_of (parent);
   if (now_us >= store_avoid_deadline_us)
     return (WcViewSource){ .kind = WC_VIEW_SOURCE_STORE };
   best = freshest (peers, now_us);
@@ -28,27 +36,53 @@
 
 /* local functions */
 
-/* The peer of this domain that comes before this instance and can be read from; NULL when it is this instance's turn.
+/*
+ * The peer that this instance reads from; NULL when it is this instance's turn to read the store. The live instances of
+ * the domain that come before this one form a tree in which each has up to CHILDREN children, so that the first ones do
+ * not serve a large domain alone. Reading only from earlier ones rules out circles.
  */
 static const WcPeer *
-first_of_domain (const WcPeerTable *peers, uint64_t now_us)
+parent_in_domain (const WcPeerTable *peers, uint64_t now_us)
 {
   const WcPeerEntry *self = wc_peer_table_get_self (peers);
-  const WcPeer      *first = NULL;
-  uint64_t           least = wc_peer_order (&self->address);
+  size_t             before = 0;
 
   for (size_t i = 0; i < wc_peer_table_get_count (peers); i++)
+    before += is_usable (wc_peer_table_get (peers, i), self, now_us);
+  return before > 0 ? nth_in_domain (peers, (before - 1) / CHILDREN, now_us) : NULL;
+}
+
+static const WcPeer *
+nth_in_domain (const WcPeerTable *peers, size_t number, uint64_t now_us)
+{
+  const WcPeerEntry *self = wc_peer_table_get_self (peers);
+  const WcPeer      *chosen = NULL;
+
+  for (size_t n = 0; n <= number; n++)
     {
-      const WcPeer *peer = wc_peer_table_get (peers, i);
-      uint64_t      order = wc_peer_order (&peer->entry.address);
+      const WcPeer *next = NULL;
 
-      if (peer->entry.domain != self->domain || order >= least || now_us < peer->avoid_deadline_us ||
-          !wc_peer_is_live (peer, now_us))
-        continue;
-      first = peer;
-      least = order;
+      for (size_t i = 0; i < wc_peer_table_get_count (peers); i++)
+        {
+          const WcPeer *peer = wc_peer_table_get (peers, i);
+          uint64_t      order = wc_peer_order (&peer->entry.address);
+
+          if (is_usable (peer, self, now_us) && (!chosen || order > wc_peer_order (&chosen->entry.address)) &&
+              (!next || order < wc_peer_order (&next->entry.address)))
+            next = peer;
+        }
+      if (!next)
+        return chosen;
+      chosen = next;
     }
-  return first;
+  return chosen;
+}
+
+static bool
+is_usable (const WcPeer *peer, const WcPeerEntry *self, uint64_t now_us)
+{
+  return peer->entry.domain == self->domain && now_us >= peer->avoid_deadline_us && wc_peer_is_live (peer, now_us) &&
+         wc_peer_order (&peer->entry.address) < wc_peer_order (&self->address);
 }
 
 static const WcPeer *
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,199 @@
+#include "soak.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <sodium.h>
+
+#include "edge/clock.h"
+
+enum
+{
+  PRINTED_VIOLATIONS = 10,
+  PROBE_INTERVAL_US = 500 * 1000,
+  /* This process stood still for so long that hosts and callers were late themselves; nothing counts as calm then. */
+  STALL_US = 60 * 1000,
+  /* Time without faults at the end, and the part of it in which requests are counted. */
+  CALM_US = 9 * 1000 * 1000,
+  LATE_DONE_PERCENT = 98
+};
+
+static const double TICK_S = 0.005;
+
+static bool init (Soak *soak, const char *binary, uint32_t seed, double seconds);
+static void tick_passed (struct ev_loop *loop, ev_timer *watcher, int events);
+static void notice_stall (Soak *soak, uint64_t now_us);
+static int  report (const Soak *soak);
+
+int
+main (int argc, char **argv)
+{
+  static Soak soak;
+  ev_timer    tick;
+  int         status = EXIT_FAILURE;
+
+  if (argc != 4 || sodium_init () < 0)
+    {
+      fprintf (stderr, "Usage: soak BINARY SEED SECONDS\n");
+      return 2;
+    }
+  if (init (&soak, argv[1], (uint32_t)strtoul (argv[2], NULL, 10), g_ascii_strtod (argv[3], NULL)))
+    {
+      ev_timer_init (&tick, tick_passed, TICK_S, TICK_S);
+      tick.data = &soak;
+      ev_timer_start (soak.loop, &tick);
+      ev_run (soak.loop, 0);
+      status = report (&soak);
+    }
+  soak_callers_stop (&soak);
+  soak_instances_stop (&soak);
+  soak_hosts_stop (&soak);
+  wc_emulated_store_delete (soak.store);
+  g_hash_table_destroy (soak.runs);
+  g_rand_free (soak.random);
+  g_free (soak.directory);
+  return status;
+}
+
+void
+soak_violate (Soak *soak, const char *promise, const char *format, ...)
+{
+  va_list arguments;
+
+  if (soak->violations++ >= PRINTED_VIOLATIONS)
+    return;
+  printf ("soak: seed %u, %.3f s: BROKEN, %s: ", soak->seed, (double)(soak->now_us - soak->start_us) / 1e6, promise);
+  va_start (arguments, format);
+  vprintf (format, arguments);
+  va_end (arguments);
+  printf ("\n");
+}
+
+void
+soak_note (Soak *soak, const char *format, ...)
+{
+  va_list arguments;
+
+  if (!g_getenv ("SOAK_TRACE"))
+    return;
+  printf ("soak: %.3f s: ", (double)(soak->now_us - soak->start_us) / 1e6);
+  va_start (arguments, format);
+  vprintf (format, arguments);
+  va_end (arguments);
+  printf ("\n");
+}
+
+/* Kinds: 0 store, 1 instances, 2 hosts, 3 callers. */
+WcAddress
+soak_address (const Soak *soak, int kind, int number, uint16_t port)
+{
+  return (
+      WcAddress){ .ip = { 127, soak->net, (uint8_t)(10 + kind), (uint8_t)(10 + number) }, .family = 4, .port = port };
+}
+
+double
+soak_draw (Soak *soak, double low, double high)
+{
+  return g_rand_double_range (soak->random, low, high);
+}
+
+bool
+soak_core_is_calm (const Soak *soak)
+{
+  return soak->now_us >= soak->core_clean_us + SOAK_STABLE_US;
+}
+
+/* local functions */
+
+static bool
+init (Soak *soak, const char *binary, uint32_t seed, double seconds)
+{
+  WcAddress address;
+  WcError   error;
+
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  /* The default loop would take the exit status of the processes. */
+  soak->loop = ev_loop_new (0);
+  soak->binary = binary;
+  soak->seed = seed;
+  soak->random = g_rand_new_with_seed (seed);
+  soak->runs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  /* Runs side by side use networks and ports of their own. */
+  soak->net = (uint8_t)(1 + getpid () % 250);
+  soak->port = (uint16_t)(20000 + getpid () % 2500 * 4);
+  soak->directory = g_strdup_printf ("build/soak-runs/%u", seed);
+  soak->loss = 0.002;
+  soak->now_us = wc_clock_monotonic_us ();
+  soak->start_us = soak->now_us;
+  soak->core_clean_us = soak->now_us;
+  soak->end_us = soak->now_us + (uint64_t)(seconds * 1e6) + CALM_US;
+  g_mkdir_with_parents (soak->directory, 0755);
+  address = soak_address (soak, 0, 0, 0);
+  soak->store = wc_emulated_store_new (soak->loop, &address, 5, &error);
+  if (!soak->store)
+    {
+      fprintf (stderr, "soak: %s\n", error.message);
+      return false;
+    }
+  for (int i = 0; i < SOAK_ROUTES; i++)
+    soak->routes[i] = (SoakRoute){ (uint16_t)(8000 + i), i % SOAK_SERVICES, i % 3 == 0, true, soak->now_us };
+  soak_config_publish (soak);
+  return soak_hosts_start (soak) && soak_instances_start (soak) && soak_callers_start (soak);
+}
+
+static void
+tick_passed (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  static uint64_t probe_deadline_us;
+  Soak           *soak = watcher->data;
+  uint64_t        now_us = wc_clock_monotonic_us ();
+
+  (void)events;
+  notice_stall (soak, now_us);
+  soak->now_us = now_us;
+  if (soak->calm_us == 0 && now_us >= soak->end_us - CALM_US)
+    soak_faults_end (soak);
+  soak_faults_tick (soak);
+  soak_instances_tick (soak);
+  soak_hosts_tick (soak);
+  soak_callers_tick (soak);
+  if (now_us >= probe_deadline_us)
+    {
+      probe_deadline_us = now_us + PROBE_INTERVAL_US;
+      soak_instances_probe (soak);
+    }
+  if (now_us >= soak->end_us)
+    ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+notice_stall (Soak *soak, uint64_t now_us)
+{
+  if (now_us - soak->now_us < STALL_US)
+    return;
+  soak->counts.stalls++;
+  soak->core_clean_us = MAX (soak->core_clean_us, now_us);
+}
+
+static int
+report (const Soak *soak)
+{
+  const SoakCounts *counts = &soak->counts;
+  bool recovered = counts->late_requests > 0 && counts->late_done * 100 >= counts->late_requests * LATE_DONE_PERCENT;
+
+  if (!recovered)
+    printf ("soak: seed %u: BROKEN, recovery: %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+            " requests done after the faults\n",
+            soak->seed, counts->late_done, counts->late_requests);
+  printf ("{\"seed\":%u,\"violations\":%u,\"recovered\":%s,\"faults\":%" G_GUINT64_FORMAT
+          ",\"starts\":%" G_GUINT64_FORMAT ",\"requests\":%" G_GUINT64_FORMAT ",\"done\":%" G_GUINT64_FORMAT
+          ",\"failed\":%" G_GUINT64_FORMAT ",\"system_resets\":%" G_GUINT64_FORMAT ",\"wrong_host\":%" G_GUINT64_FORMAT
+          ",\"store_calls\":%" G_GUINT64_FORMAT ",\"stalls\":%" G_GUINT64_FORMAT "}\n",
+          soak->seed, soak->violations, recovered ? "true" : "false", counts->faults, counts->starts, counts->requests,
+          counts->done, counts->failed, counts->system_resets, counts->wrong_host,
+          wc_emulated_store_get_calls (soak->store), counts->stalls);
+  return soak->violations == 0 && recovered ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,194 @@
+#ifndef WC_TESTS_SOAK_SOAK_H
+#define WC_TESTS_SOAK_SOAK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include <wigeoncart/address.h>
+
+#include "edge/platform_client.h"
+#include "emulator/emulated_store.h"
+#include "emulator/tcp_relay.h"
+#include "forward/packet.h"
+
+/*
+ * A soak of real instances: processes of the binary under test between emulated callers, hosts and store in this
+ * process, on loopback. Faults are injected from outside; promises are checked from what callers and hosts see.
+ */
+
+enum
+{
+  SOAK_DOMAINS = 2,
+  SOAK_INSTANCES = 4,
+  SOAK_HOSTS = 10,
+  SOAK_CALLERS = 8,
+  SOAK_USERS = 6,
+  SOAK_ROUTES = 6,
+  SOAK_SERVICES = 2,
+
+  /* Bounds of the platform's pages: after a change or a fault, and between a fault and the next check. */
+  SOAK_STABLE_US = 4000 * 1000,
+  SOAK_APPLY_US = 3000 * 1000,
+  SOAK_DRAIN_US = 3000 * 1000,
+  SOAK_RESET_WINDOW = 76800,
+  SOAK_STOP_MS = 6000
+};
+
+/**
+ * struct SoakInstance - a process under test.
+ * @clean_us: from when on it is free of faults; it counts as calm SOAK_STABLE_US later.
+ * @restart_deadline_us: when it is started again; 0 while it runs.
+ * @stop_deadline_us: until then a planned stop must have ended; 0 for none.
+ * @cut_domain, @cut_deadline_us: domain whose hosts it cannot reach, and until when.
+ */
+typedef struct
+{
+  struct Soak      *soak;
+  int               number;
+  pid_t             pid;
+  WcAddress         packets;
+  char             *settings_path;
+  WcTcpRelay       *store_relay;
+  WcPlatformClient *probe;
+  bool              in_rotation;
+  int               misses;
+  bool              is_paused;
+  uint64_t          resume_deadline_us;
+  uint64_t          clean_us;
+  uint64_t          restart_deadline_us;
+  uint64_t          stop_deadline_us;
+  int               cut_domain;
+  uint64_t          cut_deadline_us;
+  uint64_t          relay_deadline_us;
+} SoakInstance;
+
+/** enum SoakHostState - what a host does; a dark one is silent. */
+typedef enum
+{
+  SOAK_HOST_READY = 0,
+  SOAK_HOST_DRAINING,
+  SOAK_HOST_DARK
+} SoakHostState;
+
+/**
+ * struct SoakHost - an emulated host.
+ * @drained_us: when its draining was published.
+ * @clean_us: as for an instance.
+ * @next_deadline_us: when a draining host leaves, or a dark one comes back as another host.
+ * @entry_deadline_us: when the entry of a dark host lapses; 0 for none.
+ */
+typedef struct
+{
+  struct Soak  *soak;
+  int           number;
+  uint64_t      id;
+  int           service;
+  int           domain;
+  SoakHostState state;
+  uint64_t      drained_us;
+  uint64_t      clean_us;
+  uint64_t      next_deadline_us;
+  uint64_t      entry_deadline_us;
+  WcAddress     address;
+  int           fd;
+  ev_io         readable;
+  GHashTable   *flows;
+} SoakHost;
+
+/** struct SoakRoute - a route of the configuration; @changed_us: when it was last added or removed. */
+typedef struct
+{
+  uint16_t port;
+  int      service;
+  bool     is_once;
+  bool     exists;
+  uint64_t changed_us;
+} SoakRoute;
+
+/** struct SoakCounts - what callers and hosts have seen. */
+typedef struct
+{
+  uint64_t requests;
+  uint64_t done;
+  uint64_t failed;
+  uint64_t late_requests;
+  uint64_t late_done;
+  uint64_t system_resets;
+  uint64_t wrong_host;
+  uint64_t faults;
+  uint64_t stalls;
+  uint64_t starts;
+} SoakCounts;
+
+typedef struct Soak
+{
+  struct ev_loop  *loop;
+  GRand           *random;
+  uint32_t         seed;
+  char            *directory;
+  const char      *binary;
+  uint8_t          net;
+  uint16_t         port;
+  uint64_t         now_us;
+  uint64_t         start_us;
+  uint64_t         calm_us;
+  uint64_t         end_us;
+  uint64_t         core_clean_us;
+  uint64_t         store_deadline_us;
+  bool             entries_lapsed;
+  double           loss;
+  uint64_t         loss_deadline_us;
+  uint64_t         config_version;
+  uint64_t         next_id;
+  WcEmulatedStore *store;
+  SoakInstance     instances[SOAK_INSTANCES];
+  SoakHost         hosts[SOAK_HOSTS];
+  SoakRoute        routes[SOAK_ROUTES];
+  GPtrArray       *callers;
+  GHashTable      *runs;
+  SoakCounts       counts;
+  uint32_t         violations;
+} Soak;
+
+/** soak_violate() - a promise broke; the first ones are printed with the time and the seed. */
+void soak_violate (Soak *soak, const char *promise, const char *format, ...) __attribute__ ((format (printf, 3, 4)));
+void soak_note (Soak *soak, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
+
+WcAddress soak_address (const Soak *soak, int kind, int number, uint16_t port);
+double    soak_draw (Soak *soak, double low, double high);
+bool      soak_core_is_calm (const Soak *soak);
+
+/* Processes. */
+bool          soak_instances_start (Soak *soak);
+void          soak_instance_start (SoakInstance *instance);
+void          soak_instances_tick (Soak *soak);
+void          soak_instances_probe (Soak *soak);
+void          soak_instance_write_settings (SoakInstance *instance);
+bool          soak_instance_is_calm (const SoakInstance *instance);
+SoakInstance *soak_instance_find (Soak *soak, const WcAddress *address);
+/* The fabric's choice for a flow; NULL when all are down. */
+SoakInstance *soak_instance_pick (Soak *soak, const WcFlowKey *key);
+void          soak_instances_stop (Soak *soak);
+
+/* Hosts and configuration. */
+bool soak_hosts_start (Soak *soak);
+void soak_host_publish (SoakHost *host);
+void soak_host_replace (SoakHost *host, int service);
+void soak_hosts_tick (Soak *soak);
+void soak_hosts_stop (Soak *soak);
+void soak_config_publish (Soak *soak);
+
+/* Callers. */
+bool soak_callers_start (Soak *soak);
+void soak_callers_tick (Soak *soak);
+void soak_callers_stop (Soak *soak);
+
+/* Faults. */
+void soak_faults_tick (Soak *soak);
+void soak_faults_end (Soak *soak);
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_faults.c
@@ -0,0 +1,352 @@
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+#include "edge/socket_address.h"
+
+/*
+ * Faults come in series and overlap: each is drawn on its own, at most a second and a half after the last one. Whatever
+ * a fault touches does not count as calm until it is over.
+ */
+
+static void kill_one (Soak *soak);
+static void kill_all (Soak *soak);
+static void stop_one (Soak *soak);
+static void pause_one (Soak *soak);
+static void fail_store (Soak *soak);
+static void lapse_entries (Soak *soak);
+static void forget_history (Soak *soak);
+static void harm_store_connections (Soak *soak);
+static void change_config (Soak *soak);
+static void storm_config (Soak *soak);
+static void drain_host (Soak *soak);
+static void darken_host (Soak *soak);
+static void write_garbage (Soak *soak);
+static void change_settings (Soak *soak);
+static void cut_hosts (Soak *soak);
+static void lose_packets (Soak *soak);
+
+static const struct
+{
+  const char *name;
+  void (*strike) (Soak *soak);
+} FAULTS[] = {
+  { "kill one", kill_one },
+  { "kill all", kill_all },
+  { "stop one", stop_one },
+  { "stop one", stop_one },
+  { "pause one", pause_one },
+  { "store fails", fail_store },
+  { "entries lapse", lapse_entries },
+  { "history is dropped", forget_history },
+  { "store connections are harmed", harm_store_connections },
+  { "store connections are harmed", harm_store_connections },
+  { "configuration changes", change_config },
+  { "configuration changes", change_config },
+  { "configuration storm", storm_config },
+  { "host drains", drain_host },
+  { "host drains", drain_host },
+  { "host falls silent", darken_host },
+  { "garbage is written", write_garbage },
+  { "settings change", change_settings },
+  { "instance is cut off from hosts", cut_hosts },
+  { "packets are lost", lose_packets },
+};
+
+static SoakInstance *draw_instance (Soak *soak);
+static SoakHost     *draw_host (Soak *soak);
+static void          touch_core (Soak *soak, uint64_t until_us);
+static void          send_garbage (Soak *soak, const WcAddress *address);
+
+void
+soak_faults_tick (Soak *soak)
+{
+  static uint64_t next_us;
+  size_t          number;
+
+  if (soak->store_deadline_us > 0 && soak->now_us >= soak->store_deadline_us)
+    {
+      wc_emulated_store_set_mode (soak->store, WC_STORE_SERVES);
+      soak->store_deadline_us = 0;
+      for (int i = 0; soak->entries_lapsed && i < SOAK_HOSTS; i++)
+        if (soak->hosts[i].state != SOAK_HOST_DARK)
+          soak_host_publish (&soak->hosts[i]);
+      soak->entries_lapsed = false;
+    }
+  if (soak->loss_deadline_us > 0 && soak->now_us >= soak->loss_deadline_us)
+    {
+      soak->loss = 0.002;
+      soak->loss_deadline_us = 0;
+    }
+  if (soak->calm_us > 0 || soak->now_us < soak->start_us + 2000 * 1000 || soak->now_us < next_us)
+    return;
+  next_us = soak->now_us + (uint64_t)soak_draw (soak, 100e3, 1500e3);
+  number = (size_t)soak_draw (soak, 0, G_N_ELEMENTS (FAULTS));
+  soak_note (soak, "%s", FAULTS[number].name);
+  soak->counts.faults++;
+  FAULTS[number].strike (soak);
+}
+
+/* All faults end, so that everything must work again. */
+void
+soak_faults_end (Soak *soak)
+{
+  soak_note (soak, "faults end");
+  soak->calm_us = soak->now_us;
+  soak->store_deadline_us = MIN (soak->store_deadline_us, soak->now_us);
+  soak->loss = 0.0;
+  for (int i = 0; i < SOAK_INSTANCES; i++)
+    {
+      SoakInstance *instance = &soak->instances[i];
+
+      instance->resume_deadline_us = soak->now_us;
+      instance->cut_deadline_us = soak->now_us;
+      if (instance->relay_deadline_us > 0)
+        instance->relay_deadline_us = soak->now_us;
+    }
+}
+
+/* local functions */
+
+static SoakInstance *
+draw_instance (Soak *soak)
+{
+  SoakInstance *instance = &soak->instances[(int)soak_draw (soak, 0, SOAK_INSTANCES)];
+
+  return instance->pid > 0 && instance->stop_deadline_us == 0 && !instance->is_paused ? instance : NULL;
+}
+
+static SoakHost *
+draw_host (Soak *soak)
+{
+  SoakHost *host = &soak->hosts[(int)soak_draw (soak, 0, SOAK_HOSTS)];
+  int       ready = 0;
+
+  /* Two hosts of each service stay, so that there is one to go to. */
+  for (int i = 0; i < SOAK_HOSTS; i++)
+    ready += soak->hosts[i].service == host->service && soak->hosts[i].state == SOAK_HOST_READY;
+  return host->state == SOAK_HOST_READY && ready > 2 ? host : NULL;
+}
+
+static void
+touch_core (Soak *soak, uint64_t until_us)
+{
+  soak->core_clean_us = MAX (soak->core_clean_us, until_us);
+}
+
+static void
+kill_one (Soak *soak)
+{
+  SoakInstance *instance = draw_instance (soak);
+
+  if (!instance)
+    return;
+  instance->restart_deadline_us = soak->now_us + (uint64_t)soak_draw (soak, 200e3, 1500e3);
+  instance->clean_us = instance->restart_deadline_us;
+  kill (instance->pid, SIGKILL);
+}
+
+static void
+kill_all (Soak *soak)
+{
+  for (int i = 0; i < SOAK_INSTANCES; i++)
+    if (soak->instances[i].pid > 0)
+      {
+        SoakInstance *instance = &soak->instances[i];
+
+        instance->restart_deadline_us = soak->now_us + (uint64_t)soak_draw (soak, 500e3, 900e3);
+        instance->clean_us = instance->restart_deadline_us;
+        instance->stop_deadline_us = 0;
+        instance->is_paused = false;
+        kill (instance->pid, SIGKILL);
+      }
+}
+
+static void
+stop_one (Soak *soak)
+{
+  SoakInstance *instance = draw_instance (soak);
+
+  if (!instance)
+    return;
+  instance->stop_deadline_us = soak->now_us + SOAK_STOP_MS * 1000;
+  instance->clean_us = soak->now_us;
+  kill (instance->pid, SIGTERM);
+}
+
+static void
+pause_one (Soak *soak)
+{
+  SoakInstance *instance = draw_instance (soak);
+
+  if (!instance)
+    return;
+  instance->is_paused = true;
+  instance->resume_deadline_us = soak->now_us + (uint64_t)soak_draw (soak, 300e3, 3000e3);
+  instance->clean_us = instance->resume_deadline_us;
+  kill (instance->pid, SIGSTOP);
+}
+
+static void
+fail_store (Soak *soak)
+{
+  WcStoreMode mode = (WcStoreMode)soak_draw (soak, WC_STORE_IS_BUSY, WC_STORE_MODE_COUNT);
+
+  wc_emulated_store_set_mode (soak->store, mode);
+  soak->store_deadline_us = soak->now_us + (uint64_t)soak_draw (soak, 300e3, 4000e3);
+  touch_core (soak, soak->store_deadline_us);
+}
+
+static void
+lapse_entries (Soak *soak)
+{
+  fail_store (soak);
+  soak->entries_lapsed = true;
+  for (int i = 0; i < SOAK_HOSTS; i++)
+    {
+      char *key = g_strdup_printf ("servers/i-%010" G_GINT64_MODIFIER "x", soak->hosts[i].id);
+
+      wc_emulated_store_remove (soak->store, key);
+      g_free (key);
+    }
+}
+
+static void
+forget_history (Soak *soak)
+{
+  wc_emulated_store_drop_history (soak->store);
+  touch_core (soak, soak->now_us);
+}
+
+static void
+harm_store_connections (Soak *soak)
+{
+  SoakInstance *instance = &soak->instances[(int)soak_draw (soak, 0, SOAK_INSTANCES)];
+  WcRelayFault  fault = (WcRelayFault)soak_draw (soak, WC_RELAY_DELAYS, WC_RELAY_FAULT_COUNT);
+
+  soak_note (soak, "  of instance %d: relay %s", instance->number, WC_RELAY_FAULT_STRINGS[fault]);
+  wc_tcp_relay_set_fault (instance->store_relay, fault);
+  instance->relay_deadline_us = soak->now_us + (uint64_t)soak_draw (soak, 500e3, 5000e3);
+  /* Others may read through this instance. */
+  touch_core (soak, instance->relay_deadline_us);
+}
+
+static void
+change_config (Soak *soak)
+{
+  SoakRoute *route = &soak->routes[(int)soak_draw (soak, 2, SOAK_ROUTES)];
+
+  route->exists = !route->exists;
+  route->changed_us = soak->now_us;
+  soak_config_publish (soak);
+}
+
+static void
+storm_config (Soak *soak)
+{
+  for (int i = 0; i < 6; i++)
+    change_config (soak);
+}
+
+static void
+drain_host (Soak *soak)
+{
+  SoakHost *host = draw_host (soak);
+
+  if (!host)
+    return;
+  host->state = SOAK_HOST_DRAINING;
+  host->drained_us = soak->now_us;
+  host->next_deadline_us = soak->now_us + SOAK_DRAIN_US + (uint64_t)soak_draw (soak, 500e3, 2500e3);
+  soak_host_publish (host);
+}
+
+static void
+darken_host (Soak *soak)
+{
+  SoakHost *host = draw_host (soak);
+
+  if (!host)
+    return;
+  host->state = SOAK_HOST_DARK;
+  host->entry_deadline_us = soak->now_us + 2300 * 1000;
+  host->next_deadline_us = soak->now_us + (uint64_t)soak_draw (soak, 4500e3, 7000e3);
+}
+
+static void
+write_garbage (Soak *soak)
+{
+  static const char *const values[] = {
+    "",
+    "[]",
+    "{\"service\":7}",
+    "\xff\xfe\x00",
+    "{\"service\":\"service-0\",\"address\":\"127.0.0.1:9\",\"zone\":\"d0\","
+    "\"slots\":2,\"state\":\"asleep\"}",
+  };
+  const char *value = values[(int)soak_draw (soak, 0, G_N_ELEMENTS (values))];
+
+  wc_emulated_store_put (soak->store, "servers/i-00000000ff", value, strlen (value));
+  wc_emulated_store_put (soak->store, "servers/", value, strlen (value));
+  wc_emulated_store_put (soak->store, "other/key", value, strlen (value));
+  for (int i = 0; i < SOAK_INSTANCES; i++)
+    {
+      WcAddress peers = soak_address (soak, 1, i, soak->port + 2);
+
+      send_garbage (soak, &soak->instances[i].packets);
+      send_garbage (soak, &peers);
+    }
+}
+
+static void
+send_garbage (Soak *soak, const WcAddress *address)
+{
+  struct sockaddr_storage storage;
+  socklen_t               length = wc_socket_address_from (address, &storage);
+  int                     fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+  for (int i = 0; i < 20; i++)
+    {
+      uint8_t data[1600];
+      size_t  size = (size_t)soak_draw (soak, 0, sizeof data);
+
+      for (size_t b = 0; b < size; b++)
+        data[b] = (uint8_t)g_rand_int (soak->random);
+      (void)sendto (fd, data, size, 0, (struct sockaddr *)&storage, length);
+    }
+  close (fd);
+}
+
+static void
+change_settings (Soak *soak)
+{
+  SoakInstance *instance = draw_instance (soak);
+
+  if (!instance)
+    return;
+  soak_instance_write_settings (instance);
+  if (soak_draw (soak, 0, 1) < 0.5)
+    kill (instance->pid, SIGHUP);
+}
+
+static void
+cut_hosts (Soak *soak)
+{
+  SoakInstance *instance = &soak->instances[(int)soak_draw (soak, 0, SOAK_INSTANCES)];
+
+  instance->cut_domain = (int)soak_draw (soak, 0, SOAK_DOMAINS);
+  instance->cut_deadline_us = soak->now_us + (uint64_t)soak_draw (soak, 500e3, 4000e3);
+  instance->clean_us = MAX (instance->clean_us, instance->cut_deadline_us);
+}
+
+static void
+lose_packets (Soak *soak)
+{
+  soak->loss = soak_draw (soak, 0.01, 0.08);
+  soak->loss_deadline_us = soak->now_us + (uint64_t)soak_draw (soak, 500e3, 3000e3);
+  for (int i = 0; i < SOAK_INSTANCES; i++)
+    soak->instances[i].clean_us = MAX (soak->instances[i].clean_us, soak->loss_deadline_us);
+}
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -161,6 +161,57 @@
 }
 END_TEST
 
+/* Guards against a first instance that serves a large domain alone, and against circles in which nobody reads the
+ * store. */
+START_TEST (readers_form_a_tree)
+{
+  enum
+  {
+    MEMBERS = 240
+  };
+  static WcPeerTable *tables[MEMBERS];
+  static uint32_t     children[MEMBERS];
+  static uint32_t     parents[MEMBERS];
+  uint64_t            now_us = 1000 * 1000 * 1000;
+  uint32_t            roots = 0;
+
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    {
+      WcPeerEntry self = entry_of (0, 100 + i);
+
+      self.address.ip[3] = (uint8_t)(i + 1);
+      tables[i] = wc_peer_table_new (&self);
+      for (uint32_t p = 0; p < MEMBERS; p++)
+        {
+          WcPeerNews news = { .sender = self };
+
+          news.sender.address.ip[3] = (uint8_t)(p + 1);
+          news.sender.incarnation = 100 + p;
+          wc_peer_table_hear (tables[i], &news, now_us);
+        }
+    }
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    {
+      const WcViewSource source = wc_view_source_choose (tables[i], 0, now_us);
+
+      roots += source.kind == WC_VIEW_SOURCE_STORE;
+      parents[i] = source.kind == WC_VIEW_SOURCE_STORE ? i : (uint32_t)source.peer.ip[3] - 1;
+      children[parents[i]] += parents[i] != i;
+    }
+  ck_assert_uint_eq (roots, 1);
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    {
+      uint32_t at = i;
+      int      depth = 0;
+
+      for (; parents[at] != at; at = parents[at])
+        ck_assert_int_lt (depth++, 4);
+      ck_assert_uint_le (children[i], 8);
+      wc_peer_table_delete (tables[i]);
+    }
+}
+END_TEST
+
 /* Guards against a domain that is blind because its reader is dead, or cannot read the store itself. */
 START_TEST (reader_that_fails_is_passed_over)
 {
@@ -229,6 +280,7 @@
   tcase_add_test (tests, fleet_finds_itself_through_seeds);
   tcase_add_test (tests, dead_are_noticed_and_restarted_are_believed);
   tcase_add_test (tests, one_instance_of_a_domain_reads_the_store);
+  tcase_add_test (tests, readers_form_a_tree);
   tcase_add_test (tests, reader_that_fails_is_passed_over);
   tcase_add_test (tests, without_the_store_the_freshest_peer_is_read);
   tcase_add_test (tests, alone_means_that_all_known_peers_are_silent);
