--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,7 @@
 # All tests: unit tests, the same with sanitizers, fuzzing with a fixed seed, and real processes.
 check: test sanitize fuzz-smoke
 	@$(MAKE) --no-print-directory demo
+	@$(MAKE) --no-print-directory soak
 
 test: all
 	@tests/run_tests.sh $(BUILD)/tests
--- a/src/cli/check.c
+++ b/src/cli/check.c
@@ -3,6 +3,8 @@
 #include <wigeoncart/register.h>
 
 #include "cli/arguments.h"
+#include "edge/data_path.h"
+#include "edge/forward_settings.h"
 #include "edge/settings.h"
 
 static int run (int argc, char **argv);
@@ -54,17 +56,21 @@
 static int
 check_settings (const char *path)
 {
-  WcError     error;
-  WcSettings *settings = wc_settings_load (path, &error);
+  WcError            error = { 0 };
+  WcDataPath         data_path = wc_data_path_load (path, &error);
+  WcSettings        *datagrams = data_path == WC_DATA_PATH_DATAGRAMS ? wc_settings_load (path, &error) : NULL;
+  WcForwardSettings *packets = data_path == WC_DATA_PATH_PACKETS ? wc_forward_settings_load (path, &error) : NULL;
+  bool               is_valid = datagrams || packets;
 
-  if (!settings)
-    {
-      fprintf (stderr, "%s\n", error.message);
-      return error.status == WC_STATUS_NOT_FOUND ? WC_EXIT_USAGE : WC_EXIT_FAILED;
-    }
-  printf ("%s: ok\n", path);
-  wc_settings_delete (settings);
-  return WC_EXIT_OK;
+  if (is_valid)
+    printf ("%s: ok\n", path);
+  else
+    fprintf (stderr, "%s\n", error.message);
+  wc_settings_delete (datagrams);
+  wc_forward_settings_delete (packets);
+  if (is_valid)
+    return WC_EXIT_OK;
+  return error.status == WC_STATUS_NOT_FOUND ? WC_EXIT_USAGE : WC_EXIT_FAILED;
 }
 
 static int
--- a/src/core/json_doc.h
+++ b/src/core/json_doc.h
@@ -43,7 +43,8 @@
 
 /**
  * struct WcJsonField - a key that an object may have.
- * @min, @max: range of a WC_JSON_UINT or WC_JSON_NUMBER; least and largest number of elements of a WC_JSON_ARRAY or WC_JSON_OBJECT.
+ * @min, @max: range of a WC_JSON_UINT or WC_JSON_NUMBER; least and largest number of elements of a WC_JSON_ARRAY or
+ * WC_JSON_OBJECT.
  * @choices: strings of a WC_JSON_CHOICE, ended by NULL.
  */
 typedef struct
--- a/src/edge/store_view.c
+++ b/src/edge/store_view.c
@@ -13,10 +13,11 @@
 void
 wc_store_view_apply (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us)
 {
-  uint64_t id = wc_host_wire_key_id (change->key);
+  uint64_t id;
 
   assert (forwarder != NULL && change != NULL);
 
+  id = wc_host_wire_key_id (change->key);
   if (wc_config_wire_is_key (change->key))
     apply_config (forwarder, log, change, now_us);
   else if (id != 0)
--- a/src/emulator/tcp_relay.c
+++ b/src/emulator/tcp_relay.c
@@ -88,8 +88,8 @@
 {
   if (!relay)
     return;
-  while (relay->connections->len > 0)
-    close_connection (relay->connections->pdata[0], false);
+  for (guint i = relay->connections->len; i > 0; i--)
+    close_connection (relay->connections->pdata[i - 1], false);
   ev_io_stop (relay->loop, &relay->accepting);
   close (relay->listener);
   g_ptr_array_free (relay->connections, TRUE);
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -581,14 +581,14 @@
 static int
 visit_old (void *user_data, WcFlow *flow)
 {
-  static const uint64_t LIFE_US[] = {
+  static const uint64_t life_limits_us[] = {
     [WC_FLOW_OPENING] = OPENING_LIFE_US,
     [WC_FLOW_OPEN] = UINT64_MAX,
     [WC_FLOW_CLOSING] = CLOSING_LIFE_US,
   };
   WcForwarder *forwarder = user_data;
   WcHost      *host;
-  uint64_t     life_us = LIFE_US[flow->state];
+  uint64_t     life_us = life_limits_us[flow->state];
   uint32_t     idle_ms = forwarder->routes ? wc_route_table_get_idle_timeout_ms (forwarder->routes) : 0;
 
   if (flow->state == WC_FLOW_OPEN && idle_ms > 0)
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -50,10 +50,11 @@
 wc_placement_choose (const WcHostTable *hosts, const WcPlacement *placement, uint64_t now_us)
 {
   Candidate best[RANK_COUNT] = { 0 };
-  bool      use_lapsed = most_have_lapsed (hosts, placement->service, now_us);
+  bool      use_lapsed;
 
   assert (hosts != NULL && placement != NULL);
 
+  use_lapsed = most_have_lapsed (hosts, placement->service, now_us);
   for (size_t i = 0; i < wc_host_table_get_count (hosts); i++)
     {
       WcHost    *host = wc_host_table_get (hosts, i);
--- a/src/forward/view_source.h
+++ b/src/forward/view_source.h
@@ -30,10 +30,10 @@
  * wc_view_source_choose() - one instance of each failure domain reads the store, all others read from one before them.
  * @store_avoid_deadline_us: until then the store is not read, because a read of this instance failed.
  *
- * Every instance orders the live instances of its domain in the same way, and leaves out those that it avoids. The first one
- * reads the store, the next eight read from it, and so on. So an instance that is dead, frozen or cut off is passed over
- * by each other one on its own, and the next takes its place without any agreement. An instance
- * that cannot read the store takes what any peer of any domain knows.
+ * Every instance orders the live instances of its domain in the same way, and leaves out those that it avoids. The
+ * first one reads the store, the next eight read from it, and so on. So an instance that is dead, frozen or cut off is
+ * passed over by each other one on its own, and the next takes its place without any agreement. An instance that cannot
+ * read the store takes what any peer of any domain knows.
  */
 WcViewSource wc_view_source_choose (const WcPeerTable *peers, uint64_t store_avoid_deadline_us, uint64_t now_us);
 
--- a/tests/fuzz/fuzz_parsers.c
+++ b/tests/fuzz/fuzz_parsers.c
@@ -12,13 +12,18 @@
 
 #include "core/peer_session.h"
 #include "core/relay_packet.h"
+#include "config_wire.h"
 #include "edge/settings.h"
+#include "forward/peer_news.h"
 #include "fuzz/fuzz.h"
+#include "host_wire.h"
+#include "packet_wire.h"
+#include "store_wire.h"
 
 enum
 {
   NOW_US = 1000 * 1000 * 1000,
-  KINDS = 9
+  KINDS = 14
 };
 
 static const char REGISTER[] =
@@ -33,6 +38,15 @@
 static const char HEAD[] = "{\"revision\":2,\"parts\":[{\"key\":\"base\",\"digest\":\""
                            "0000000000000000000000000000000000000000000000000000000000000000\"}]}";
 
+static const char ENTRY[] = "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"a\",\"slots\":2,"
+                            "\"state\":\"ready\",\"warmup-left-ms\":0,\"seq\":4,\"born\":5}";
+static const char CONFIG[] = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"198.18.0.1\",\"prefix\":\"/8443/\","
+                             "\"kind\":\"safe\",\"priority\":2,\"traffic-split\":[{\"service\":\"x\",\"weight\":90}]}],"
+                             "\"limits\":{\"idle-timeout-ms\":15000}}";
+static const char WATCH[] =
+    "{\"events\":[{\"key\":\"a\",\"value\":\"bm9k\",\"mod-rev\":412},{\"key\":\"b\",\"mod-rev\":413,"
+    "\"deleted\":true}],\"as-of\":413}";
+
 static const WcAddress CALLER = { .ip = { 127, 0, 0, 1 }, .family = 4, .port = 5000 };
 
 static uint64_t accepted[KINDS];
@@ -46,6 +60,11 @@
 static void    feed_relay (WcNode *node, const WcKeyring *keyring, const uint8_t *data, size_t size_bytes);
 static void    feed_session (const uint8_t *data, size_t size_bytes);
 static void    feed_settings (const uint8_t *data, size_t size_bytes);
+static void    feed_packet_wire (const uint8_t *data, size_t size_bytes);
+static void    feed_peer_news (const uint8_t *data, size_t size_bytes);
+static void    feed_entry (const uint8_t *data, size_t size_bytes);
+static void    feed_config (const uint8_t *data, size_t size_bytes);
+static void    feed_store_answer (const uint8_t *data, size_t size_bytes);
 static char   *mutate (const char *text, const uint8_t *data, size_t size_bytes, size_t *length);
 
 static const WcNodeOps OPS = {
@@ -103,6 +122,21 @@
         g_free (text);
         break;
       }
+    case 9:
+      feed_packet_wire (data, size_bytes);
+      break;
+    case 10:
+      feed_peer_news (data, size_bytes);
+      break;
+    case 11:
+      feed_entry (data, size_bytes);
+      break;
+    case 12:
+      feed_config (data, size_bytes);
+      break;
+    case 13:
+      feed_store_answer (data, size_bytes);
+      break;
     default:
       feed_settings (data, size_bytes);
       break;
@@ -114,9 +148,20 @@
 fuzz_print_summary (void)
 {
   static const char *const NAMES[KINDS] = {
-    "datagrams",   "relayed datagrams", "packets from fields", "relayed packets",
-    "peer frames", "registers",         "changed registers",   "heads",
-    "settings"
+    "datagrams",
+    "relayed datagrams",
+    "packets from fields",
+    "relayed packets",
+    "peer frames",
+    "registers",
+    "changed registers",
+    "heads",
+    "settings",
+    "packets of flows",
+    "peer news",
+    "entries of hosts",
+    "configurations",
+    "answers of the store",
   };
 
   for (int i = 0; i < KINDS; i++)
@@ -356,3 +401,86 @@
   *length = out->len;
   return g_string_free (out, FALSE);
 }
+
+/* Raw bytes, and the same with a length and flags that fit. */
+static void
+feed_packet_wire (const uint8_t *data, size_t size_bytes)
+{
+  uint8_t  out[WC_PACKET_WIRE_HOST_BYTES + WC_PACKET_WIRE_MAX_BYTES];
+  uint8_t  bytes[WC_PACKET_WIRE_MAX_BYTES] = { 0 };
+  size_t   data_bytes = size_bytes % (WC_PACKET_WIRE_DATA_MAX_BYTES + 1);
+  WcPacket packet;
+
+  (void)wc_packet_wire_read (data, size_bytes, &packet);
+  memcpy (bytes, data, MIN (size_bytes, sizeof bytes));
+  bytes[0] = (uint8_t)(data_bytes >> 8);
+  bytes[1] = (uint8_t)data_bytes;
+  bytes[18] &= 1 | 128 | 32 | 8 | 4;
+  if (!wc_packet_wire_read (bytes, WC_PACKET_WIRE_HEAD_BYTES + data_bytes, &packet))
+    return;
+  accepted[9]++;
+  wc_packet_wire_write_forwarded (&packet, 1, 2, out);
+}
+
+/* Raw bytes, and news of a peer with some bytes changed. */
+static void
+feed_peer_news (const uint8_t *data, size_t size_bytes)
+{
+  WcPeerNews   news = { .sender = { .address = CALLER, .incarnation = 1, .domain = g_quark_from_string ("d") },
+                        .known_count = 1,
+                        .host_count = 1,
+                        .hosts = { { 7, 3 } } };
+  uint8_t      packed[WC_PEER_NEWS_MAX_BYTES];
+  size_t       packed_bytes;
+  WcViewOrigin origin;
+  WcStoreReply reply;
+
+  news.known[0] = news.sender;
+  packed_bytes = wc_peer_news_pack (&news, packed);
+  for (size_t i = 0; i + 1 < size_bytes && i < 8; i += 2)
+    packed[data[i] % packed_bytes] = data[i + 1];
+  accepted[10] += wc_peer_news_unpack (packed, packed_bytes, &news) == WC_STATUS_OK;
+  (void)wc_peer_news_unpack (data, size_bytes, &news);
+  wc_store_reply_init (&reply);
+  wc_view_changes_unpack (data, size_bytes, &reply, &origin);
+  wc_store_reply_finish (&reply);
+}
+
+static void
+feed_entry (const uint8_t *data, size_t size_bytes)
+{
+  size_t       length;
+  char        *text = mutate (ENTRY, data, size_bytes, &length);
+  WcHostRecord record;
+
+  accepted[11] += wc_host_wire_read ("servers/i-1", text, length, &record, NULL) == WC_STATUS_OK;
+  wc_host_wire_read ("servers/i-1", data, size_bytes, &record, NULL);
+  g_free (text);
+}
+
+static void
+feed_config (const uint8_t *data, size_t size_bytes)
+{
+  size_t        length;
+  size_t        skipped;
+  char         *text = mutate (CONFIG, data, size_bytes, &length);
+  WcRouteTable *table = wc_config_wire_read (text, length, &skipped, NULL);
+
+  accepted[12] += table != NULL;
+  wc_route_table_delete (table);
+  wc_route_table_delete (wc_config_wire_read (data, size_bytes, &skipped, NULL));
+  g_free (text);
+}
+
+static void
+feed_store_answer (const uint8_t *data, size_t size_bytes)
+{
+  size_t       length;
+  char        *text = mutate (WATCH, data, size_bytes, &length);
+  WcStoreReply reply;
+
+  wc_store_reply_init (&reply);
+  accepted[13] += wc_store_wire_read (text, length, &reply, NULL) == WC_STATUS_OK;
+  wc_store_reply_finish (&reply);
+  g_free (text);
+}
--- a/tests/test_check_export.c
+++ b/tests/test_check_export.c
@@ -27,6 +27,7 @@
     WC_EXIT_OK,
     "samples/settings.json: ok\nsamples/register-sinos.json: ok\n",
     "" },
+  { { "check", "-s", "samples/settings-packets.json" }, WC_EXIT_OK, "samples/settings-packets.json: ok\n", "" },
   { { "check", "-s", "samples/register-sinos.json", "-r", "samples/register-kavango.json" },
     WC_EXIT_FAILED,
     "samples/register-kavango.json: ok\n",
