--- a/src/edge/forward_metrics.c
+++ b/src/edge/forward_metrics.c
@@ -35,10 +35,10 @@
 
   routes = wc_forwarder_get_routes (gauges->forwarder);
   add_decisions (text, metrics);
-  add_counter (text, "forward_packets_received_total", "Packets received from callers.", metrics->packets_received);
-  add_counter (text, "forward_packets_sent_total", "Packets sent to hosts.", metrics->packets_forwarded);
-  add_counter (text, "forward_packets_malformed_total", "Datagrams that are no packets.", metrics->packets_malformed);
-  add_counter (text, "forward_resets_sent_total", "Resets sent to callers.", metrics->resets_sent);
+  add_counter (text, "forward_packets_received_total", "Packets received from callers.", gauges->packets->received);
+  add_counter (text, "forward_packets_sent_total", "Packets sent to hosts.", gauges->packets->forwarded);
+  add_counter (text, "forward_packets_malformed_total", "Datagrams that are no packets.", gauges->packets->malformed);
+  add_counter (text, "forward_resets_sent_total", "Resets sent to callers.", gauges->packets->resets);
   add_counter (text, "view_store_reads_total", "Reads of the platform's store.", gauges->reader->store_reads);
   add_counter (text, "view_peer_reads_total", "Reads of the store through a peer.", gauges->reader->peer_reads);
   add_counter (text, "view_read_failures_total", "Reads that failed.", gauges->reader->failures);
--- a/src/edge/forward_metrics.h
+++ b/src/edge/forward_metrics.h
@@ -5,6 +5,7 @@
 
 #include "edge/event_log.h"
 #include "edge/latency_histogram.h"
+#include "edge/packet_port.h"
 #include "edge/view_reader.h"
 #include "forward/decision.h"
 #include "forward/forwarder.h"
@@ -12,18 +13,12 @@
 /**
  * struct WcForwardMetrics - counters of an instance that forwards packets.
  * @decisions: by WcDecisionKind.
- * @packets_received, @packets_forwarded, @resets_sent: datagrams.
- * @packets_malformed: datagrams that are no packets.
  * @opening: from an opening packet to the first packet of the open flow.
  * @answer: from a request to the first packet that acknowledges a part of its answer.
  */
 typedef struct
 {
   uint64_t            decisions[WC_DECISION_COUNT];
-  uint64_t            packets_received;
-  uint64_t            packets_forwarded;
-  uint64_t            packets_malformed;
-  uint64_t            resets_sent;
   WcLatencyHistogram *opening;
   WcLatencyHistogram *answer;
 } WcForwardMetrics;
@@ -35,6 +30,7 @@
 typedef struct
 {
   const WcForwarder          *forwarder;
+  const WcPacketPortCounters *packets;
   const WcViewReaderCounters *reader;
   uint64_t                    view_revision;
   uint64_t                    view_age_us;
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -2,7 +2,6 @@
 
 #include <assert.h>
 #include <signal.h>
-#include <string.h>
 #include <unistd.h>
 
 #include <ev.h>
@@ -13,15 +12,13 @@
 #include "edge/decision_log.h"
 #include "edge/event_log.h"
 #include "edge/forward_metrics.h"
+#include "edge/packet_port.h"
 #include "edge/peer_port.h"
 #include "edge/settings_watch.h"
-#include "edge/socket_address.h"
 #include "edge/status_port.h"
 #include "edge/store_view.h"
-#include "edge/udp_batch.h"
 #include "edge/view_reader.h"
 #include "forward/forwarder.h"
-#include "packet_wire.h"
 
 static const double TICK_S = 0.1;
 
@@ -50,7 +47,7 @@
 /*
  * @is_loaded: the view is whole, and packets are read.
  * @tick_us: time of the last tick.
- * @full_batches: since then.
+ * @full_batches: batches that left packets behind, up to then.
  * @stop_us: when a planned stop began; 0 for none.
  * @next_report: host with which the reports of the next news begin.
  */
@@ -64,20 +61,18 @@
   WcPeerTable             *peers;
   WcPeerPort              *peer_port;
   WcViewReader            *reader;
-  WcUdpBatch              *packets;
+  WcPacketPort            *packets;
   WcStatusPort            *ready_port;
   WcStatusPort            *operators_port;
   WcSettingsWatch         *settings_watch;
   WcForwardMetrics         metrics;
-  ev_io                    readable;
   ev_timer                 tick;
   ev_timer                 check;
   ev_signal                signals[3];
   bool                     is_loaded;
   uint64_t                 now_us;
   uint64_t                 tick_us;
-  uint32_t                 full_batches;
-  uint64_t                 last_packet_us;
+  uint64_t                 full_batches;
   uint64_t                 stop_us;
   uint64_t                 news_deadline_us;
   size_t                   next_report;
@@ -86,10 +81,10 @@
 static uint64_t draw_incarnation (void);
 static bool     open_sockets (WcForwardServer *server, WcError *error);
 static void     start_watchers (WcForwardServer *server);
-static void     packets_readable (struct ev_loop *loop, ev_io *watcher, int events);
 static void     check_passed (struct ev_loop *loop, ev_timer *watcher, int events);
 static void     check_forwarder (WcForwardServer *server);
-static void     receive_packet (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes);
+static void     receive_packet (void *user_data, const WcPacket *packet, uint64_t now_us);
+static void     packets_received (void *user_data, uint64_t now_us);
 static void     forward_packet (void *user_data, const WcPacket *packet, const WcHost *host);
 static void     reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
 static void     log_decision (void *user_data, const WcDecision *decision);
@@ -109,7 +104,6 @@
 static void     signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
 static void     stop_when_quiet (WcForwardServer *server);
 static void     log_state (WcForwardServer *server, const char *event);
-static void     set_address (WcAddress *address, uint32_t ip, uint16_t port);
 
 static const WcForwarderOps FORWARDER_OPS = {
   .forward = forward_packet,
@@ -119,6 +113,8 @@
   .answered = request_answered,
 };
 
+static const WcPacketPortOps PACKET_PORT_OPS = { .received = receive_packet, .received_all = packets_received };
+
 WcForwardServer *
 wc_forward_server_new (const WcForwardSettings *settings, const char *path, WcError *error)
 {
@@ -165,7 +161,7 @@
   wc_peer_port_delete (server->peer_port);
   wc_status_port_delete (server->operators_port);
   wc_status_port_delete (server->ready_port);
-  wc_udp_batch_delete (server->packets);
+  wc_packet_port_delete (server->packets);
   wc_settings_watch_delete (server->settings_watch);
   wc_forward_metrics_finish (&server->metrics);
   wc_peer_table_delete (server->peers);
@@ -200,11 +196,10 @@
 open_sockets (WcForwardServer *server, WcError *error)
 {
   const WcForwardSettings *settings = server->settings;
-  int                      fd = wc_socket_open_udp (&settings->packets, false, error);
 
-  if (fd < 0)
+  server->packets = wc_packet_port_new (server->loop, &settings->packets, &PACKET_PORT_OPS, server, error);
+  if (!server->packets)
     return false;
-  server->packets = wc_udp_batch_new (fd);
   server->ready_port = wc_status_port_new (server->loop, &settings->ready, is_ready, print_metrics, server, error);
   if (!server->ready_port)
     return false;
@@ -217,14 +212,11 @@
   return server->peer_port != NULL;
 }
 
-/* Packets are read only when the view is loaded; until then the kernel keeps them. */
 static void
 start_watchers (WcForwardServer *server)
 {
   static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
 
-  ev_io_init (&server->readable, packets_readable, wc_udp_batch_get_fd (server->packets), EV_READ);
-  server->readable.data = server;
   ev_timer_init (&server->check, check_passed, 0.0, 0.0);
   server->check.data = server;
   ev_timer_init (&server->tick, tick_passed, TICK_S, TICK_S);
@@ -239,20 +231,6 @@
   signal (SIGPIPE, SIG_IGN);
 }
 
-static void
-packets_readable (struct ev_loop *loop, ev_io *watcher, int events)
-{
-  WcForwardServer *server = watcher->data;
-
-  (void)loop;
-  (void)events;
-  server->now_us = wc_clock_monotonic_us ();
-  server->last_packet_us = server->now_us;
-  if (wc_udp_batch_receive (server->packets, receive_packet, server) == WC_UDP_BATCH_DATAGRAMS)
-    server->full_batches++;
-  check_forwarder (server);
-}
-
 static void
 check_passed (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -271,7 +249,7 @@
   uint64_t deadline_us;
 
   wc_forwarder_check (server->forwarder, server->now_us);
-  wc_udp_batch_flush (server->packets);
+  wc_packet_port_flush (server->packets);
   deadline_us = wc_forwarder_get_deadline_us (server->forwarder);
   if (deadline_us == UINT64_MAX || ev_is_active (&server->check))
     return;
@@ -280,41 +258,33 @@
 }
 
 static void
-receive_packet (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes)
+receive_packet (void *user_data, const WcPacket *packet, uint64_t now_us)
 {
   WcForwardServer *server = user_data;
-  WcPacket         packet;
-
-  (void)source;
-  server->metrics.packets_received++;
-  if (wc_packet_wire_read (data, size_bytes, &packet))
-    wc_forwarder_receive (server->forwarder, &packet, server->now_us);
-  else
-    server->metrics.packets_malformed++;
+
+  server->now_us = now_us;
+  wc_forwarder_receive (server->forwarder, packet, now_us);
 }
 
 static void
-forward_packet (void *user_data, const WcPacket *packet, const WcHost *host)
+packets_received (void *user_data, uint64_t now_us)
 {
   WcForwardServer *server = user_data;
-  uint8_t          data[WC_PACKET_WIRE_HOST_BYTES + WC_PACKET_WIRE_MAX_BYTES];
-  size_t           size_bytes = wc_packet_wire_write_forwarded (packet, host->record.id, host->cookie, data);
 
-  server->metrics.packets_forwarded++;
-  wc_udp_batch_send (server->packets, &host->record.address, data, size_bytes);
+  server->now_us = now_us;
+  check_forwarder (server);
 }
 
-/* Callers listen on the port number that instances receive packets on. */
 static void
-reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence)
+forward_packet (void *user_data, const WcPacket *packet, const WcHost *host)
 {
-  WcForwardServer *server = user_data;
-  uint8_t          data[WC_PACKET_WIRE_HEAD_BYTES];
-  WcAddress        caller;
+  wc_packet_port_forward (((WcForwardServer *)user_data)->packets, packet, host);
+}
 
-  server->metrics.resets_sent++;
-  set_address (&caller, key->caller_ip, server->settings->packets.port);
-  wc_udp_batch_send (server->packets, &caller, data, wc_packet_wire_write_reset (key, sequence, data));
+static void
+reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence)
+{
+  wc_packet_port_reset (((WcForwardServer *)user_data)->packets, key, sequence);
 }
 
 static void
@@ -363,7 +333,8 @@
       !wc_forwarder_get_routes (server->forwarder))
     return;
   server->is_loaded = true;
-  ev_io_start (server->loop, &server->readable);
+  /* What came before was kept by the kernel. */
+  wc_packet_port_start (server->packets);
   log_state (server, "ready");
 }
 
@@ -395,6 +366,7 @@
   const WcForwardServer *server = user_data;
   const WcForwardGauges  gauges = {
      .forwarder = server->forwarder,
+     .packets = wc_packet_port_get_counters (server->packets),
      .reader = wc_view_reader_get_counters (server->reader),
      .view_revision = wc_store_replica_get_revision (server->replica),
      .view_age_us = get_view_age_us (server),
@@ -460,7 +432,7 @@
   wc_settings_watch_tick (server->settings_watch, server->now_us);
   if (server->now_us >= server->news_deadline_us)
     exchange_news (server);
-  wc_udp_batch_flush (server->packets);
+  wc_packet_port_flush (server->packets);
   if (server->stop_us > 0)
     stop_when_quiet (server);
 }
@@ -470,11 +442,12 @@
 notice_delay (WcForwardServer *server)
 {
   uint64_t gap_us = server->tick_us > 0 ? server->now_us - server->tick_us : 0;
+  uint64_t full_batches = wc_packet_port_get_counters (server->packets)->full_batches;
 
-  if (gap_us > LATE_TICK_US || server->full_batches >= LATE_BATCHES)
+  if (gap_us > LATE_TICK_US || full_batches - server->full_batches >= LATE_BATCHES)
     wc_forwarder_delayed (server->forwarder, server->now_us);
   server->tick_us = server->now_us;
-  server->full_batches = 0;
+  server->full_batches = full_batches;
   if (gap_us <= PAUSE_US)
     return;
   log_state (server, "paused");
@@ -516,7 +489,7 @@
   uint64_t limit_us = (uint64_t)server->settings->stop_limit_ms * 1000;
 
   if (stopping_us + STOP_RESERVE_US >= limit_us ||
-      (stopping_us >= STOP_LEAST_US && server->now_us - server->last_packet_us >= STOP_QUIET_US))
+      (stopping_us >= STOP_LEAST_US && server->now_us - wc_packet_port_get_last_us (server->packets) >= STOP_QUIET_US))
     ev_break (server->loop, EVBREAK_ALL);
 }
 
@@ -532,13 +505,3 @@
   wc_event_line_add_uint (line, "flows", wc_forwarder_get_flow_count (server->forwarder));
   wc_event_line_end (line);
 }
-
-static void
-set_address (WcAddress *address, uint32_t ip, uint16_t port)
-{
-  memset (address, 0, sizeof *address);
-  address->family = 4;
-  address->port = port;
-  for (int i = 0; i < 4; i++)
-    address->ip[i] = (uint8_t)(ip >> (24 - 8 * i));
-}
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "core/mix.h"
+#include "forward/flow_progress.h"
 #include "forward/flow_table.h"
 #include "forward/host_evidence.h"
 #include "forward/opening_queue.h"
@@ -12,15 +13,8 @@
 
 enum
 {
-  /* A caller gives up an opening after 1.4 s, so that nothing more of it is to come. */
-  OPENING_LIFE_US = 2 * 1000 * 1000,
   /* A host answers an opening within 4 ms, in another domain within 12 ms; a packet is lost now and then. */
   OPENING_ANSWER_US = 40 * 1000,
-  /* The last packets of a flow that its caller closed. */
-  CLOSING_LIFE_US = 1 * 1000 * 1000,
-  /* A caller repeats a request after 200, 600 and 1,400 ms; without a packet for this long its flow has moved
-     elsewhere. */
-  REQUEST_LIFE_US = 1000 * 1000,
   /* Slots of the flow table visited at each tick; the whole table of a small instance within a second. */
   WALK_SLOTS = 512
 };
@@ -54,20 +48,18 @@
 static bool     is_lost (const WcFlow *flow, const WcHost *host);
 static uint32_t cookie_of (const WcFlow *flow, const WcPacket *packet);
 static void     observe (WcForwarder *forwarder, WcFlow *flow, const WcPacket *packet, WcHost *host);
-static void     see_answer (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
+static void     see_answer (WcForwarder *forwarder, const WcFlow *flow, WcHost *host, uint64_t time_us);
 static void     see_life (WcForwarder *forwarder, WcHost *host);
 static void     see_silence (WcForwarder *forwarder, WcFlow *flow, WcHost *host, uint64_t since_us, bool is_request);
 static void     judge (WcForwarder *forwarder, WcHost *host);
-static bool     most_hosts_are_silent (const WcForwarder *forwarder);
 static void     end_flows (WcForwarder *forwarder, const WcHost *host, WcDecisionKind kind);
 static int      visit_of_host (void *user_data, WcFlow *flow);
 static void     decide (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host);
 static void     reset_flow (WcForwarder *forwarder, const WcPacket *packet, WcDecisionKind kind, const WcHost *host);
 static void     set_host (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
-static void     count (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
+static void     count (WcFlow *flow, WcHost *host);
 static void     uncount (WcForwarder *forwarder, WcFlow *flow);
 static int      visit_old (void *user_data, WcFlow *flow);
-static int      is_sequence_after (uint32_t a, uint32_t b);
 
 WcForwarder *
 wc_forwarder_new (const WcForwarderSettings *settings, const WcForwarderOps *ops, void *user_data)
@@ -273,11 +265,7 @@
     flow = wc_flow_table_add (forwarder->flows, &packet->key);
   if (flow)
     {
-      flow->state = WC_FLOW_OPENING;
-      flow->kind = (uint8_t)route->kind;
-      flow->sent_end = packet->sequence + 1;
-      flow->opened_us = forwarder->now_us;
-      flow->seen_us = forwarder->now_us;
+      wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
       set_host (forwarder, flow, host);
       if (is_first)
         wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_US);
@@ -349,13 +337,7 @@
     {
       flow = wc_flow_table_add (forwarder->flows, &packet->key);
       if (flow)
-        {
-          flow->state = WC_FLOW_OPEN;
-          flow->kind = (uint8_t)route->kind;
-          flow->opened_us = forwarder->now_us;
-          flow->sent_end = packet->sequence;
-          flow->acknowledged = packet->acknowledged;
-        }
+        wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
     }
   if (flow)
     observe (forwarder, flow, packet, host);
@@ -392,54 +374,32 @@
 static void
 observe (WcForwarder *forwarder, WcFlow *flow, const WcPacket *packet, WcHost *host)
 {
-  uint32_t end = packet->sequence + packet->data_bytes;
-  bool     was_opening = flow->state == WC_FLOW_OPENING;
+  uint64_t       request_us = flow->request_us;
+  WcFlowProgress progress = wc_flow_observe (flow, packet, forwarder->now_us);
 
-  flow->seen_us = forwarder->now_us;
   set_host (forwarder, flow, host);
-  if (was_opening)
+  if (progress.opened)
+    forwarder->ops.opened (forwarder->user_data, forwarder->now_us - flow->opened_us);
+  if (progress.answered)
     {
-      flow->state = WC_FLOW_OPEN;
-      forwarder->ops.opened (forwarder->user_data, forwarder->now_us - flow->opened_us);
-    }
-  if (was_opening || is_sequence_after (packet->acknowledged, flow->acknowledged))
-    {
-      flow->acknowledged = packet->acknowledged;
-      see_answer (forwarder, flow, host);
+      see_answer (forwarder, flow, host, progress.answer_time_us);
       see_life (forwarder, host);
     }
-  if (is_sequence_after (end, flow->sent_end))
-    {
-      flow->sent_end = end;
-      if (flow->request_us == 0 || flow->moved)
-        flow->request_us = forwarder->now_us;
-    }
-  else if (packet->data_bytes > 0 && flow->request_us > 0)
-    see_silence (forwarder, flow, host, flow->request_us, true);
-  flow->moved = 0;
-  /* Told by the identifier, because the packets of a request may arrive in any order. */
-  if (packet->request_id != 0 && packet->request_id != flow->request_id)
-    {
-      flow->request_id = packet->request_id;
-      decide (forwarder, WC_DECISION_FORWARDED, &flow->key, host);
-    }
-  if (packet->flags & (WC_PACKET_FIN | WC_PACKET_RST))
-    {
-      flow->state = WC_FLOW_CLOSING;
-      flow->request_us = 0;
-    }
-  count (forwarder, flow, host);
+  if (progress.repeated)
+    see_silence (forwarder, flow, host, request_us, true);
+  if (progress.requested)
+    decide (forwarder, WC_DECISION_FORWARDED, &flow->key, host);
 }
 
 /* Callers acknowledge a short answer late, so that only the longer ones of idempotent requests are timed. */
 static void
-see_answer (WcForwarder *forwarder, WcFlow *flow, WcHost *host)
+see_answer (WcForwarder *forwarder, const WcFlow *flow, WcHost *host, uint64_t time_us)
 {
-  if (flow->request_us > 0)
-    forwarder->ops.answered (forwarder->user_data, forwarder->now_us - flow->request_us);
-  if (flow->request_us > 0 && flow->kind != WC_TRAFFIC_ONCE && host->busy_flows <= host->record.slots)
-    wc_host_load_answered (&host->load, forwarder->now_us - flow->request_us);
-  flow->request_us = 0;
+  if (time_us == 0)
+    return;
+  forwarder->ops.answered (forwarder->user_data, time_us);
+  if (flow->kind != WC_TRAFFIC_ONCE && host->busy_flows <= host->record.slots)
+    wc_host_load_answered (&host->load, time_us);
 }
 
 static void
@@ -460,30 +420,10 @@
 static void
 judge (WcForwarder *forwarder, WcHost *host)
 {
-  if (wc_host_evidence_is_dead (host, forwarder->now_us) && !most_hosts_are_silent (forwarder))
+  if (wc_host_evidence_is_dead (host, forwarder->now_us) && !wc_host_evidence_is_general (forwarder->hosts))
     end_flows (forwarder, host, WC_DECISION_RESET_HOST_SILENT);
 }
 
-/* When most hosts look silent at once, it is this instance that does not see their callers in time. */
-static bool
-most_hosts_are_silent (const WcForwarder *forwarder)
-{
-  size_t silent = 0;
-  size_t active = 0;
-
-  for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
-    {
-      const WcHost *host = wc_host_table_get (forwarder->hosts, i);
-
-      if (host->flows == 0)
-        continue;
-      active++;
-      if (host->silent_flows > 0)
-        silent++;
-    }
-  return silent * 2 > active;
-}
-
 static void
 end_flows (WcForwarder *forwarder, const WcHost *host, WcDecisionKind kind)
 {
@@ -547,17 +487,16 @@
   if (flow->cookie != host->cookie)
     uncount (forwarder, flow);
   flow->cookie = host->cookie;
-  count (forwarder, flow, host);
+  count (flow, host);
 }
 
 /* Keeps the numbers of flows of the host in step with the state of the flow. */
 static void
-count (WcForwarder *forwarder, WcFlow *flow, WcHost *host)
+count (WcFlow *flow, WcHost *host)
 {
   bool counted = flow->state != WC_FLOW_CLOSING;
   bool busy = counted && !flow->moved && (flow->request_us > 0 || flow->state == WC_FLOW_OPENING);
 
-  (void)forwarder;
   host->flows += (uint32_t)(counted - flow->counted);
   host->busy_flows += (uint32_t)(busy - flow->busy);
   flow->counted = counted;
@@ -581,34 +520,14 @@
 static int
 visit_old (void *user_data, WcFlow *flow)
 {
-  static const uint64_t life_limits_us[] = {
-    [WC_FLOW_OPENING] = OPENING_LIFE_US,
-    [WC_FLOW_OPEN] = UINT64_MAX,
-    [WC_FLOW_CLOSING] = CLOSING_LIFE_US,
-  };
   WcForwarder *forwarder = user_data;
-  WcHost      *host;
-  uint64_t     life_us = life_limits_us[flow->state];
-  uint32_t     idle_ms = forwarder->routes ? wc_route_table_get_idle_timeout_ms (forwarder->routes) : 0;
+  uint64_t     idle_ms = forwarder->routes ? wc_route_table_get_idle_timeout_ms (forwarder->routes) : 0;
+  WcHost      *host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
 
-  if (flow->state == WC_FLOW_OPEN && idle_ms > 0)
-    life_us = (uint64_t)idle_ms * 1000;
-  if (flow->request_us > 0 && !flow->moved && forwarder->now_us - flow->seen_us >= REQUEST_LIFE_US)
-    {
-      flow->moved = 1;
-      host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
-      if (host)
-        count (forwarder, flow, host);
-    }
-  if (forwarder->now_us - flow->seen_us < life_us &&
-      forwarder->now_us - flow->opened_us < forwarder->settings.flow_life_us)
+  if (wc_flow_notice_move (flow, forwarder->now_us) && host)
+    count (flow, host);
+  if (!wc_flow_is_over (flow, idle_ms * 1000, forwarder->settings.flow_life_us, forwarder->now_us))
     return TRUE;
   uncount (forwarder, flow);
   return FALSE;
 }
-
-static int
-is_sequence_after (uint32_t a, uint32_t b)
-{
-  return (int32_t)(a - b) > 0;
-}
--- a/src/forward/host_evidence.c
+++ b/src/forward/host_evidence.c
@@ -80,6 +80,24 @@
          (host->repeating_requests >= DEAD_FEW_REQUESTS && silence_us >= DEAD_FEW_SILENCE_US);
 }
 
+bool
+wc_host_evidence_is_general (const WcHostTable *hosts)
+{
+  size_t silent = 0;
+  size_t active = 0;
+
+  for (size_t i = 0; i < wc_host_table_get_count (hosts); i++)
+    {
+      const WcHost *host = wc_host_table_get (hosts, i);
+
+      if (host->flows == 0)
+        continue;
+      active++;
+      silent += host->silent_flows > 0;
+    }
+  return silent * 2 > active;
+}
+
 void
 wc_host_evidence_clear (WcHost *host, uint64_t now_us)
 {
--- a/src/forward/host_evidence.h
+++ b/src/forward/host_evidence.h
@@ -34,6 +34,10 @@
 /** wc_host_evidence_is_dead() - the evidence is strong enough to end flows that wait for the host. */
 bool wc_host_evidence_is_dead (const WcHost *host, uint64_t now_us);
 
+/** wc_host_evidence_is_general() - most hosts look silent at once, so that it is this instance that sees nothing in
+ * time. */
+bool wc_host_evidence_is_general (const WcHostTable *hosts);
+
 /** wc_host_evidence_clear() - forget what was seen; used when this instance itself stood still or works late. */
 void wc_host_evidence_clear (WcHost *host, uint64_t now_us);
 
--- a/tests/test_forward_metrics.c
+++ b/tests/test_forward_metrics.c
@@ -11,7 +11,10 @@
 print (const WcForwardMetrics *metrics, const WcForwarder *forwarder)
 {
   const WcViewReaderCounters reader = { 1, 2, 3 };
-  const WcForwardGauges      gauges = { .forwarder = forwarder, .reader = &reader, .view_age_us = 1500000 };
+  const WcPacketPortCounters packets = { 4, 5, 6, 7, 8 };
+  const WcForwardGauges      gauges = {
+         .forwarder = forwarder, .packets = &packets, .reader = &reader, .view_age_us = 1500000
+  };
 
   return wc_forward_metrics_text (metrics, &gauges);
 }
