--- a/src/emulator/emulator_net.c
+++ b/src/emulator/emulator_net.c
@@ -8,60 +8,13 @@
 #include <string.h>
 #include <unistd.h>
 
-socklen_t
-wc_net_to_sockaddr (const WcAddress *address, struct sockaddr_storage *storage)
-{
-  assert (address != NULL);
-  assert (storage != NULL);
-
-  memset (storage, 0, sizeof *storage);
-  if (address->family == 6)
-    {
-      struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
-
-      v6->sin6_family = AF_INET6;
-      v6->sin6_port = htons (address->port);
-      memcpy (&v6->sin6_addr, address->ip, 16);
-      return sizeof *v6;
-    }
-  struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
-
-  v4->sin_family = AF_INET;
-  v4->sin_port = htons (address->port);
-  memcpy (&v4->sin_addr, address->ip, 4);
-  return sizeof *v4;
-}
-
-void
-wc_net_from_sockaddr (const struct sockaddr_storage *storage, WcAddress *address)
-{
-  assert (storage != NULL);
-  assert (address != NULL);
-
-  memset (address, 0, sizeof *address);
-  if (storage->ss_family == AF_INET6)
-    {
-      struct sockaddr_in6 v6;
-
-      memcpy (&v6, storage, sizeof v6);
-      address->family = 6;
-      address->port = ntohs (v6.sin6_port);
-      memcpy (address->ip, &v6.sin6_addr, 16);
-      return;
-    }
-  struct sockaddr_in v4;
-
-  memcpy (&v4, storage, sizeof v4);
-  address->family = 4;
-  address->port = ntohs (v4.sin_port);
-  memcpy (address->ip, &v4.sin_addr, 4);
-}
+#include "edge/socket_address.h"
 
 int
 wc_net_bind (int type, const WcAddress *address, WcError *error)
 {
   struct sockaddr_storage storage;
-  socklen_t               length = wc_net_to_sockaddr (address, &storage);
+  socklen_t               length = wc_socket_address_from (address, &storage);
   char                    text[WC_ADDRESS_TEXT_BYTES] = "";
   int                     on = 1;
   int                     fd = socket (storage.ss_family, type | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
@@ -87,5 +40,5 @@
   socklen_t               length = sizeof storage;
 
   if (getsockname (fd, (struct sockaddr *)&storage, &length) == 0)
-    wc_net_from_sockaddr (&storage, address);
+    (void)wc_socket_address_to (&storage, address);
 }
--- a/src/emulator/emulator_net.h
+++ b/src/emulator/emulator_net.h
@@ -6,10 +6,6 @@
 #include <wigeoncart/address.h>
 #include <wigeoncart/status.h>
 
-/** wc_net_to_sockaddr() - Return: length of the socket address. */
-socklen_t wc_net_to_sockaddr (const WcAddress *address, struct sockaddr_storage *storage);
-void      wc_net_from_sockaddr (const struct sockaddr_storage *storage, WcAddress *address);
-
 /**
  * wc_net_bind() - non-blocking socket of @type on @address; a TCP socket listens.
  *
