Allow pages of the store that are longer than a part of a register

Cause: the limit of 1 MB for parts of a register held for pages too, whose values alone may have 1 MB, as text a third more. The test did not load such a page before.

--- a/src/edge/platform_client.c
+++ b/src/edge/platform_client.c
@@ -25,6 +25,18 @@
 static const double ANSWER_LIMIT_S = 2.0;
 static const double BLOCKED_DELAY_S = 0.05;
 
+/*
+ * A page of the store has up to 1 MB of values, a third more as text, and their keys; a peer gives all items at once, 2
+ * MB of entries at the size planned for and a configuration of up to 1 MB.
+ */
+static const size_t BODY_MAX_BYTES[WC_PLATFORM_READ_COUNT] = {
+  [WC_PLATFORM_READ_HEAD] = WC_REGISTER_PART_MAX_BYTES,
+  [WC_PLATFORM_READ_PART] = WC_REGISTER_PART_MAX_BYTES,
+  [WC_PLATFORM_READ_LIST] = WC_REGISTER_PART_MAX_BYTES,
+  [WC_PLATFORM_READ_ITEMS] = 8 << 20,
+  [WC_PLATFORM_READ_CHANGES] = 8 << 20,
+};
+
 typedef struct
 {
   WcPlatformClient *client;
@@ -409,7 +421,7 @@
   /* A size of 0 tells the parser that the connection was closed. */
   parsed = http_parser_execute (&read->parser, &PARSER_SETTINGS, buffer, (size_t)got);
   if (read->too_large)
-    attempt_failed (read, "the answer is longer than 1 MB");
+    attempt_failed (read, "the answer is too long");
   else if (read->complete && read->parser.status_code == 200)
     finish (read, WC_PLATFORM_READ_OK);
   else if (read->complete && read->parser.status_code == 304)
@@ -476,7 +488,7 @@
 {
   Read *read = parser->data;
 
-  if (read->body->len + size_bytes > WC_REGISTER_PART_MAX_BYTES)
+  if (read->body->len + size_bytes > BODY_MAX_BYTES[read->kind])
     {
       read->too_large = true;
       return 1;
--- a/tests/test_view_reader.c
+++ b/tests/test_view_reader.c
@@ -180,6 +180,23 @@
 }
 END_TEST
 
+/* Guards against a view that never loads because a page is longer than a register's part, which had the same limit. */
+START_TEST (large_pages_are_read)
+{
+  Fixture fixture;
+  char   *value = g_strnfill (700 * 1000, 'x');
+
+  init (&fixture);
+  wc_emulated_store_put (fixture.store, "servers/i-0", value, 700 * 1000);
+  wc_emulated_store_put (fixture.store, "servers/i-1", value, 700 * 1000);
+  wc_view_reader_restart (fixture.first.reader);
+  wait_for (&fixture, &fixture.first, 12);
+  ck_assert_uint_ge (fixture.first.changes, 10);
+  g_free (value);
+  finish (&fixture);
+}
+END_TEST
+
 /* Replays a service whose hosts start one by one within 400 ms. Guards against a call to the store for each of them. */
 START_TEST (changes_in_a_row_are_read_together)
 {
@@ -265,6 +282,7 @@
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, reads_pages_and_changes);
+  tcase_add_test (tests, large_pages_are_read);
   tcase_add_test (tests, changes_in_a_row_are_read_together);
   tcase_add_test (tests, recovers_from_every_failure);
   tcase_add_test (tests, reads_through_a_peer_when_the_store_refuses);
