Give up a silent store after one limit, and tell those who read through this instance

Instances that wait for the reader are sent away at once, and the next one reads the store. Both tests fail without their change.

--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -92,6 +92,7 @@
 static void     request_answered (void *user_data, uint64_t time_us);
 static void     apply_change (void *user_data, const WcStoreChange *change);
 static void     view_updated (void *user_data);
+static void     view_lost (void *user_data);
 static uint64_t get_view_age_us (const WcForwardServer *server);
 static bool     is_ready (void *user_data);
 static char    *print_metrics (void *user_data);
@@ -113,6 +114,8 @@
   .answered = request_answered,
 };
 
+static const WcViewReaderOps VIEW_READER_OPS = { .updated = view_updated, .lost = view_lost };
+
 static const WcPacketPortOps PACKET_PORT_OPS = { .received = receive_packet, .received_all = packets_received };
 
 WcForwardServer *
@@ -147,7 +150,7 @@
   start_watchers (server);
   wc_peer_port_send_news (server->peer_port, wc_clock_monotonic_us ());
   server->reader = wc_view_reader_new (server->loop, &settings->store, server->replica, server->peers, server->log,
-                                       view_updated, server);
+                                       &VIEW_READER_OPS, server);
   log_state (server, "started");
   return server;
 }
@@ -338,6 +341,12 @@
   log_state (server, "ready");
 }
 
+static void
+view_lost (void *user_data)
+{
+  wc_peer_port_view_lost (((WcForwardServer *)user_data)->peer_port);
+}
+
 static uint64_t
 get_view_age_us (const WcForwardServer *server)
 {
--- a/src/edge/peer_port.c
+++ b/src/edge/peer_port.c
@@ -118,6 +118,18 @@
     }
 }
 
+void
+wc_peer_port_view_lost (WcPeerPort *port)
+{
+  while (port->waiters->len > 0)
+    {
+      const Waiter waiter = g_array_index (port->waiters, Waiter, port->waiters->len - 1);
+
+      g_array_set_size (port->waiters, port->waiters->len - 1);
+      wc_http_exchange_respond (waiter.exchange, 503, NULL, NULL, 0);
+    }
+}
+
 void
 wc_peer_port_tick (WcPeerPort *port, uint64_t now_us)
 {
--- a/src/edge/peer_port.h
+++ b/src/edge/peer_port.h
@@ -33,6 +33,10 @@
 /** wc_peer_port_view_changed() - answer the peers that wait for changes. */
 void wc_peer_port_view_changed (WcPeerPort *port);
 
+/** wc_peer_port_view_lost() - send the peers that wait for changes away, because this instance has lost its own source.
+ */
+void wc_peer_port_view_lost (WcPeerPort *port);
+
 /** wc_peer_port_tick() - answer the peers that have waited long enough. */
 void wc_peer_port_tick (WcPeerPort *port, uint64_t now_us);
 
--- a/src/edge/platform_client.c
+++ b/src/edge/platform_client.c
@@ -51,7 +51,7 @@
   int      descriptor;
   /* The connection served an earlier read; the platform may have closed it since. */
   bool reused;
-  /* At least one byte of the answer has come. */
+  /* At least one byte of the answer has come, or its time is over: no second try on a new connection. */
   bool        answered;
   bool        connecting;
   bool        complete;
@@ -235,9 +235,10 @@
     {
       close_socket (read);
       read->address = (client->preferred + read->tried) % client->count;
-      read->tried++;
       read->descriptor = wc_socket_connect (&client->addresses[read->address]);
     }
+  read->tried++;
+  read->answered = false;
   if (read->descriptor < 0)
     {
       attempt_failed (read, g_strerror (errno));
@@ -248,7 +249,6 @@
                                    wc_address_format (&client->addresses[read->address], host));
   read->request_sent = 0;
   read->connecting = !read->reused;
-  read->answered = false;
   read->complete = false;
   read->too_large = false;
   read->version = 0;
@@ -274,7 +274,10 @@
                   wc_address_format (&client->addresses[read->address], text), reason);
   close_socket (read);
   ev_timer_stop (client->loop, &read->timer);
-  if (!(read->reused && !read->answered) && read->tried >= client->count)
+  /* The platform may have closed a connection that was kept; it is tried again on a new one. */
+  if (read->reused && !read->answered)
+    read->tried--;
+  else if (read->tried >= client->count)
     {
       finish (read, WC_PLATFORM_READ_FAILED);
       return;
@@ -340,7 +343,11 @@
   (void)loop;
   (void)events;
   if (read->in_progress)
-    attempt_failed (read, "no answer in time");
+    {
+      /* A second try of the same platform would double the time until its reader knows. */
+      read->answered = true;
+      attempt_failed (read, "no answer in time");
+    }
   else
     start_attempt (read);
 }
--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -47,7 +47,7 @@
   uint64_t             store_avoid_deadline_us;
   bool                 store_lost;
   WcEventLog          *log;
-  WcViewReaderUpdated  updated;
+  WcViewReaderOps      ops;
   void                *user_data;
   ev_timer             pause;
   WcViewReaderCounters counters;
@@ -70,11 +70,11 @@
 
 WcViewReader *
 wc_view_reader_new (struct ev_loop *loop, const WcAddress *store, WcStoreReplica *replica, WcPeerTable *peers,
-                    WcEventLog *log, WcViewReaderUpdated updated, void *user_data)
+                    WcEventLog *log, const WcViewReaderOps *ops, void *user_data)
 {
   WcViewReader *reader = g_new0 (WcViewReader, 1);
 
-  assert (loop != NULL && store != NULL && replica != NULL && peers != NULL && updated != NULL);
+  assert (loop != NULL && store != NULL && replica != NULL && peers != NULL && ops != NULL);
 
   reader->loop = loop;
   reader->replica = replica;
@@ -84,7 +84,7 @@
   wc_platform_client_set_answer_limit_us (reader->store, STORE_ANSWER_US);
   reader->source.kind = WC_VIEW_SOURCE_NONE;
   reader->log = log;
-  reader->updated = updated;
+  reader->ops = *ops;
   reader->user_data = user_data;
   ev_timer_init (&reader->pause, pause_passed, 0.0, 0.0);
   reader->pause.data = reader;
@@ -281,7 +281,7 @@
   if (reader->source.kind == WC_VIEW_SOURCE_PEER &&
       now_us - wc_store_replica_get_time_us (reader->replica) > PEER_VIEW_MAX_US)
     avoid_peer (reader);
-  reader->updated (reader->user_data);
+  reader->ops.updated (reader->user_data);
   if (reader->source.kind == WC_VIEW_SOURCE_STORE && read == WC_PLATFORM_READ_CHANGES && reply->changes->len > 0)
     pause_for (reader, COLLECT_US);
   else
@@ -304,6 +304,7 @@
       if (!reader->store_lost)
         log_state (reader, "store_lost", reason);
       reader->store_lost = true;
+      reader->ops.lost (reader->user_data);
       reader->store_avoid_deadline_us = now_us + wc_store_sync_failed (reader->sync);
     }
   read_next (reader);
--- a/src/edge/view_reader.h
+++ b/src/edge/view_reader.h
@@ -24,12 +24,20 @@
   uint64_t failures;
 } WcViewReaderCounters;
 
-/** WcViewReaderUpdated - a source has answered, with changes or without. */
-typedef void (*WcViewReaderUpdated) (void *user_data);
+/**
+ * struct WcViewReaderOps - what a reader calls.
+ * @updated: a source has answered, with changes or without.
+ * @lost: a read of the store has failed; those that read through this instance should not wait for it.
+ */
+typedef struct
+{
+  void (*updated) (void *user_data);
+  void (*lost) (void *user_data);
+} WcViewReaderOps;
 
 /** wc_view_reader_new() - @replica, @peers and @log must live as long. Reads begin at once. */
 WcViewReader *wc_view_reader_new (struct ev_loop *loop, const WcAddress *store, WcStoreReplica *replica,
-                                  WcPeerTable *peers, WcEventLog *log, WcViewReaderUpdated updated, void *user_data);
+                                  WcPeerTable *peers, WcEventLog *log, const WcViewReaderOps *ops, void *user_data);
 void          wc_view_reader_delete (WcViewReader *reader);
 
 /** wc_view_reader_restart() - drop the read in progress and read anew, such as after the machine stood still. */
--- a/tests/test_view_reader.c
+++ b/tests/test_view_reader.c
@@ -19,6 +19,7 @@
   WcPeerPort     *port;
   WcViewReader   *reader;
   WcEventLog     *log;
+  ev_timer        tick;
   char            last_key[64];
   uint32_t        changes;
 } Instance;
@@ -47,6 +48,20 @@
   wc_peer_port_view_changed (((Instance *)user_data)->port);
 }
 
+static void
+tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  wc_peer_port_tick (((Instance *)watcher->data)->port, wc_clock_monotonic_us ());
+}
+
+static void
+lost (void *user_data)
+{
+  wc_peer_port_view_lost (((Instance *)user_data)->port);
+}
+
 static void
 fill (void *user_data, WcPeerNews *news)
 {
@@ -83,10 +98,11 @@
 static void
 start (Fixture *fixture, Instance *instance, uint64_t incarnation, const char *domain, const WcAddress *store)
 {
-  WcPeerEntry self = { .address = loopback (free_port ()),
-                       .incarnation = incarnation,
-                       .domain = g_quark_from_string (domain) };
-  WcError     error;
+  WcPeerEntry                  self = { .address = loopback (free_port ()),
+                                        .incarnation = incarnation,
+                                        .domain = g_quark_from_string (domain) };
+  static const WcViewReaderOps ops = { .updated = updated, .lost = lost };
+  WcError                      error;
 
   instance->log = wc_event_log_new (fixture->loop, STDERR_FILENO, domain);
   instance->replica = wc_store_replica_new (60 * 1000 * 1000, apply, instance);
@@ -95,7 +111,10 @@
                                      fill, heard, instance, &error);
   ck_assert_msg (instance->port != NULL, "%s", error.message);
   instance->reader =
-      wc_view_reader_new (fixture->loop, store, instance->replica, instance->peers, instance->log, updated, instance);
+      wc_view_reader_new (fixture->loop, store, instance->replica, instance->peers, instance->log, &ops, instance);
+  ev_timer_init (&instance->tick, tick, 0.05, 0.05);
+  instance->tick.data = instance;
+  ev_timer_start (fixture->loop, &instance->tick);
 }
 
 static void
@@ -124,8 +143,9 @@
 }
 
 static void
-stop (Instance *instance)
+stop (Fixture *fixture, Instance *instance)
 {
+  ev_timer_stop (fixture->loop, &instance->tick);
   wc_view_reader_delete (instance->reader);
   wc_peer_port_delete (instance->port);
   wc_peer_table_delete (instance->peers);
@@ -136,9 +156,9 @@
 static void
 finish (Fixture *fixture)
 {
-  stop (&fixture->first);
+  stop (fixture, &fixture->first);
   if (fixture->second.reader)
-    stop (&fixture->second);
+    stop (fixture, &fixture->second);
   wc_tcp_relay_delete (fixture->relay);
   wc_emulated_store_delete (fixture->store);
   ev_loop_destroy (fixture->loop);
@@ -197,6 +217,82 @@
 }
 END_TEST
 
+/* Runs the loop until a read of @instance has failed. */
+static void
+wait_for_failure (Fixture *fixture, const Instance *instance)
+{
+  ev_timer pulse;
+
+  ev_timer_init (&pulse, end_wait, 0.02, 0.02);
+  ev_timer_start (fixture->loop, &pulse);
+  for (int i = 0; i < 1000 && wc_view_reader_get_counters (instance->reader)->failures == 0; i++)
+    ev_run (fixture->loop, 0);
+  ev_timer_stop (fixture->loop, &pulse);
+  ck_assert_uint_eq (wc_view_reader_get_counters (instance->reader)->failures, 1);
+}
+
+/*
+ * Replays a store that no longer answers one instance while its connections stay open. Guards against a second try that
+ * doubles the time until the instance asks its peers: a configuration was in force 3.4 s after it was accepted.
+ */
+START_TEST (silent_store_is_given_up_at_once)
+{
+  Fixture  fixture;
+  uint64_t calls;
+
+  init (&fixture);
+  wait_for (&fixture, &fixture.first, 10);
+  wait_for (&fixture, &fixture.first, wc_emulated_store_put (fixture.store, "op/config", "{}", 2));
+  /* The next wait for changes goes over the connection that served the last one. */
+  calls = wc_emulated_store_get_calls (fixture.store);
+  while (wc_emulated_store_get_calls (fixture.store) == calls)
+    ev_run (fixture.loop, EVRUN_ONCE);
+  wc_emulated_store_set_mode (fixture.store, WC_STORE_IS_SILENT);
+  calls = wc_emulated_store_get_calls (fixture.store);
+  wait_for_failure (&fixture, &fixture.first);
+  ck_assert_uint_eq (wc_emulated_store_get_calls (fixture.store), calls);
+  finish (&fixture);
+}
+END_TEST
+
+/* Guards against instances that go on waiting for the one before them when it has lost the store. */
+START_TEST (followers_are_sent_away_when_the_store_is_lost)
+{
+  Fixture    fixture;
+  WcAddress  store;
+  WcPeerNews news = { .view_age_ms = 10 };
+  uint64_t   revision;
+
+  init (&fixture);
+  wait_for (&fixture, &fixture.first, 10);
+  wc_emulated_store_get_address (fixture.store, &store);
+  do
+    {
+      if (fixture.second.reader)
+        stop (&fixture, &fixture.second);
+      start (&fixture, &fixture.second, 2, "a", &store);
+    }
+  while (wc_peer_order (&wc_peer_table_get_self (fixture.second.peers)->address) <
+         wc_peer_order (&wc_peer_table_get_self (fixture.first.peers)->address));
+  wc_peer_table_write (fixture.first.peers, &news, 1);
+  wc_peer_table_hear (fixture.second.peers, &news, wc_clock_monotonic_us ());
+  wait_for (&fixture, &fixture.second, 10);
+  for (int i = 0; i < 100 && wc_view_reader_get_counters (fixture.second.reader)->peer_reads == 0; i++)
+    ev_run (fixture.loop, EVRUN_ONCE);
+  wc_tcp_relay_set_fault (fixture.relay, WC_RELAY_CUTS);
+  revision = wc_emulated_store_put (fixture.store, "op/config", "{}", 2);
+  wait_for_failure (&fixture, &fixture.first);
+  /* Less than what is left of a wait for changes. */
+  for (int i = 0; i < 30; i++)
+    {
+      ev_sleep (0.01);
+      ev_run (fixture.loop, EVRUN_NOWAIT);
+    }
+  ck_assert_uint_eq (wc_store_replica_get_revision (fixture.second.replica), revision);
+  finish (&fixture);
+}
+END_TEST
+
 /* Replays a service whose hosts start one by one within 400 ms. Guards against a call to the store for each of them. */
 START_TEST (changes_in_a_row_are_read_together)
 {
@@ -282,6 +378,8 @@
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, reads_pages_and_changes);
+  tcase_add_test (tests, silent_store_is_given_up_at_once);
+  tcase_add_test (tests, followers_are_sent_away_when_the_store_is_lost);
   tcase_add_test (tests, large_pages_are_read);
   tcase_add_test (tests, changes_in_a_row_are_read_together);
   tcase_add_test (tests, recovers_from_every_failure);
