--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -14,11 +14,16 @@
 {
   /*
    * How long a read waits for changes. With the limit on the answer, a connection that went silent is noticed within
-   * 2 s; the platform allows 3 s until a configuration is in force.
+   * 1.5 s; the platform allows 3 s until a configuration is in force.
    */
   WATCH_MS = 1000,
-  /* The store takes 4 ms to answer, and up to 100 times as long when it is slow. */
-  STORE_ANSWER_US = 1000 * 1000,
+  /*
+   * The store takes 4 ms to answer, and up to 100 times as long when it is slow. A store that is lost may be slower
+   * still and gets twice that time; one that went silent must be noticed soon, because others read through this
+   * instance.
+   */
+  STORE_ANSWER_US = 500 * 1000,
+  LOST_STORE_ANSWER_US = 1000 * 1000,
   /* A peer answers within 10 ms, and within some hundred when its processor is taken. */
   PEER_ANSWER_US = 400 * 1000,
   /* A view that came through three peers is confirmed within three waits of a watch; an older one comes from nowhere.
@@ -274,6 +279,7 @@
   if (reader->source.kind == WC_VIEW_SOURCE_STORE && reader->store_lost)
     {
       reader->store_lost = false;
+      wc_platform_client_set_answer_limit_us (reader->store, STORE_ANSWER_US);
       log_state (reader, "store_back", "");
     }
   wc_store_sync_answered (reader->sync, read == WC_PLATFORM_READ_ITEMS ? WC_STORE_READ_RANGE : WC_STORE_READ_CHANGES,
@@ -304,6 +310,7 @@
       if (!reader->store_lost)
         log_state (reader, "store_lost", reason);
       reader->store_lost = true;
+      wc_platform_client_set_answer_limit_us (reader->store, LOST_STORE_ANSWER_US);
       reader->ops.lost (reader->user_data);
       reader->store_avoid_deadline_us = now_us + wc_store_sync_failed (reader->sync);
     }
