--- a/src/forward/flow_progress.c
+++ b/src/forward/flow_progress.c
@@ -18,10 +18,11 @@
 void
 wc_flow_start (WcFlow *flow, const WcPacket *packet, uint8_t kind, uint64_t now_us)
 {
-  bool is_opening = (packet->flags & WC_PACKET_SYN) != 0;
+  bool is_opening;
 
   assert (flow != NULL && packet != NULL);
 
+  is_opening = (packet->flags & WC_PACKET_SYN) != 0;
   flow->state = is_opening ? WC_FLOW_OPENING : WC_FLOW_OPEN;
   flow->kind = kind;
   flow->sent_end = is_opening ? packet->sequence + 1 : packet->sequence;
@@ -33,11 +34,13 @@
 WcFlowProgress
 wc_flow_observe (WcFlow *flow, const WcPacket *packet, uint64_t now_us)
 {
-  uint32_t       end = packet->sequence + packet->data_bytes;
-  WcFlowProgress progress = { .opened = flow->state == WC_FLOW_OPENING };
+  WcFlowProgress progress = { 0 };
+  uint32_t       end;
 
   assert (flow != NULL && packet != NULL);
 
+  end = packet->sequence + packet->data_bytes;
+  progress.opened = flow->state == WC_FLOW_OPENING;
   flow->seen_us = now_us;
   if (progress.opened)
     flow->state = WC_FLOW_OPEN;
