End no flows for silence while the link of this instance loses packets

Change: an opening that two hosts leave unanswered shows a lossy link; no verdict on a host follows for 3 s, and a line link_lossy says so.

--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -22,6 +22,7 @@
   X (HOST_GONE, "host_gone", "Hosts that are no longer published.")                                                    \
   X (HOST_SUSPECTED, "host_suspected", "Hosts taken out because they do not answer.")                                  \
   X (HOST_CLEARED, "host_cleared", "Suspected hosts that answered again.")                                             \
+  X (LINK_LOSSY, "link_lossy", "Times at which the link of this instance began to lose openings.")                     \
   X (ROUTES_IN_FORCE, "routes_in_force", "Configurations put in force.")
 
 #define WC_DECISION_ENUM(name, text, help) WC_DECISION_##name,
--- a/src/forward/flow_table.h
+++ b/src/forward/flow_table.h
@@ -28,6 +28,7 @@
  * @silent_us: when the flow was last counted as evidence of a silent host.
  * @counted: the flow counts in the flows of its host.
  * @moved: no packet for so long with a request unanswered that another instance gets them now.
+ * @second_host: the opening was given to a second host, because the first did not answer it.
  * @busy: the flow counts in the busy flows of its host, that is, @request_us is set and the flow has not moved.
  */
 typedef struct
@@ -42,6 +43,7 @@
   uint8_t   counted : 1;
   uint8_t   busy : 1;
   uint8_t   moved : 1;
+  uint8_t   second_host : 1;
   uint64_t  request_id;
   uint64_t  opened_us;
   uint64_t  seen_us;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -8,6 +8,7 @@
 #include "forward/flow_progress.h"
 #include "forward/flow_table.h"
 #include "forward/host_evidence.h"
+#include "forward/link_evidence.h"
 #include "forward/opening_queue.h"
 #include "forward/placement.h"
 
@@ -36,6 +37,7 @@
   WcHostTable        *hosts;
   WcFlowTable        *flows;
   WcOpeningQueue     *openings;
+  WcLinkEvidence      link;
   uint32_t            domain_peers;
   uint64_t            now_us;
 };
@@ -240,6 +242,8 @@
       host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
       if (host)
         see_silence (forwarder, flow, host, flow->opened_us, false);
+      if (flow->second_host && wc_link_evidence_unanswered (&forwarder->link, forwarder->now_us))
+        decide (forwarder, WC_DECISION_LINK_LOSSY, &packet->key, host);
     }
   open_flow (forwarder, route, packet);
 }
@@ -265,6 +269,7 @@
     flow = wc_flow_table_add (forwarder->flows, &packet->key);
   if (flow)
     {
+      flow->second_host = flow->second_host || (!is_first && flow->cookie != host->cookie);
       wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
       set_host (forwarder, flow, host);
       if (is_first)
@@ -420,7 +425,8 @@
 static void
 judge (WcForwarder *forwarder, WcHost *host)
 {
-  if (wc_host_evidence_is_dead (host, forwarder->now_us) && !wc_host_evidence_is_general (forwarder->hosts))
+  if (wc_host_evidence_is_dead (host, forwarder->now_us) && !wc_host_evidence_is_general (forwarder->hosts) &&
+      !wc_link_evidence_is_lossy (&forwarder->link, forwarder->now_us))
     end_flows (forwarder, host, WC_DECISION_RESET_HOST_SILENT);
 }
 
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -282,6 +282,41 @@
 }
 END_TEST
 
+/*
+ * Replays a link that loses packets: an opening is not answered by two hosts, while one host's requests are lost and
+ * others get through. Guards against flows of live hosts that are ended by the instance behind that link.
+ */
+START_TEST (nothing_is_reset_behind_a_lossy_link)
+{
+  static ForwardFixture fixture;
+
+  fixture_init (&fixture);
+  for (uint64_t host = 1; host <= 6; host++)
+    {
+      fixture_host (&fixture, host, "a", WC_HOST_READY);
+      fixture_request (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 0, 0, host);
+      fixture_acknowledge (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 200, 100, host);
+    }
+  fixture_advance (&fixture, 100 * 1000);
+  start_requests (&fixture, 4, FIXTURE_ROUTE_PORT);
+  fixture_syn (&fixture, 400, FIXTURE_ROUTE_PORT, 0);
+  for (int round = 0; round < 5; round++)
+    {
+      fixture_advance (&fixture, 200 * 1000);
+      if (round == 0)
+        fixture_syn (&fixture, 400, FIXTURE_ROUTE_PORT, 0);
+      start_requests (&fixture, 4, FIXTURE_ROUTE_PORT);
+    }
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_RESET_HOST_SILENT], 0);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_LINK_LOSSY], 1);
+  /* A host that is still silent when the link works again is dead. */
+  fixture_advance (&fixture, 3000 * 1000);
+  start_requests (&fixture, 4, FIXTURE_ROUTE_PORT);
+  ck_assert_uint_gt (fixture.decisions[WC_DECISION_RESET_HOST_SILENT], 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /*
  * Replays a storm of configurations on a slow instance while flows move away: two requests were seen here and their
  * answers elsewhere. Guards against the resets of a live host's flows that this caused.
@@ -399,6 +434,7 @@
   tcase_add_test (tests, order_in_progress_is_never_reset);
   tcase_add_test (tests, one_answer_clears_suspicion);
   tcase_add_test (tests, nothing_is_reset_when_most_hosts_look_silent);
+  tcase_add_test (tests, nothing_is_reset_behind_a_lossy_link);
   tcase_add_test (tests, moved_flows_are_no_evidence);
   tcase_add_test (tests, evidence_before_a_delay_is_dropped);
   tcase_add_test (tests, flow_of_departed_host_is_reset_when_it_repeats);
