Count an opening on a reused port as a new one

Cause: a caller that used the port of a closed flow again looked like an opening given to a second host, so that one lost packet was taken for a lossy link. Found by reading; reused_port_is_no_loss fails without the change. No measured effect.

--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -269,7 +269,8 @@
     flow = wc_flow_table_add (forwarder->flows, &packet->key);
   if (flow)
     {
-      flow->second_host = flow->second_host || (!is_first && flow->cookie != host->cookie);
+      flow->second_host =
+          !is_first && flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
       wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
       set_host (forwarder, flow, host);
       if (is_first)
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -317,6 +317,26 @@
 }
 END_TEST
 
+/* Guards against a link that is taken for lossy because a caller uses the port of a closed flow again. */
+START_TEST (reused_port_is_no_loss)
+{
+  static ForwardFixture fixture;
+
+  fixture_init (&fixture);
+  fixture_host (&fixture, 1, "a", WC_HOST_READY);
+  fixture_request (&fixture, 100, FIXTURE_ROUTE_PORT, 0, 0, 1);
+  fixture_host (&fixture, 1, "a", WC_HOST_DRAINING);
+  fixture_host (&fixture, 2, "a", WC_HOST_READY);
+  for (int i = 0; i < 2; i++)
+    {
+      fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 0);
+      ck_assert_uint_eq (fixture_last_host (&fixture), 2);
+    }
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_LINK_LOSSY], 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /*
  * Replays a storm of configurations on a slow instance while flows move away: two requests were seen here and their
  * answers elsewhere. Guards against the resets of a live host's flows that this caused.
@@ -435,6 +455,7 @@
   tcase_add_test (tests, one_answer_clears_suspicion);
   tcase_add_test (tests, nothing_is_reset_when_most_hosts_look_silent);
   tcase_add_test (tests, nothing_is_reset_behind_a_lossy_link);
+  tcase_add_test (tests, reused_port_is_no_loss);
   tcase_add_test (tests, moved_flows_are_no_evidence);
   tcase_add_test (tests, evidence_before_a_delay_is_dropped);
   tcase_add_test (tests, flow_of_departed_host_is_reset_when_it_repeats);
