--- a/src/edge/peer_port.c
+++ b/src/edge/peer_port.c
@@ -44,6 +44,7 @@
 static void     send_news (WcPeerPort *port, const WcAddress *target, uint64_t now_us);
 static void     request_received (void *user_data, WcHttpExchange *exchange);
 static void     request_aborted (void *user_data, WcHttpExchange *exchange);
+static void     answer_waiters (WcPeerPort *port, uint64_t revision, uint64_t now_us);
 static void     answer (WcPeerPort *port, WcHttpExchange *exchange, uint64_t revision);
 static uint64_t get_number (const WcHttpExchange *exchange, const char *name);
 
@@ -105,17 +106,7 @@
 void
 wc_peer_port_view_changed (WcPeerPort *port)
 {
-  uint64_t revision = wc_store_replica_get_revision (port->replica);
-
-  for (guint i = port->waiters->len; i > 0; i--)
-    {
-      const Waiter waiter = g_array_index (port->waiters, Waiter, i - 1);
-
-      if (waiter.revision >= revision)
-        continue;
-      g_array_remove_index_fast (port->waiters, i - 1);
-      answer (port, waiter.exchange, waiter.revision);
-    }
+  answer_waiters (port, wc_store_replica_get_revision (port->replica), 0);
 }
 
 void
@@ -133,15 +124,7 @@
 void
 wc_peer_port_tick (WcPeerPort *port, uint64_t now_us)
 {
-  for (guint i = port->waiters->len; i > 0; i--)
-    {
-      const Waiter waiter = g_array_index (port->waiters, Waiter, i - 1);
-
-      if (now_us < waiter.deadline_us)
-        continue;
-      g_array_remove_index_fast (port->waiters, i - 1);
-      answer (port, waiter.exchange, waiter.revision);
-    }
+  answer_waiters (port, 0, now_us);
 }
 
 /* local functions */
@@ -219,6 +202,21 @@
       }
 }
 
+/* Answers those that wait for changes after an older revision than @revision, or whose time is over at @now_us. */
+static void
+answer_waiters (WcPeerPort *port, uint64_t revision, uint64_t now_us)
+{
+  for (guint i = port->waiters->len; i > 0; i--)
+    {
+      const Waiter waiter = g_array_index (port->waiters, Waiter, i - 1);
+
+      if (waiter.revision >= revision && now_us < waiter.deadline_us)
+        continue;
+      g_array_remove_index_fast (port->waiters, i - 1);
+      answer (port, waiter.exchange, waiter.revision);
+    }
+}
+
 static void
 answer (WcPeerPort *port, WcHttpExchange *exchange, uint64_t revision)
 {
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -23,9 +23,8 @@
 /* A walk that ends the flows of a host. */
 typedef struct
 {
-  WcForwarder   *forwarder;
-  const WcHost  *host;
-  WcDecisionKind kind;
+  WcForwarder  *forwarder;
+  const WcHost *host;
 } EndOfFlows;
 
 struct WcForwarder
@@ -44,6 +43,7 @@
 
 static void     receive_opening (WcForwarder *forwarder, const WcPacket *packet);
 static void     receive_open (WcForwarder *forwarder, const WcPacket *packet);
+static WcHost  *see_unanswered (WcForwarder *forwarder, WcFlow *flow);
 static WcHost  *find_refusing (WcForwarder *forwarder, const WcPacket *packet, const WcFlow *flow);
 static WcHost  *place (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, const WcFlow *flow);
 static void     open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet);
@@ -54,7 +54,7 @@
 static void     see_life (WcForwarder *forwarder, WcHost *host);
 static void     see_silence (WcForwarder *forwarder, WcFlow *flow, WcHost *host, uint64_t since_us, bool is_request);
 static void     judge (WcForwarder *forwarder, WcHost *host);
-static void     end_flows (WcForwarder *forwarder, const WcHost *host, WcDecisionKind kind);
+static void     end_flows (WcForwarder *forwarder, const WcHost *host);
 static int      visit_of_host (void *user_data, WcFlow *flow);
 static void     decide (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host);
 static void     reset_flow (WcForwarder *forwarder, const WcPacket *packet, WcDecisionKind kind, const WcHost *host);
@@ -199,13 +199,10 @@
     {
       const WcRoute *route = forwarder->routes ? wc_route_table_find (forwarder->routes, &packet.key) : NULL;
       WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet.key);
-      WcHost        *host;
 
       if (!route || !flow || flow->state != WC_FLOW_OPENING)
         continue;
-      host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
-      if (host)
-        see_silence (forwarder, flow, host, flow->opened_us, false);
+      (void)see_unanswered (forwarder, flow);
       if (!superseded)
         open_flow (forwarder, route, &packet);
     }
@@ -239,15 +236,24 @@
     }
   if (flow && flow->state == WC_FLOW_OPENING)
     {
-      host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
-      if (host)
-        see_silence (forwarder, flow, host, flow->opened_us, false);
+      host = see_unanswered (forwarder, flow);
       if (flow->second_host && wc_link_evidence_unanswered (&forwarder->link, forwarder->now_us))
         decide (forwarder, WC_DECISION_LINK_LOSSY, &packet->key, host);
     }
   open_flow (forwarder, route, packet);
 }
 
+/* Return: the host that did not answer the opening, or NULL when it is not known any more. */
+static WcHost *
+see_unanswered (WcForwarder *forwarder, WcFlow *flow)
+{
+  WcHost *host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+
+  if (host)
+    see_silence (forwarder, flow, host, flow->opened_us, false);
+  return host;
+}
+
 /*
  * Gives a flow that is not open to a host, or to another one than before. Several hosts may answer an opening; the
  * caller goes on with one of them, and the others hold nothing that could run.
@@ -426,15 +432,16 @@
 static void
 judge (WcForwarder *forwarder, WcHost *host)
 {
-  if (wc_host_evidence_is_dead (host, forwarder->now_us) && !wc_host_evidence_is_general (forwarder->hosts) &&
-      !wc_link_evidence_is_lossy (&forwarder->link, forwarder->now_us))
-    end_flows (forwarder, host, WC_DECISION_RESET_HOST_SILENT);
+  if (wc_host_evidence_is_dead (host, forwarder->now_us) &&
+      !wc_link_evidence_is_lossy (&forwarder->link, forwarder->now_us) &&
+      !wc_host_evidence_is_general (forwarder->hosts))
+    end_flows (forwarder, host);
 }
 
 static void
-end_flows (WcForwarder *forwarder, const WcHost *host, WcDecisionKind kind)
+end_flows (WcForwarder *forwarder, const WcHost *host)
 {
-  EndOfFlows end = { forwarder, host, kind };
+  EndOfFlows end = { forwarder, host };
 
   wc_flow_table_walk_all (forwarder->flows, visit_of_host, &end);
 }
@@ -451,7 +458,7 @@
   if (flow->cookie != end->host->cookie || flow->state != WC_FLOW_OPEN ||
       (flow->kind == WC_TRAFFIC_ONCE && flow->request_us > 0))
     return TRUE;
-  decide (end->forwarder, end->kind, &flow->key, end->host);
+  decide (end->forwarder, WC_DECISION_RESET_HOST_SILENT, &flow->key, end->host);
   end->forwarder->ops.reset (end->forwarder->user_data, &flow->key, flow->acknowledged);
   uncount (end->forwarder, flow);
   return FALSE;
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -167,6 +167,18 @@
 }
 END_TEST
 
+/* Hosts 1 to @count, each with one flow whose first request was answered. */
+static void
+start_answering_hosts (ForwardFixture *fixture, uint64_t count)
+{
+  for (uint64_t host = 1; host <= count; host++)
+    {
+      fixture_host (fixture, host, "a", WC_HOST_READY);
+      fixture_request (fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 0, 0, host);
+      fixture_acknowledge (fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 200, 100, host);
+    }
+}
+
 /* Opens @count flows at host 1 that have a request without an answer. */
 static void
 start_requests (ForwardFixture *fixture, uint16_t count, uint16_t port)
@@ -184,12 +196,7 @@
   static ForwardFixture fixture;
 
   fixture_init (&fixture);
-  for (uint64_t host = 1; host <= 4; host++)
-    {
-      fixture_host (&fixture, host, "a", WC_HOST_READY);
-      fixture_request (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 0, 0, host);
-      fixture_acknowledge (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 200, 100, host);
-    }
+  start_answering_hosts (&fixture, 4);
   fixture_advance (&fixture, 100 * 1000);
   start_requests (&fixture, 4, FIXTURE_ROUTE_PORT);
   fixture_request (&fixture, 300, FIXTURE_ONCE_PORT, 0, 0, 1);
@@ -219,12 +226,7 @@
   static ForwardFixture fixture;
 
   fixture_init (&fixture);
-  for (uint64_t host = 1; host <= 4; host++)
-    {
-      fixture_host (&fixture, host, "a", WC_HOST_READY);
-      fixture_request (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 0, 0, host);
-      fixture_acknowledge (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 200, 100, host);
-    }
+  start_answering_hosts (&fixture, 4);
   fixture_advance (&fixture, 10 * 1000);
   fixture_request (&fixture, 300, FIXTURE_ONCE_PORT, 0, 0, 1);
   start_requests (&fixture, 4, FIXTURE_ROUTE_PORT);
@@ -291,12 +293,7 @@
   static ForwardFixture fixture;
 
   fixture_init (&fixture);
-  for (uint64_t host = 1; host <= 6; host++)
-    {
-      fixture_host (&fixture, host, "a", WC_HOST_READY);
-      fixture_request (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 0, 0, host);
-      fixture_acknowledge (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 200, 100, host);
-    }
+  start_answering_hosts (&fixture, 6);
   fixture_advance (&fixture, 100 * 1000);
   start_requests (&fixture, 4, FIXTURE_ROUTE_PORT);
   fixture_syn (&fixture, 400, FIXTURE_ROUTE_PORT, 0);
@@ -346,12 +343,7 @@
   static ForwardFixture fixture;
 
   fixture_init (&fixture);
-  for (uint64_t host = 1; host <= 4; host++)
-    {
-      fixture_host (&fixture, host, "a", WC_HOST_READY);
-      fixture_request (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 0, 0, host);
-      fixture_acknowledge (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 200, 100, host);
-    }
+  start_answering_hosts (&fixture, 4);
   fixture_advance (&fixture, 10 * 1000);
   start_requests (&fixture, 2, FIXTURE_ROUTE_PORT);
   fixture_advance (&fixture, 200 * 1000);
@@ -368,12 +360,7 @@
   static ForwardFixture fixture;
 
   fixture_init (&fixture);
-  for (uint64_t host = 1; host <= 4; host++)
-    {
-      fixture_host (&fixture, host, "a", WC_HOST_READY);
-      fixture_request (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 0, 0, host);
-      fixture_acknowledge (&fixture, (uint16_t)(100 + host), FIXTURE_ROUTE_PORT, 200, 100, host);
-    }
+  start_answering_hosts (&fixture, 4);
   fixture_advance (&fixture, 10 * 1000);
   start_requests (&fixture, 6, FIXTURE_ROUTE_PORT);
   fixture_advance (&fixture, 290 * 1000);
