--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -518,7 +518,6 @@
 {
   const WcFlow *flow = key ? wc_flow_table_find (forwarder->flows, key) : NULL;
   bool          is_evident = kind == WC_DECISION_HOST_SUSPECTED || kind == WC_DECISION_RESET_HOST_SILENT;
-  WcHostVerdict verdict = { 0 };
   WcDecision    decision = {
        .kind = kind,
        .key = key,
@@ -529,7 +528,8 @@
 
   if (is_evident)
     {
-      verdict = wc_host_evidence_judge (host, forwarder->domain_peers, forwarder->now_us);
+      const WcHostVerdict verdict = wc_host_evidence_judge (host, forwarder->domain_peers, forwarder->now_us);
+
       decision.evidence_us = verdict.silence.since_us;
       decision.count = MAX (verdict.silence.requests, host->silent_flows);
       decision.witnesses = verdict.witnesses;
