Hold openings at instances while hosts have no room

Cause: when everything comes back after an outage, or more callers come than hosts can serve, hosts queue for about 200 ms what they take, reject the rest, and callers come again at once.

An opening now waits at the instance while the slots of the domain's hosts have 2.5 requests each and other domains have no free slots. Those that can be in time go first, the newest of them; of the others the oldest. As many are held as the hosts can answer before callers give up; what does not fit is rejected at once. One goes to a host each 30 ms in any case, because what an instance knows may be wrong. A retry of a rejected opening keeps its age.

--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -10,9 +10,11 @@
 #define WC_DECISION_LIST(X)                                                                                            \
   X (PLACED, "placed", "New flows given to a host.")                                                                   \
   X (PLACED_AGAIN, "placed_again", "Flows given to another host because the first did not answer.")                    \
+  X (HELD, "held", "New flows held until a host can take them.")                                                       \
   X (FORWARDED, "forwarded", "Requests forwarded to the host of their flow.")                                          \
   X (REJECTED_NO_ROUTE, "rejected_no_route", "New flows rejected because no route exists.")                            \
   X (REJECTED_NO_HOST, "rejected_no_host", "New flows rejected because no host of the service is in use.")             \
+  X (REJECTED_OVERLOAD, "rejected_overload", "New flows rejected because no host could take them in time.")            \
   X (RESET_NO_ROUTE, "reset_no_route", "Open flows reset because their route was removed.")                            \
   X (RESET_HOST_GONE, "reset_host_gone", "Open flows reset because their host has left.")                              \
   X (RESET_HOST_SILENT, "reset_host_silent", "Open flows reset because their host does not answer.")                   \
@@ -44,6 +46,7 @@
  * @version: of the configuration in force; 0 for none.
  * @evidence_us: since when the inputs say so, such as the first packet that was not answered; 0 when there is none.
  * @count: how many flows or packets the evidence consists of.
+ * @expect_us: when the host is expected to answer a new flow's first request, from now; 0 when that does not matter.
  * @witnesses: how many instances see the evidence; 0 when others were not asked.
  */
 typedef struct
@@ -56,6 +59,7 @@
   uint64_t         evidence_us;
   uint32_t         count;
   uint32_t         witnesses;
+  uint64_t         expect_us;
 } WcDecision;
 
 #endif
--- a/src/forward/flow_table.c
+++ b/src/forward/flow_table.c
@@ -25,7 +25,6 @@
 };
 
 static bool   is_used (const WcFlow *flow);
-static bool   is_equal (const WcFlowKey *a, const WcFlowKey *b);
 static size_t home_of (const WcFlowTable *table, const WcFlowKey *key);
 static size_t free_slot (const WcFlowTable *table, const WcFlowKey *key);
 static void   grow (WcFlowTable *table);
@@ -65,7 +64,7 @@
   assert (table != NULL && key != NULL);
 
   for (size_t slot = home_of (table, key); is_used (&table->flows[slot]); slot = (slot + 1) & (table->slots - 1))
-    if (is_equal (&table->flows[slot].key, key))
+    if (wc_flow_key_equal (&table->flows[slot].key, key))
       return &table->flows[slot];
   return NULL;
 }
@@ -130,6 +129,13 @@
       slot++;
 }
 
+bool
+wc_flow_key_equal (const WcFlowKey *a, const WcFlowKey *b)
+{
+  return a->caller_ip == b->caller_ip && a->route_ip == b->route_ip && a->caller_port == b->caller_port &&
+         a->route_port == b->route_port;
+}
+
 uint64_t
 wc_flow_key_hash (const WcFlowKey *key)
 {
@@ -147,13 +153,6 @@
   return flow->key.route_ip != 0;
 }
 
-static bool
-is_equal (const WcFlowKey *a, const WcFlowKey *b)
-{
-  return a->caller_ip == b->caller_ip && a->route_ip == b->route_ip && a->caller_port == b->caller_port &&
-         a->route_port == b->route_port;
-}
-
 static size_t
 home_of (const WcFlowTable *table, const WcFlowKey *key)
 {
--- a/src/forward/flow_table.h
+++ b/src/forward/flow_table.h
@@ -1,6 +1,7 @@
 #ifndef WC_FORWARD_FLOW_TABLE_H
 #define WC_FORWARD_FLOW_TABLE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -83,6 +84,8 @@
 /** wc_flow_table_walk_all() - visit all flows. */
 void wc_flow_table_walk_all (WcFlowTable *table, WcFlowVisit visit, void *user_data);
 
+bool wc_flow_key_equal (const WcFlowKey *a, const WcFlowKey *b);
+
 /** wc_flow_key_hash() - equal keys have equal hashes on all instances. */
 uint64_t wc_flow_key_hash (const WcFlowKey *key);
 
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -5,12 +5,14 @@
 #include <glib.h>
 
 #include "core/mix.h"
+#include "forward/admission.h"
 #include "forward/flow_progress.h"
 #include "forward/flow_table.h"
 #include "forward/host_evidence.h"
 #include "forward/link_evidence.h"
 #include "forward/opening_queue.h"
 #include "forward/placement.h"
+#include "forward/retry_memory.h"
 
 enum
 {
@@ -19,6 +21,12 @@
   /* A caller repeats after 200 ms at the earliest. What seems to be repeated sooner came out of order, or has waited
      for this instance's processor, as the packets that show signs of life have then. */
   REPEAT_LEAST_US = 150 * 1000,
+  /* Openings of a service that are held whatever its hosts can serve, since what is known of them may be wrong. */
+  HELD_LEAST = 4,
+  /* An opening is given to a host at least this often; the usual work takes as long, so that no queue grows by it. */
+  TRIAL_INTERVAL_US = 30 * 1000,
+  /* How often held openings are tried while no packet comes; half of the shortest usual work. */
+  ADMIT_INTERVAL_US = 10 * 1000,
   /* Slots of the flow table visited at each tick; the whole table of a small instance within a second. */
   WALK_SLOTS = 512
 };
@@ -39,32 +47,46 @@
   WcHostTable        *hosts;
   WcFlowTable        *flows;
   WcOpeningQueue     *openings;
+  WcAdmissionQueue   *held;
+  uint64_t            admit_deadline_us;
+  uint64_t            trial_deadline_us;
+  WcRetryMemory       rejected;
   WcLinkEvidence      link;
   uint32_t            domain_peers;
   uint64_t            now_us;
 };
 
-static void     receive_opening (WcForwarder *forwarder, const WcPacket *packet);
-static void     receive_open (WcForwarder *forwarder, const WcPacket *packet);
-static WcHost  *see_unanswered (WcForwarder *forwarder, WcFlow *flow);
-static WcHost  *find_refusing (WcForwarder *forwarder, const WcPacket *packet, const WcFlow *flow);
-static WcHost  *place (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, const WcFlow *flow);
-static void     open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet);
-static bool     is_lost (const WcFlow *flow, const WcHost *host);
-static uint32_t cookie_of (const WcFlow *flow, const WcPacket *packet);
-static void     observe (WcForwarder *forwarder, WcFlow *flow, const WcPacket *packet, WcHost *host);
-static void     see_answer (WcForwarder *forwarder, const WcFlow *flow, WcHost *host, uint64_t time_us);
-static void     see_life (WcForwarder *forwarder, WcHost *host);
-static void     see_silence (WcForwarder *forwarder, WcFlow *flow, WcHost *host, uint64_t since_us, bool is_request);
-static void     judge (WcForwarder *forwarder, WcHost *host);
-static void     end_flows (WcForwarder *forwarder, const WcHost *host);
-static int      visit_of_host (void *user_data, WcFlow *flow);
-static void     decide (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host);
-static void     reset_flow (WcForwarder *forwarder, const WcPacket *packet, WcDecisionKind kind, const WcHost *host);
-static void     set_host (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
-static void     count (WcFlow *flow, WcHost *host);
-static void     uncount (WcForwarder *forwarder, WcFlow *flow);
-static int      visit_old (void *user_data, WcFlow *flow);
+static void    receive_opening (WcForwarder *forwarder, const WcPacket *packet);
+static void    receive_open (WcForwarder *forwarder, const WcPacket *packet);
+static WcHost *see_unanswered (WcForwarder *forwarder, WcFlow *flow);
+static void    receive_new (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet);
+static void    hold (WcForwarder *forwarder, const WcHeldOpening *held);
+static void    admit_held (WcForwarder *forwarder);
+static void    reject_expired (WcForwarder *forwarder);
+static void    reject_held (WcForwarder *forwarder, WcHeldOpening *held, WcDecisionKind kind);
+static void    reject (WcForwarder *forwarder, const WcHeldOpening *held, WcDecisionKind kind);
+static bool    try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial);
+static void    open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host);
+static void    place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow);
+static WcPlacement placement_of (const WcForwarder *forwarder, const WcFlowKey *key, uint32_t service, uint32_t avoid);
+static WcHost     *place (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement);
+static uint32_t    pick_service (const WcRoute *route, const WcFlowKey *key);
+static uint32_t    find_refusing (WcForwarder *forwarder, const WcFlowKey *key);
+static bool        is_lost (const WcFlow *flow, const WcHost *host);
+static uint32_t    cookie_of (const WcFlow *flow, const WcPacket *packet);
+static void        observe (WcForwarder *forwarder, WcFlow *flow, const WcPacket *packet, WcHost *host);
+static void        see_answer (WcForwarder *forwarder, const WcFlow *flow, WcHost *host, uint64_t time_us);
+static void        see_life (WcForwarder *forwarder, WcHost *host);
+static void        see_silence (WcForwarder *forwarder, WcFlow *flow, WcHost *host, uint64_t since_us, bool is_request);
+static void        judge (WcForwarder *forwarder, WcHost *host);
+static void        end_flows (WcForwarder *forwarder, const WcHost *host);
+static int         visit_of_host (void *user_data, WcFlow *flow);
+static void        decide (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host);
+static void        reset_flow (WcForwarder *forwarder, const WcPacket *packet, WcDecisionKind kind, const WcHost *host);
+static void        set_host (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
+static void        count (WcFlow *flow, WcHost *host, uint64_t now_us);
+static void        uncount (WcForwarder *forwarder, WcFlow *flow);
+static int         visit_old (void *user_data, WcFlow *flow);
 
 WcForwarder *
 wc_forwarder_new (const WcForwarderSettings *settings, const WcForwarderOps *ops, void *user_data)
@@ -81,6 +103,8 @@
   forwarder->hosts = wc_host_table_new (settings->flow_life_us);
   forwarder->flows = wc_flow_table_new (settings->max_flows);
   forwarder->openings = wc_opening_queue_new ();
+  forwarder->held = wc_admission_queue_new ();
+  forwarder->admit_deadline_us = UINT64_MAX;
   return forwarder;
 }
 
@@ -93,6 +117,7 @@
   wc_host_table_delete (forwarder->hosts);
   wc_flow_table_delete (forwarder->flows);
   wc_opening_queue_delete (forwarder->openings);
+  wc_admission_queue_delete (forwarder->held);
   g_free (forwarder);
 }
 
@@ -223,7 +248,7 @@
 uint64_t
 wc_forwarder_get_deadline_us (const WcForwarder *forwarder)
 {
-  return wc_opening_queue_get_deadline_us (forwarder->openings);
+  return MIN (wc_opening_queue_get_deadline_us (forwarder->openings), forwarder->admit_deadline_us);
 }
 
 void
@@ -242,8 +267,10 @@
         continue;
       (void)see_unanswered (forwarder, flow);
       if (!superseded)
-        open_flow (forwarder, route, &packet);
+        place_again (forwarder, route, &packet, flow);
     }
+  reject_expired (forwarder);
+  admit_held (forwarder);
 }
 
 const WcHostTable *
@@ -272,13 +299,18 @@
       reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_ROUTE, NULL);
       return;
     }
-  if (flow && flow->state == WC_FLOW_OPENING)
+  if (!flow)
+    {
+      receive_new (forwarder, route, packet);
+      return;
+    }
+  if (flow->state == WC_FLOW_OPENING)
     {
       host = see_unanswered (forwarder, flow);
       if (flow->second_host && wc_link_evidence_unanswered (&forwarder->link, forwarder->now_us))
         decide (forwarder, WC_DECISION_LINK_LOSSY, &packet->key, host);
     }
-  open_flow (forwarder, route, packet);
+  place_again (forwarder, route, packet, flow);
 }
 
 /* Return: the host that did not answer the opening, or NULL when it is not known any more. */
@@ -292,76 +324,214 @@
   return host;
 }
 
+static void
+receive_new (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet)
+{
+  WcHeldOpening held;
+  uint64_t      retry_sent_us;
+
+  if (wc_admission_queue_find (forwarder->held, &packet->key))
+    return;
+  retry_sent_us = wc_retry_memory_take (&forwarder->rejected, &packet->key, forwarder->now_us);
+  if (!wc_held_opening_init (&held, route, packet, retry_sent_us, forwarder->now_us))
+    return;
+  held.service = pick_service (route, &packet->key);
+  held.avoid = find_refusing (forwarder, &packet->key);
+  if (wc_admission_queue_get_count (forwarder->held) == 0 && try_to_admit (forwarder, route, &held, false))
+    return;
+  hold (forwarder, &held);
+}
+
+/* What cannot be served before its caller gives up is rejected at once. */
+static void
+hold (WcForwarder *forwarder, const WcHeldOpening *held)
+{
+  const WcFlowKey  *key = &held->opening.packet.key;
+  const WcPlacement placement = placement_of (forwarder, key, held->service, 0);
+  uint64_t          span_us = held->hold_deadline_us - MIN (held->hold_deadline_us, forwarder->now_us);
+  uint64_t          limit = wc_placement_count_served (forwarder->hosts, &placement, span_us, forwarder->now_us);
+  WcHeldOpening     rejected;
+
+  decide (forwarder, WC_DECISION_HELD, key, NULL);
+  forwarder->admit_deadline_us = forwarder->now_us;
+  if (wc_admission_queue_add (forwarder->held, held, MAX (limit, HELD_LEAST), forwarder->now_us, &rejected))
+    return;
+  reject (forwarder, &rejected, WC_DECISION_REJECTED_OVERLOAD);
+}
+
+/* Gives openings to hosts in the order of the queue, until no service that is waited for has a host to take one. */
+static void
+admit_held (WcForwarder *forwarder)
+{
+  uint32_t       blocked[WC_ADMISSION_SERVICES];
+  size_t         blocked_count = 0;
+  WcHeldOpening *held;
+
+  while (blocked_count < WC_ADMISSION_SERVICES &&
+         (held = wc_admission_queue_get_best (forwarder->held, blocked, blocked_count, forwarder->now_us)) != NULL)
+    {
+      const WcRoute *route =
+          forwarder->routes ? wc_route_table_find (forwarder->routes, &held->opening.packet.key) : NULL;
+
+      if (!route)
+        reject_held (forwarder, held, WC_DECISION_REJECTED_NO_ROUTE);
+      else if (try_to_admit (forwarder, route, held, forwarder->now_us >= forwarder->trial_deadline_us))
+        wc_admission_queue_remove (forwarder->held, held);
+      else
+        blocked[blocked_count++] = held->service;
+    }
+  forwarder->admit_deadline_us =
+      wc_admission_queue_get_count (forwarder->held) > 0 ? forwarder->now_us + ADMIT_INTERVAL_US : UINT64_MAX;
+}
+
+/* A caller that is about to give up is told at once, so that it comes again while it has time. */
+static void
+reject_expired (WcForwarder *forwarder)
+{
+  WcHeldOpening *held;
+
+  while ((held = wc_admission_queue_get_expired (forwarder->held, forwarder->now_us)) != NULL)
+    reject_held (forwarder, held, WC_DECISION_REJECTED_OVERLOAD);
+}
+
+static void
+reject_held (WcForwarder *forwarder, WcHeldOpening *held, WcDecisionKind kind)
+{
+  reject (forwarder, held, kind);
+  wc_admission_queue_remove (forwarder->held, held);
+}
+
+static void
+reject (WcForwarder *forwarder, const WcHeldOpening *held, WcDecisionKind kind)
+{
+  const WcPacket packet = wc_opening_get_packet (&held->opening);
+
+  wc_retry_memory_add (&forwarder->rejected, &packet.key, held->sent_us, forwarder->now_us);
+  reset_flow (forwarder, &packet, kind, NULL);
+}
+
 /*
- * Gives a flow that is not open to a host, or to another one than before. Several hosts may answer an opening; the
- * caller goes on with one of them, and the others hold nothing that could run.
+ * @is_trial: the opening is given to a host in any case, because what this instance knows of the hosts may be wrong.
+ *
+ * Return: false when the opening has to wait.
  */
-static void
-open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet)
+static bool
+try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial)
 {
-  WcFlow *flow = wc_flow_table_find (forwarder->flows, &packet->key);
-  WcHost *host = place (forwarder, route, packet, flow);
-  bool    is_first = flow == NULL;
+  const WcPacket packet = wc_opening_get_packet (&held->opening);
+  WcPlacement    placement = placement_of (forwarder, &packet.key, held->service, held->avoid);
+  WcHost        *host = place (forwarder, route, &placement);
+  WcHost        *other;
 
   if (!host)
     {
-      reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
-      return;
+      reset_flow (forwarder, &packet, WC_DECISION_REJECTED_NO_HOST, NULL);
+      return true;
     }
-  decide (forwarder, flow ? WC_DECISION_PLACED_AGAIN : WC_DECISION_PLACED, &packet->key, host);
-  if (!flow)
-    flow = wc_flow_table_add (forwarder->flows, &packet->key);
+  if (!wc_admission_admits (held, forwarder->hosts, host, &placement, forwarder->now_us))
+    {
+      placement.elsewhere = true;
+      other = place (forwarder, route, &placement);
+      if (other && wc_admission_admits (held, forwarder->hosts, other, &placement, forwarder->now_us))
+        host = other;
+      else if (!is_trial)
+        return false;
+    }
+  forwarder->trial_deadline_us = forwarder->now_us + TRIAL_INTERVAL_US;
+  open_flow (forwarder, route, &packet, host);
+  return true;
+}
+
+static void
+open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host)
+{
+  WcFlow *flow = wc_flow_table_add (forwarder->flows, &packet->key);
+
+  decide (forwarder, WC_DECISION_PLACED, &packet->key, host);
   if (flow)
     {
-      flow->second_host =
-          !is_first && flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
       wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
       set_host (forwarder, flow, host);
-      if (is_first)
-        wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_US);
+      wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_US);
     }
   forwarder->ops.forward (forwarder->user_data, packet, host);
 }
 
-static WcHost *
-place (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, const WcFlow *flow)
+/*
+ * Gives an opening to another host than before. Several hosts may answer an opening; the caller goes on with one of
+ * them, and the others hold nothing that could run.
+ */
+static void
+place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow)
+{
+  WcPlacement placement = placement_of (forwarder, &packet->key, pick_service (route, &packet->key),
+                                        flow->state == WC_FLOW_OPENING ? flow->cookie : 0);
+  WcHost     *host = place (forwarder, route, &placement);
+
+  if (!host)
+    {
+      reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
+      return;
+    }
+  decide (forwarder, WC_DECISION_PLACED_AGAIN, &packet->key, host);
+  flow->second_host = flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
+  wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
+  set_host (forwarder, flow, host);
+  forwarder->ops.forward (forwarder->user_data, packet, host);
+}
+
+/* @avoid: cookie of a host that refused the caller or did not answer it; 0 for none. */
+static WcPlacement
+placement_of (const WcForwarder *forwarder, const WcFlowKey *key, uint32_t service, uint32_t avoid)
 {
-  uint64_t    hash = wc_flow_key_hash (&packet->key);
-  WcPlacement placement = {
+  return (WcPlacement){
+    .service = service,
     .domain = forwarder->settings.domain,
     .domain_peers = forwarder->domain_peers,
-    .draw = hash,
+    .draw = wc_flow_key_hash (key),
+    .avoid = avoid != 0 ? wc_host_table_find_cookie (forwarder->hosts, avoid) : NULL,
   };
-  WcHost *host;
+}
+
+/* Return: a host of the service that is asked for, or of another one of the route; NULL when there is none. */
+static WcHost *
+place (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement)
+{
+  WcHost *host = wc_placement_choose (forwarder->hosts, placement, forwarder->now_us);
 
-  placement.avoid = find_refusing (forwarder, packet, flow);
-  placement.service = route->services[wc_route_pick_service (route, wc_mix64 (hash))].service;
-  host = wc_placement_choose (forwarder->hosts, &placement, forwarder->now_us);
   for (size_t i = 0; !host && i < route->service_count; i++)
     {
-      placement.service = route->services[i].service;
+      placement->service = route->services[i].service;
       if (route->services[i].weight > 0)
-        host = wc_placement_choose (forwarder->hosts, &placement, forwarder->now_us);
+        host = wc_placement_choose (forwarder->hosts, placement, forwarder->now_us);
     }
   return host;
 }
 
+/* Return: quark of the service that the flow's key draws. */
+static uint32_t
+pick_service (const WcRoute *route, const WcFlowKey *key)
+{
+  return route->services[wc_route_pick_service (route, wc_mix64 (wc_flow_key_hash (key)))].service;
+}
+
 /*
  * Load pattern: a host that went down refuses openings, so that their callers try again within milliseconds, and the
  * host with the fewest requests is the one that is down. Refusals go to the caller directly. An opening that is not
- * answered when its caller opens another flow was probably refused, and the host of a flow's own opening did not answer
- * it.
+ * answered when its caller opens another flow was probably refused.
+ *
+ * Return: cookie of that host, or 0.
  */
-static WcHost *
-find_refusing (WcForwarder *forwarder, const WcPacket *packet, const WcFlow *flow)
+static uint32_t
+find_refusing (WcForwarder *forwarder, const WcFlowKey *key)
 {
-  const WcFlow *refused = flow;
-  WcFlowKey     key;
+  WcFlowKey     refused_key;
+  const WcFlow *refused;
 
-  if (!flow && wc_opening_queue_supersede (forwarder->openings, &packet->key, &key))
-    refused = wc_flow_table_find (forwarder->flows, &key);
-  return refused && refused->state == WC_FLOW_OPENING ? wc_host_table_find_cookie (forwarder->hosts, refused->cookie)
-                                                      : NULL;
+  if (!wc_opening_queue_supersede (forwarder->openings, key, &refused_key))
+    return 0;
+  refused = wc_flow_table_find (forwarder->flows, &refused_key);
+  return refused && refused->state == WC_FLOW_OPENING ? refused->cookie : 0;
 }
 
 static void
@@ -557,16 +727,18 @@
   if (flow->cookie != host->cookie)
     uncount (forwarder, flow);
   flow->cookie = host->cookie;
-  count (flow, host);
+  count (flow, host, forwarder->now_us);
 }
 
 /* Keeps the numbers of flows of the host in step with the state of the flow. */
 static void
-count (WcFlow *flow, WcHost *host)
+count (WcFlow *flow, WcHost *host, uint64_t now_us)
 {
   bool counted = flow->state != WC_FLOW_CLOSING;
   bool busy = counted && !flow->moved && (flow->request_us > 0 || flow->state == WC_FLOW_OPENING);
 
+  if (busy && host->busy_flows == 0)
+    host->busy_since_us = now_us;
   host->flows += (uint32_t)(counted - flow->counted);
   host->busy_flows += (uint32_t)(busy - flow->busy);
   flow->counted = counted;
@@ -595,7 +767,7 @@
   WcHost      *host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
 
   if (wc_flow_notice_move (flow, forwarder->now_us) && host)
-    count (flow, host);
+    count (flow, host, forwarder->now_us);
   if (!wc_flow_is_over (flow, idle_ms * 1000, forwarder->settings.flow_life_us, forwarder->now_us))
     return TRUE;
   uncount (forwarder, flow);
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -60,6 +60,7 @@
  * @revision: revision of the store at which the record was written.
  * @flows: open flows of this instance.
  * @busy_flows: those of them with a request that is not answered.
+ * @busy_since_us: since when it has had any of these.
  * @load: what other instances report, and how long the host takes.
  * @warm_deadline_us: until then the host is slow after its start.
  * @lapse_deadline_us: until then a host that was ready when its entry vanished may still be used.
@@ -83,6 +84,7 @@
   uint64_t        revision;
   uint32_t        flows;
   uint32_t        busy_flows;
+  uint64_t        busy_since_us;
   WcHostLoad      load;
   uint64_t        warm_deadline_us;
   uint64_t        lapse_deadline_us;
--- a/src/forward/opening_queue.c
+++ b/src/forward/opening_queue.c
@@ -1,24 +1,22 @@
 #include "forward/opening_queue.h"
 
 #include <assert.h>
-#include <string.h>
 
 #include <glib.h>
 
+#include "forward/opening.h"
+
 enum
 {
   /* Openings of 40 ms at the highest rate planned for, 100 a second on an instance, with room for a burst. */
-  CAPACITY = 256,
-  /* An opening packet has a head only. */
-  PACKET_BYTES = 64
+  CAPACITY = 256
 };
 
 typedef struct
 {
-  uint64_t deadline_us;
-  bool     superseded;
-  WcPacket packet;
-  uint8_t  bytes[PACKET_BYTES];
+  uint64_t  deadline_us;
+  bool      superseded;
+  WcOpening opening;
 } Entry;
 
 struct WcOpeningQueue
@@ -47,14 +45,14 @@
 
   assert (queue != NULL && packet != NULL);
 
-  if (queue->count == CAPACITY || packet->size_bytes > PACKET_BYTES)
+  if (queue->count == CAPACITY)
+    return;
+  entry = &queue->entries[(queue->first + queue->count) % CAPACITY];
+  if (!wc_opening_set (&entry->opening, packet))
     return;
-  entry = &queue->entries[(queue->first + queue->count++) % CAPACITY];
   entry->deadline_us = deadline_us;
   entry->superseded = false;
-  entry->packet = *packet;
-  memcpy (entry->bytes, packet->bytes, packet->size_bytes);
-  entry->packet.bytes = entry->bytes;
+  queue->count++;
 }
 
 bool
@@ -63,7 +61,7 @@
   for (uint32_t i = queue->count; i > 0; i--)
     {
       Entry           *entry = &queue->entries[(queue->first + i - 1) % CAPACITY];
-      const WcFlowKey *other = &entry->packet.key;
+      const WcFlowKey *other = &entry->opening.packet.key;
 
       if (entry->superseded || other->caller_ip != key->caller_ip || other->route_ip != key->route_ip ||
           other->route_port != key->route_port || other->caller_port == key->caller_port)
@@ -90,7 +88,7 @@
 
   if (queue->count == 0 || now_us < entry->deadline_us)
     return false;
-  *packet = entry->packet;
+  *packet = wc_opening_get_packet (&entry->opening);
   *superseded = entry->superseded;
   queue->first = (queue->first + 1) % CAPACITY;
   queue->count--;
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -1,6 +1,7 @@
 #ifndef WC_FORWARD_PLACEMENT_H
 #define WC_FORWARD_PLACEMENT_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "forward/host_table.h"
@@ -19,6 +20,7 @@
  * @domain_peers: other live instances of this domain.
  * @draw: breaks ties, so that instances that know the same do not all choose the same host.
  * @avoid: a host that did not answer this flow; chosen only when no other one is left. May be NULL.
+ * @elsewhere: only hosts of other domains are wanted, those first that have answered lately.
  */
 typedef struct
 {
@@ -27,6 +29,7 @@
   uint32_t      domain_peers;
   uint64_t      draw;
   const WcHost *avoid;
+  bool          elsewhere;
 } WcPlacement;
 
 /**
@@ -39,4 +42,21 @@
 /** wc_placement_expect_us() - time until a new flow's first request at a host would be answered. */
 uint64_t wc_placement_expect_us (const WcHost *host, const WcPlacement *placement, uint64_t now_us);
 
+/**
+ * wc_placement_has_room() - whether the slots at @host, the best host there is, have so little to do that they would be
+ * idle soon.
+ *
+ * The hosts of the own domain are taken together, because an instance that knows only its own requests sees none or all
+ * slots of a host taken. So are those of other domains, which must not get from here what their own callers need.
+ */
+bool
+wc_placement_has_room (const WcHostTable *hosts, const WcHost *host, const WcPlacement *placement, uint64_t now_us);
+
+/**
+ * wc_placement_count_served() - requests that this instance's share of the hosts of its domain can answer in @span_us;
+ * of all hosts when the domain has none.
+ */
+uint64_t
+wc_placement_count_served (const WcHostTable *hosts, const WcPlacement *placement, uint64_t span_us, uint64_t now_us);
+
 #endif
--- a/src/forward/route_table.h
+++ b/src/forward/route_table.h
@@ -39,6 +39,7 @@
 /**
  * struct WcRoute - where new flows to one address and port go.
  * @target_latency_ms: within this time an answer earns its full worth; 0 when not published.
+ * @time_limit_ms: callers give up a request after this time; 0 when not published.
  */
 typedef struct
 {
@@ -48,6 +49,7 @@
   uint8_t        priority;
   uint8_t        service_count;
   uint32_t       target_latency_ms;
+  uint32_t       time_limit_ms;
   WcRouteService services[WC_ROUTE_SERVICES_MAX];
 } WcRoute;
 
--- a/tests/forward_fixture.h
+++ b/tests/forward_fixture.h
@@ -15,6 +15,7 @@
   FIXTURE_ROUTE_IP = 0xc6120001,
   FIXTURE_ROUTE_PORT = 443,
   FIXTURE_ONCE_PORT = 8080,
+  FIXTURE_TARGET_PORT = 8443,
   FIXTURE_HEAD_BYTES = 31,
   FIXTURE_INCARNATION = 77
 };
@@ -96,6 +97,11 @@
   route.port = FIXTURE_ONCE_PORT;
   route.kind = WC_TRAFFIC_ONCE;
   wc_route_table_add (routes, &route);
+  route.port = FIXTURE_TARGET_PORT;
+  route.kind = WC_TRAFFIC_IDEMPOTENT;
+  route.target_latency_ms = 150;
+  route.time_limit_ms = 2000;
+  wc_route_table_add (routes, &route);
   wc_route_table_set_idle_timeout_ms (routes, 15000);
   return routes;
 }
--- a/tests/test_config_wire.c
+++ b/tests/test_config_wire.c
@@ -36,6 +36,7 @@
   route = wc_route_table_find (table, &split);
   ck_assert_uint_eq (route->service_count, 2);
   ck_assert_uint_eq (route->target_latency_ms, 150);
+  ck_assert_uint_eq (route->time_limit_ms, 2000);
   for (uint64_t draw = 0; draw < 1000; draw++)
     shares[wc_route_pick_service (route, draw)]++;
   ck_assert_uint_eq (shares[0], 900);
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -561,6 +561,66 @@
 }
 END_TEST
 
+/* Guards against openings that fill the queue of a host, and against ones that wait although hosts elsewhere are idle.
+ */
+START_TEST (opening_is_held_while_hosts_have_no_room)
+{
+  static ForwardFixture fixture;
+
+  fixture_init (&fixture);
+  fixture_host (&fixture, 1, "a", WC_HOST_READY);
+  start_requests (&fixture, 5, FIXTURE_TARGET_PORT);
+  fixture_syn (&fixture, 500, FIXTURE_TARGET_PORT, 0);
+  fixture_syn (&fixture, 500, FIXTURE_TARGET_PORT, 1);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_HELD], 1);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_PLACED], 0);
+  fixture_host (&fixture, 2, "b", WC_HOST_READY);
+  wc_forwarder_check (fixture.forwarder, fixture.now_us);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_PLACED], 1);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 2);
+  ck_assert_uint_eq (fixture.reset_count, 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/*
+ * Replays a domain in which most hosts died unnoticed: requests that wait at them look like load. Guards against
+ * openings that are held until their callers give up, as 164 were on one measured day.
+ */
+START_TEST (held_openings_go_to_hosts_in_turn)
+{
+  static ForwardFixture fixture;
+
+  fixture_init (&fixture);
+  fixture_host (&fixture, 1, "a", WC_HOST_READY);
+  start_requests (&fixture, 40, FIXTURE_TARGET_PORT);
+  for (uint16_t caller = 500; caller < 504; caller++)
+    fixture_syn (&fixture, caller, FIXTURE_TARGET_PORT, 0);
+  fixture_advance (&fixture, 150 * 1000);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_HELD], 4);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_PLACED], 4);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_REJECTED_OVERLOAD], 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/* Guards against an opening that is given to a host on a route which was removed while it was held. */
+START_TEST (held_opening_of_a_removed_route_is_rejected)
+{
+  static ForwardFixture fixture;
+
+  fixture_init (&fixture);
+  fixture_host (&fixture, 1, "a", WC_HOST_READY);
+  start_requests (&fixture, 5, FIXTURE_TARGET_PORT);
+  fixture_syn (&fixture, 500, FIXTURE_TARGET_PORT, 0);
+  wc_forwarder_set_routes (fixture.forwarder, wc_route_table_new (2), fixture.now_us);
+  wc_forwarder_check (fixture.forwarder, fixture.now_us);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_REJECTED_NO_ROUTE], 1);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_PLACED], 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -587,6 +647,9 @@
   tcase_add_test (tests, requests_read_late_are_no_evidence);
   tcase_add_test (tests, flow_of_departed_host_is_reset_when_it_repeats);
   tcase_add_test (tests, counts_return_to_zero);
+  tcase_add_test (tests, opening_is_held_while_hosts_have_no_room);
+  tcase_add_test (tests, held_openings_go_to_hosts_in_turn);
+  tcase_add_test (tests, held_opening_of_a_removed_route_is_rejected);
 }
 
 int
