Read another domain when the first instance of a domain loses the store

The first of a domain notices after 1.5 s and sends the others to the second, which the store does not answer either, and so on; a configuration was in force after 5.2 s. The first one looked for the freshest peer and chose those of its own domain, whose view came from itself.

It now reads a peer of another domain that has heard from the store lately, and passes changes on as before. It tries the store each 2 s, without a wait, since it hears of nothing meanwhile.

Both tests fail without the change.

--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -24,6 +24,9 @@
    */
   STORE_ANSWER_US = 500 * 1000,
   LOST_STORE_ANSWER_US = 1000 * 1000,
+  /* How long an instance that reads through another domain leaves the store alone: during each try it hears of nothing.
+   */
+  STORE_RETRY_US = 2000 * 1000,
   /* A peer answers within 10 ms, and within some hundred when its processor is taken. */
   PEER_ANSWER_US = 400 * 1000,
   /* A view that came through three peers is confirmed within three waits of a watch; an older one comes from nowhere.
@@ -167,7 +170,9 @@
 static void
 read_store (WcViewReader *reader, WcStoreRead read, const char *after_key)
 {
-  char *path;
+  /* A store that is lost is asked whether it is back, without a wait. */
+  uint32_t wait_ms = reader->store_lost ? 0 : WATCH_MS;
+  char    *path;
 
   reader->counters.store_reads++;
   if (read == WC_STORE_READ_RANGE)
@@ -177,8 +182,8 @@
     }
   else
     {
-      path = wc_store_wire_watch_path (wc_store_replica_get_revision (reader->replica), WATCH_MS);
-      wc_platform_client_get (reader->store, WC_PLATFORM_READ_CHANGES, path, WATCH_MS);
+      path = wc_store_wire_watch_path (wc_store_replica_get_revision (reader->replica), wait_ms);
+      wc_platform_client_get (reader->store, WC_PLATFORM_READ_CHANGES, path, wait_ms);
     }
   g_free (path);
 }
@@ -203,6 +208,7 @@
   bool is_same = source->kind == reader->source.kind &&
                  (source->kind != WC_VIEW_SOURCE_PEER || wc_address_equal (&source->peer, &reader->source.peer));
 
+  reader->source.is_elsewhere = source->is_elsewhere;
   if (is_same)
     return;
   if (source->kind == WC_VIEW_SOURCE_PEER)
@@ -297,7 +303,7 @@
 static void
 read_failed (WcViewReader *reader, const char *reason)
 {
-  uint64_t now_us = wc_clock_monotonic_us ();
+  bool is_first = reader->source.kind == WC_VIEW_SOURCE_STORE || reader->source.is_elsewhere;
 
   reader->counters.failures++;
   if (reader->source.kind == WC_VIEW_SOURCE_PEER)
@@ -310,11 +316,17 @@
       if (!reader->store_lost)
         log_state (reader, "store_lost", reason);
       reader->store_lost = true;
-      wc_platform_client_set_answer_limit_us (reader->store, LOST_STORE_ANSWER_US);
-      reader->ops.lost (reader->user_data);
-      reader->store_avoid_deadline_us = now_us + wc_store_sync_failed (reader->sync);
+      reader->store_avoid_deadline_us = wc_clock_monotonic_us () + wc_store_sync_failed (reader->sync);
     }
   read_next (reader);
+  if (!is_first)
+    return;
+  if (reader->source.is_elsewhere)
+    reader->store_avoid_deadline_us = wc_clock_monotonic_us () + STORE_RETRY_US;
+  else
+    reader->ops.lost (reader->user_data);
+  wc_platform_client_set_answer_limit_us (reader->store,
+                                          reader->source.is_elsewhere ? STORE_ANSWER_US : LOST_STORE_ANSWER_US);
 }
 
 static void
--- a/src/forward/view_source.c
+++ b/src/forward/view_source.c
@@ -6,14 +6,23 @@
 enum
 {
   /* A change of 1 kB goes out 8 times from an instance; a domain of 240 instances is 3 levels deep. */
-  CHILDREN = 8
+  CHILDREN = 8,
+  /* A view of another domain is confirmed each second there, and told of each second. */
+  LATELY_US = 2500 * 1000
 };
 
+/* Whose views are looked for. */
+typedef enum
+{
+  OF_ALL_DOMAINS = 0,
+  OF_OTHER_DOMAINS
+} Whose;
+
 static const WcPeer *parent_in_domain (const WcPeerTable *peers, uint64_t now_us);
 static const WcPeer *nth_in_domain (const WcPeerTable *peers, size_t number, uint64_t now_us);
 static bool          is_usable (const WcPeer *peer, const WcPeerEntry *self, uint64_t now_us);
-static const WcPeer *freshest (const WcPeerTable *peers, uint64_t now_us);
-static WcViewSource  source_of (const WcPeer *peer);
+static const WcPeer *freshest (const WcPeerTable *peers, Whose whose, uint64_t now_us);
+static WcViewSource  source_of (const WcPeer *peer, bool is_elsewhere);
 
 WcViewSource
 wc_view_source_choose (const WcPeerTable *peers, uint64_t store_avoid_deadline_us, uint64_t now_us)
@@ -25,12 +34,15 @@
 
   parent = parent_in_domain (peers, now_us);
   if (parent)
-    return source_of (parent);
+    return source_of (parent, false);
   if (now_us >= store_avoid_deadline_us)
     return (WcViewSource){ .kind = WC_VIEW_SOURCE_STORE };
-  best = freshest (peers, now_us);
+  best = freshest (peers, OF_OTHER_DOMAINS, now_us);
+  if (best && now_us - best->view_us < LATELY_US)
+    return source_of (best, true);
+  best = freshest (peers, OF_ALL_DOMAINS, now_us);
   if (best)
-    return source_of (best);
+    return source_of (best, false);
   return (WcViewSource){ .kind = WC_VIEW_SOURCE_NONE, .deadline_us = store_avoid_deadline_us };
 }
 
@@ -86,15 +98,17 @@
 }
 
 static const WcPeer *
-freshest (const WcPeerTable *peers, uint64_t now_us)
+freshest (const WcPeerTable *peers, Whose whose, uint64_t now_us)
 {
-  const WcPeer *best = NULL;
+  const WcPeerEntry *self = wc_peer_table_get_self (peers);
+  const WcPeer      *best = NULL;
 
   for (size_t i = 0; i < wc_peer_table_get_count (peers); i++)
     {
       const WcPeer *peer = wc_peer_table_get (peers, i);
 
-      if (now_us < peer->avoid_deadline_us || !wc_peer_is_live (peer, now_us) || peer->view_us == 0)
+      if (now_us < peer->avoid_deadline_us || !wc_peer_is_live (peer, now_us) || peer->view_us == 0 ||
+          (whose == OF_OTHER_DOMAINS && peer->entry.domain == self->domain))
         continue;
       if (!best || peer->view_us > best->view_us)
         best = peer;
@@ -103,7 +117,7 @@
 }
 
 static WcViewSource
-source_of (const WcPeer *peer)
+source_of (const WcPeer *peer, bool is_elsewhere)
 {
-  return (WcViewSource){ .kind = WC_VIEW_SOURCE_PEER, .peer = peer->entry.address };
+  return (WcViewSource){ .kind = WC_VIEW_SOURCE_PEER, .peer = peer->entry.address, .is_elsewhere = is_elsewhere };
 }
--- a/src/forward/view_source.h
+++ b/src/forward/view_source.h
@@ -1,6 +1,7 @@
 #ifndef WC_FORWARD_VIEW_SOURCE_H
 #define WC_FORWARD_VIEW_SOURCE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "forward/peer_table.h"
@@ -17,12 +18,15 @@
 /**
  * struct WcViewSource - where to read the view from next.
  * @peer: address of the peer; only for WC_VIEW_SOURCE_PEER.
+ * @is_elsewhere: the peer is of another domain and has heard from the store lately, so that this instance can go on
+ * passing changes on to its own domain; only for WC_VIEW_SOURCE_PEER.
  * @deadline_us: when to choose again; only for WC_VIEW_SOURCE_NONE.
  */
 typedef struct
 {
   WcViewSourceKind kind;
   WcAddress        peer;
+  bool             is_elsewhere;
   uint64_t         deadline_us;
 } WcViewSource;
 
@@ -32,8 +36,9 @@
  *
  * Every instance orders the live instances of its domain in the same way, and leaves out those that it avoids. The
  * first one reads the store, the next eight read from it, and so on. So an instance that is dead, frozen or cut off is
- * passed over by each other one on its own, and the next takes its place without any agreement. An instance that cannot
- * read the store takes what any peer of any domain knows.
+ * passed over by each other one on its own, and the next takes its place without any agreement. The first one reads a
+ * peer of another domain when it cannot read the store, because all others of its own domain know what it tells them.
+ * When no other domain is known to have heard from the store lately, it takes what any peer knows.
  */
 WcViewSource wc_view_source_choose (const WcPeerTable *peers, uint64_t store_avoid_deadline_us, uint64_t now_us);
 
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -256,6 +256,40 @@
 }
 END_TEST
 
+/*
+ * Replays a store that turns the first instance of a domain away: the others of its domain know what it told them a
+ * moment ago. Guards against a circle in which they read from each other, by which a configuration was 5.2 s late.
+ */
+START_TEST (without_the_store_another_domain_is_read)
+{
+  const WcPeerEntry self = entry_of (0, 1);
+  WcPeerTable      *table = wc_peer_table_new (&self);
+  WcPeerNews        news = { .view_age_ms = 900 };
+  uint64_t          now_us = 1000 * 1000 * 1000;
+  WcViewSource      source;
+
+  news.sender = entry_of (1, 2);
+  wc_peer_table_hear (table, &news, now_us);
+  news.view_age_ms = 0;
+  for (uint32_t number = DOMAINS; number < INSTANCES; number += DOMAINS)
+    {
+      news.sender = entry_of (number, 10 + number);
+      if (wc_peer_order (&news.sender.address) > wc_peer_order (&self.address))
+        wc_peer_table_hear (table, &news, now_us);
+    }
+  source = wc_view_source_choose (table, now_us + 1000, now_us);
+  ck_assert_int_eq (source.kind, WC_VIEW_SOURCE_PEER);
+  ck_assert_uint_eq (source.peer.ip[3], 2);
+  ck_assert (source.is_elsewhere);
+  /* What the other domain knew long ago is no better than what the own one knows. */
+  now_us += 3000 * 1000;
+  source = wc_view_source_choose (table, now_us + 1000, now_us);
+  ck_assert_int_eq (source.kind, WC_VIEW_SOURCE_PEER);
+  ck_assert (!source.is_elsewhere);
+  wc_peer_table_delete (table);
+}
+END_TEST
+
 /* Guards against an instance that calls itself cut off when it has never had a peer, or only one is silent. */
 START_TEST (alone_means_that_all_known_peers_are_silent)
 {
@@ -317,6 +351,7 @@
   tcase_add_test (tests, readers_form_a_tree);
   tcase_add_test (tests, reader_that_fails_is_passed_over);
   tcase_add_test (tests, without_the_store_the_freshest_peer_is_read);
+  tcase_add_test (tests, without_the_store_another_domain_is_read);
   tcase_add_test (tests, alone_means_that_all_known_peers_are_silent);
   tcase_add_test (tests, all_instances_ask_the_same_witnesses);
 }
--- a/tests/test_view_reader.c
+++ b/tests/test_view_reader.c
@@ -31,6 +31,7 @@
   WcTcpRelay      *relay;
   Instance         first;
   Instance         second;
+  Instance         third;
 } Fixture;
 
 static void
@@ -175,6 +176,8 @@
   stop (fixture, &fixture->first);
   if (fixture->second.reader)
     stop (fixture, &fixture->second);
+  if (fixture->third.reader)
+    stop (fixture, &fixture->third);
   wc_tcp_relay_delete (fixture->relay);
   wc_emulated_store_delete (fixture->store);
   ev_loop_destroy (fixture->loop);
@@ -271,30 +274,74 @@
 }
 END_TEST
 
+/* Tells @instance of @peer, whose view is new. */
+static void
+introduce (const Instance *instance, const Instance *peer)
+{
+  WcPeerNews news = { .view_age_ms = 10 };
+
+  wc_peer_table_write (peer->peers, &news, 1);
+  wc_peer_table_hear (instance->peers, &news, wc_clock_monotonic_us ());
+}
+
+/* Starts the second instance in the domain of the first, so that it reads through the first. */
+static void
+start_follower (Fixture *fixture, const WcAddress *store)
+{
+  do
+    {
+      if (fixture->second.reader)
+        stop (fixture, &fixture->second);
+      start (fixture, &fixture->second, 2, "a", store);
+    }
+  while (wc_peer_order (&wc_peer_table_get_self (fixture->second.peers)->address) <
+         wc_peer_order (&wc_peer_table_get_self (fixture->first.peers)->address));
+  introduce (&fixture->second, &fixture->first);
+  wait_for (fixture, &fixture->second, 10);
+  for (int i = 0; i < 100 && wc_view_reader_get_counters (fixture->second.reader)->peer_reads == 0; i++)
+    ev_run (fixture->loop, EVRUN_ONCE);
+}
+
+/*
+ * Replays a store that stops to answer some instances, the first of a domain among them. Guards against the others of
+ * the domain trying the store one after the other, each for 1.5 s: a configuration was in force after 5.2 s.
+ */
+START_TEST (followers_stay_when_another_domain_can_be_read)
+{
+  Fixture   fixture;
+  WcAddress store;
+  uint64_t  revision;
+  uint64_t  reads;
+
+  init (&fixture);
+  wait_for (&fixture, &fixture.first, 10);
+  wc_emulated_store_get_address (fixture.store, &store);
+  start_follower (&fixture, &store);
+  start (&fixture, &fixture.third, 3, "b", &store);
+  wait_for (&fixture, &fixture.third, 10);
+  reads = wc_view_reader_get_counters (fixture.second.reader)->store_reads;
+  introduce (&fixture.first, &fixture.third);
+  wc_tcp_relay_set_fault (fixture.relay, WC_RELAY_CUTS);
+  revision = wc_emulated_store_put (fixture.store, "op/config", "{}", 2);
+  wait_for_failure (&fixture, &fixture.first);
+  wait_for (&fixture, &fixture.second, revision);
+  ck_assert_uint_eq (wc_view_reader_get_counters (fixture.second.reader)->failures, 0);
+  ck_assert_uint_eq (wc_view_reader_get_counters (fixture.second.reader)->store_reads, reads);
+  finish (&fixture);
+}
+END_TEST
+
 /* Guards against instances that go on waiting for the one before them when it has lost the store. */
 START_TEST (followers_are_sent_away_when_the_store_is_lost)
 {
-  Fixture    fixture;
-  WcAddress  store;
-  WcPeerNews news = { .view_age_ms = 10 };
-  uint64_t   revision;
+  Fixture   fixture;
+  WcAddress store;
+  uint64_t  revision;
 
   init (&fixture);
   wait_for (&fixture, &fixture.first, 10);
   wc_emulated_store_get_address (fixture.store, &store);
-  do
-    {
-      if (fixture.second.reader)
-        stop (&fixture, &fixture.second);
-      start (&fixture, &fixture.second, 2, "a", &store);
-    }
-  while (wc_peer_order (&wc_peer_table_get_self (fixture.second.peers)->address) <
-         wc_peer_order (&wc_peer_table_get_self (fixture.first.peers)->address));
-  wc_peer_table_write (fixture.first.peers, &news, 1);
-  wc_peer_table_hear (fixture.second.peers, &news, wc_clock_monotonic_us ());
-  wait_for (&fixture, &fixture.second, 10);
-  for (int i = 0; i < 100 && wc_view_reader_get_counters (fixture.second.reader)->peer_reads == 0; i++)
-    ev_run (fixture.loop, EVRUN_ONCE);
+  start_follower (&fixture, &store);
   wc_tcp_relay_set_fault (fixture.relay, WC_RELAY_CUTS);
   revision = wc_emulated_store_put (fixture.store, "op/config", "{}", 2);
   wait_for_failure (&fixture, &fixture.first);
@@ -396,6 +443,7 @@
   tcase_add_test (tests, reads_pages_and_changes);
   tcase_add_test (tests, silent_store_is_given_up_at_once);
   tcase_add_test (tests, followers_are_sent_away_when_the_store_is_lost);
+  tcase_add_test (tests, followers_stay_when_another_domain_can_be_read);
   tcase_add_test (tests, large_pages_are_read);
   tcase_add_test (tests, changes_in_a_row_are_read_together);
   tcase_add_test (tests, recovers_from_every_failure);
