--- a/src/edge/decision_log.c
+++ b/src/edge/decision_log.c
@@ -32,8 +32,6 @@
     wc_event_line_add_uint (line, "evidence_ms", (now_us - decision->evidence_us) / 1000);
   if (decision->count > 0)
     wc_event_line_add_uint (line, "evidence_count", decision->count);
-  if (decision->expect_us > 0)
-    wc_event_line_add_uint (line, "expect_ms", decision->expect_us / 1000);
   if (decision->witnesses > 0)
     wc_event_line_add_uint (line, "witnesses", decision->witnesses);
   wc_event_line_add_uint (line, "config", decision->version);
--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -46,7 +46,6 @@
  * @version: of the configuration in force; 0 for none.
  * @evidence_us: since when the inputs say so, such as the first packet that was not answered; 0 when there is none.
  * @count: how many flows or packets the evidence consists of.
- * @expect_us: when the host is expected to answer a new flow's first request, from now; 0 when that does not matter.
  * @witnesses: how many instances see the evidence; 0 when others were not asked.
  */
 typedef struct
@@ -59,7 +58,6 @@
   uint64_t         evidence_us;
   uint32_t         count;
   uint32_t         witnesses;
-  uint64_t         expect_us;
 } WcDecision;
 
 #endif
--- a/src/forward/flow_table.h
+++ b/src/forward/flow_table.h
@@ -76,7 +76,7 @@
  *
  * Return: false to remove the flow.
  */
-typedef int (*WcFlowVisit) (void *user_data, WcFlow *flow);
+typedef bool (*WcFlowVisit) (void *user_data, WcFlow *flow);
 
 /** wc_flow_table_walk() - visit up to @max_slots slots of the table, beginning where the last walk ended. */
 void wc_flow_table_walk (WcFlowTable *table, size_t max_slots, WcFlowVisit visit, void *user_data);
--- /dev/null
+++ b/src/forward/forwarder_evidence.c
@@ -0,0 +1,127 @@
+#include "forward/forwarder_private.h"
+
+#include <assert.h>
+
+#include "forward/host_evidence.h"
+
+/* A walk that ends the flows of a host. */
+typedef struct
+{
+  WcForwarder  *forwarder;
+  const WcHost *host;
+} EndOfFlows;
+
+static void end_flows (WcForwarder *forwarder, const WcHost *host);
+static bool visit_of_host (void *user_data, WcFlow *flow);
+
+void
+wc_forwarder_hear_report (WcForwarder *forwarder, uint64_t sender, bool is_own_domain, const WcHostReport *report,
+                          uint64_t now_us)
+{
+  WcHost  *host = wc_host_table_find (forwarder->hosts, report->host);
+  uint64_t reporter = report->reporter != 0 ? report->reporter : sender;
+
+  forwarder->now_us = now_us;
+  if (!host || reporter == forwarder->settings.incarnation)
+    return;
+  if (report->reporter == 0)
+    wc_host_load_report (&host->load, sender, report->busy, now_us);
+  if (!is_own_domain)
+    return;
+  if (wc_host_evidence_report (host, reporter, report, now_us))
+    wc_forwarder_decide (forwarder, WC_DECISION_HOST_CLEARED, NULL, host);
+  wc_forwarder_judge (forwarder, host);
+}
+
+WcHostReport
+wc_forwarder_report_host (const WcForwarder *forwarder, const WcHost *host, uint64_t now_us)
+{
+  WcHostReport report = wc_host_report_write (host, now_us);
+
+  if (wc_link_evidence_is_lossy (&forwarder->link, now_us))
+    report.silent_requests = report.repeating_requests = report.silence_age_ms = 0;
+  return report;
+}
+
+const WcHost *
+wc_forwarder_ask (WcForwarder *forwarder, uint64_t now_us)
+{
+  if (forwarder->domain_peers == 0 || wc_link_evidence_is_lossy (&forwarder->link, now_us))
+    return NULL;
+  for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
+    {
+      WcHost *host = wc_host_table_get (forwarder->hosts, i);
+
+      if (wc_host_evidence_ask (host, now_us))
+        return host;
+    }
+  return NULL;
+}
+
+void
+wc_forwarder_delayed (WcForwarder *forwarder, uint64_t now_us)
+{
+  for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
+    wc_host_evidence_clear (wc_host_table_get (forwarder->hosts, i), now_us);
+  wc_opening_queue_clear (forwarder->openings);
+}
+
+void
+wc_forwarder_see_life (WcForwarder *forwarder, WcHost *host)
+{
+  if (wc_host_evidence_life (host, forwarder->now_us))
+    wc_forwarder_decide (forwarder, WC_DECISION_HOST_CLEARED, NULL, host);
+}
+
+void
+wc_forwarder_see_silence (WcForwarder *forwarder, WcFlow *flow, WcHost *host, uint64_t since_us, bool is_request)
+{
+  if (wc_host_evidence_silence (host, flow, since_us, is_request, forwarder->now_us))
+    wc_forwarder_decide (forwarder, WC_DECISION_HOST_SUSPECTED, NULL, host);
+}
+
+/*
+ * Ends flows of a host that is dead, so that their callers open new ones and do not wait for it. An instance that sees
+ * nothing of the silence itself only stops to place flows there: the links of those that do may lose packets.
+ */
+void
+wc_forwarder_judge (WcForwarder *forwarder, WcHost *host)
+{
+  WcHostVerdict verdict = wc_host_evidence_judge (host, forwarder->domain_peers, forwarder->now_us);
+
+  if (!verdict.is_dead || wc_link_evidence_is_lossy (&forwarder->link, forwarder->now_us) ||
+      wc_host_evidence_is_general (forwarder->hosts))
+    return;
+  if (wc_host_evidence_suspect (host, forwarder->now_us))
+    wc_forwarder_decide (forwarder, WC_DECISION_HOST_SUSPECTED, NULL, host);
+  if (host->silence.requests > 0)
+    end_flows (forwarder, host);
+}
+
+/* local functions */
+
+static void
+end_flows (WcForwarder *forwarder, const WcHost *host)
+{
+  EndOfFlows end = { forwarder, host };
+
+  wc_flow_table_walk_all (forwarder->flows, visit_of_host, &end);
+}
+
+/*
+ * A flow with a request that must not run twice is left alone: its caller would not repeat the request, and the answer
+ * may still come when only the way to the host is cut.
+ */
+static bool
+visit_of_host (void *user_data, WcFlow *flow)
+{
+  const EndOfFlows *end = user_data;
+
+  if (flow->cookie != end->host->cookie || flow->state != WC_FLOW_OPEN ||
+      (flow->kind == WC_TRAFFIC_ONCE && flow->request_us > 0))
+    return true;
+  wc_forwarder_decide (end->forwarder, WC_DECISION_RESET_HOST_SILENT, &flow->key, end->host);
+  end->forwarder->ops.reset (end->forwarder->user_data, &flow->key, flow->acknowledged);
+  wc_forwarder_uncount (end->forwarder, flow);
+  return false;
+}
--- /dev/null
+++ b/src/forward/forwarder_openings.c
@@ -0,0 +1,307 @@
+#include "forward/forwarder_private.h"
+
+#include <assert.h>
+
+#include <glib.h>
+
+#include "core/mix.h"
+#include "forward/flow_progress.h"
+#include "forward/placement.h"
+
+enum
+{
+  /* A host answers an opening within 4 ms, in another domain within 12 ms; a packet is lost now and then. */
+  OPENING_ANSWER_US = 40 * 1000,
+  /* Openings of a service that are held whatever its hosts can serve, since what is known of them may be wrong. */
+  HELD_LEAST = 4,
+  /* An opening is given to a host at least this often; the usual work takes as long, so that no queue grows by it. */
+  TRIAL_INTERVAL_US = 30 * 1000,
+  /* How often held openings are tried while no packet comes; half of the shortest usual work. */
+  ADMIT_INTERVAL_US = 10 * 1000
+};
+
+static WcHost *see_unanswered (WcForwarder *forwarder, WcFlow *flow);
+static void    receive_new (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet);
+static void    hold (WcForwarder *forwarder, const WcHeldOpening *held);
+static void    admit_held (WcForwarder *forwarder);
+static void    reject_expired (WcForwarder *forwarder);
+static void    reject_held (WcForwarder *forwarder, WcHeldOpening *held, WcDecisionKind kind);
+static void    reject (WcForwarder *forwarder, const WcHeldOpening *held, WcDecisionKind kind);
+static bool    try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial);
+static void    open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host);
+static void    place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow);
+static WcPlacement placement_of (const WcForwarder *forwarder, const WcFlowKey *key, uint32_t service, uint32_t avoid);
+static WcHost     *place (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement);
+static uint32_t    pick_service (const WcRoute *route, const WcFlowKey *key);
+static uint32_t    find_refusing (WcForwarder *forwarder, const WcFlowKey *key);
+
+void
+wc_forwarder_receive_opening (WcForwarder *forwarder, const WcPacket *packet)
+{
+  const WcRoute *route = wc_route_table_find (forwarder->routes, &packet->key);
+  WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  WcHost        *host;
+
+  if (!route)
+    {
+      wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_ROUTE, NULL);
+      return;
+    }
+  if (!flow)
+    {
+      receive_new (forwarder, route, packet);
+      return;
+    }
+  if (flow->state == WC_FLOW_OPENING)
+    {
+      host = see_unanswered (forwarder, flow);
+      if (flow->second_host && wc_link_evidence_unanswered (&forwarder->link, forwarder->now_us))
+        wc_forwarder_decide (forwarder, WC_DECISION_LINK_LOSSY, &packet->key, host);
+    }
+  place_again (forwarder, route, packet, flow);
+}
+
+void
+wc_forwarder_check (WcForwarder *forwarder, uint64_t now_us)
+{
+  WcPacket packet;
+  bool     superseded;
+
+  forwarder->now_us = now_us;
+  while (wc_opening_queue_take (forwarder->openings, now_us, &packet, &superseded))
+    {
+      const WcRoute *route = forwarder->routes ? wc_route_table_find (forwarder->routes, &packet.key) : NULL;
+      WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet.key);
+
+      if (!route || !flow || flow->state != WC_FLOW_OPENING)
+        continue;
+      (void)see_unanswered (forwarder, flow);
+      if (!superseded)
+        place_again (forwarder, route, &packet, flow);
+    }
+  reject_expired (forwarder);
+  admit_held (forwarder);
+}
+
+/* local functions */
+
+/* Return: the host that did not answer the opening, or NULL when it is not known any more. */
+static WcHost *
+see_unanswered (WcForwarder *forwarder, WcFlow *flow)
+{
+  WcHost *host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+
+  if (host)
+    wc_forwarder_see_silence (forwarder, flow, host, flow->opened_us, false);
+  return host;
+}
+
+static void
+receive_new (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet)
+{
+  WcHeldOpening held;
+  uint64_t      retry_sent_us;
+
+  if (wc_admission_queue_find (forwarder->held, &packet->key))
+    return;
+  retry_sent_us = wc_retry_memory_take (&forwarder->rejected, &packet->key, forwarder->now_us);
+  if (!wc_held_opening_init (&held, route, packet, retry_sent_us, forwarder->now_us))
+    return;
+  held.service = pick_service (route, &packet->key);
+  held.avoid = find_refusing (forwarder, &packet->key);
+  if (wc_admission_queue_get_count (forwarder->held) == 0 && try_to_admit (forwarder, route, &held, false))
+    return;
+  hold (forwarder, &held);
+}
+
+/* What cannot be served before its caller gives up is rejected at once. */
+static void
+hold (WcForwarder *forwarder, const WcHeldOpening *held)
+{
+  const WcFlowKey  *key = &held->opening.packet.key;
+  const WcPlacement placement = placement_of (forwarder, key, held->service, 0);
+  uint64_t          span_us = held->hold_deadline_us - MIN (held->hold_deadline_us, forwarder->now_us);
+  uint64_t          limit = wc_placement_count_served (forwarder->hosts, &placement, span_us, forwarder->now_us);
+  WcHeldOpening     rejected;
+
+  wc_forwarder_decide (forwarder, WC_DECISION_HELD, key, NULL);
+  forwarder->admit_deadline_us = forwarder->now_us;
+  if (wc_admission_queue_add (forwarder->held, held, MAX (limit, HELD_LEAST), forwarder->now_us, &rejected))
+    return;
+  reject (forwarder, &rejected, WC_DECISION_REJECTED_OVERLOAD);
+}
+
+/* Gives openings to hosts in the order of the queue, until no service that is waited for has a host to take one. */
+static void
+admit_held (WcForwarder *forwarder)
+{
+  uint32_t       blocked[WC_ADMISSION_SERVICES];
+  size_t         blocked_count = 0;
+  WcHeldOpening *held;
+
+  while (blocked_count < WC_ADMISSION_SERVICES &&
+         (held = wc_admission_queue_get_best (forwarder->held, blocked, blocked_count, forwarder->now_us)) != NULL)
+    {
+      const WcRoute *route =
+          forwarder->routes ? wc_route_table_find (forwarder->routes, &held->opening.packet.key) : NULL;
+
+      if (!route)
+        reject_held (forwarder, held, WC_DECISION_REJECTED_NO_ROUTE);
+      else if (try_to_admit (forwarder, route, held, forwarder->now_us >= forwarder->trial_deadline_us))
+        wc_admission_queue_remove (forwarder->held, held);
+      else
+        blocked[blocked_count++] = held->service;
+    }
+  forwarder->admit_deadline_us =
+      wc_admission_queue_get_count (forwarder->held) > 0 ? forwarder->now_us + ADMIT_INTERVAL_US : UINT64_MAX;
+}
+
+/* A caller that is about to give up is told at once, so that it comes again while it has time. */
+static void
+reject_expired (WcForwarder *forwarder)
+{
+  WcHeldOpening *held;
+
+  while ((held = wc_admission_queue_get_expired (forwarder->held, forwarder->now_us)) != NULL)
+    reject_held (forwarder, held, WC_DECISION_REJECTED_OVERLOAD);
+}
+
+static void
+reject_held (WcForwarder *forwarder, WcHeldOpening *held, WcDecisionKind kind)
+{
+  reject (forwarder, held, kind);
+  wc_admission_queue_remove (forwarder->held, held);
+}
+
+static void
+reject (WcForwarder *forwarder, const WcHeldOpening *held, WcDecisionKind kind)
+{
+  const WcPacket packet = wc_opening_get_packet (&held->opening);
+
+  wc_retry_memory_add (&forwarder->rejected, &packet.key, held->sent_us, forwarder->now_us);
+  wc_forwarder_reset_flow (forwarder, &packet, kind, NULL);
+}
+
+/*
+ * @is_trial: the opening is given to a host in any case, because what this instance knows of the hosts may be wrong.
+ *
+ * Return: false when the opening has to wait.
+ */
+static bool
+try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial)
+{
+  const WcPacket packet = wc_opening_get_packet (&held->opening);
+  WcPlacement    placement = placement_of (forwarder, &packet.key, held->service, held->avoid);
+  WcHost        *host = place (forwarder, route, &placement);
+  WcHost        *other;
+
+  if (!host)
+    {
+      wc_forwarder_reset_flow (forwarder, &packet, WC_DECISION_REJECTED_NO_HOST, NULL);
+      return true;
+    }
+  if (!wc_admission_admits (held, forwarder->hosts, host, &placement, forwarder->now_us))
+    {
+      placement.elsewhere = true;
+      other = place (forwarder, route, &placement);
+      if (other && wc_admission_admits (held, forwarder->hosts, other, &placement, forwarder->now_us))
+        host = other;
+      else if (!is_trial)
+        return false;
+    }
+  forwarder->trial_deadline_us = forwarder->now_us + TRIAL_INTERVAL_US;
+  open_flow (forwarder, route, &packet, host);
+  return true;
+}
+
+static void
+open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host)
+{
+  WcFlow *flow = wc_flow_table_add (forwarder->flows, &packet->key);
+
+  wc_forwarder_decide (forwarder, WC_DECISION_PLACED, &packet->key, host);
+  if (flow)
+    {
+      wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
+      wc_forwarder_set_host (forwarder, flow, host);
+      wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_US);
+    }
+  forwarder->ops.forward (forwarder->user_data, packet, host);
+}
+
+/*
+ * Gives an opening to another host than before. Several hosts may answer an opening; the caller goes on with one of
+ * them, and the others hold nothing that could run.
+ */
+static void
+place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow)
+{
+  WcPlacement placement = placement_of (forwarder, &packet->key, pick_service (route, &packet->key),
+                                        flow->state == WC_FLOW_OPENING ? flow->cookie : 0);
+  WcHost     *host = place (forwarder, route, &placement);
+
+  if (!host)
+    {
+      wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
+      return;
+    }
+  wc_forwarder_decide (forwarder, WC_DECISION_PLACED_AGAIN, &packet->key, host);
+  flow->second_host = flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
+  wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
+  wc_forwarder_set_host (forwarder, flow, host);
+  forwarder->ops.forward (forwarder->user_data, packet, host);
+}
+
+/* @avoid: cookie of a host that refused the caller or did not answer it; 0 for none. */
+static WcPlacement
+placement_of (const WcForwarder *forwarder, const WcFlowKey *key, uint32_t service, uint32_t avoid)
+{
+  return (WcPlacement){
+    .service = service,
+    .domain = forwarder->settings.domain,
+    .domain_peers = forwarder->domain_peers,
+    .draw = wc_flow_key_hash (key),
+    .avoid = avoid != 0 ? wc_host_table_find_cookie (forwarder->hosts, avoid) : NULL,
+  };
+}
+
+/* Return: a host of the service that is asked for, or of another one of the route; NULL when there is none. */
+static WcHost *
+place (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement)
+{
+  WcHost *host = wc_placement_choose (forwarder->hosts, placement, forwarder->now_us);
+
+  for (size_t i = 0; !host && i < route->service_count; i++)
+    {
+      placement->service = route->services[i].service;
+      if (route->services[i].weight > 0)
+        host = wc_placement_choose (forwarder->hosts, placement, forwarder->now_us);
+    }
+  return host;
+}
+
+/* Return: quark of the service that the flow's key draws. */
+static uint32_t
+pick_service (const WcRoute *route, const WcFlowKey *key)
+{
+  return route->services[wc_route_pick_service (route, wc_mix64 (wc_flow_key_hash (key)))].service;
+}
+
+/*
+ * Load pattern: a host that went down refuses openings, so that their callers try again within milliseconds, and the
+ * host with the fewest requests is the one that is down. Refusals go to the caller directly. An opening that is not
+ * answered when its caller opens another flow was probably refused.
+ *
+ * Return: cookie of that host, or 0.
+ */
+static uint32_t
+find_refusing (WcForwarder *forwarder, const WcFlowKey *key)
+{
+  WcFlowKey     refused_key;
+  const WcFlow *refused;
+
+  if (!wc_opening_queue_supersede (forwarder->openings, key, &refused_key))
+    return 0;
+  refused = wc_flow_table_find (forwarder->flows, &refused_key);
+  return refused && refused->state == WC_FLOW_OPENING ? refused->cookie : 0;
+}
--- a/tests/test_flow_table.c
+++ b/tests/test_flow_table.c
@@ -60,7 +60,7 @@
 }
 END_TEST
 
-static int
+static bool
 drop_even (void *user_data, WcFlow *flow)
 {
   (*(uint32_t *)user_data)++;
