--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -538,7 +538,10 @@
       return;
     }
   if (server->stop_us > 0)
-    ev_break (loop, EVBREAK_ALL);
+    {
+      ev_break (loop, EVBREAK_ALL);
+      return;
+    }
   server->stop_us = wc_clock_monotonic_us ();
   log_state (server, "stopping");
 }
--- a/src/edge/settings_watch.c
+++ b/src/edge/settings_watch.c
@@ -1,6 +1,7 @@
 #include "edge/settings_watch.h"
 
 #include <assert.h>
+#include <errno.h>
 #include <stdbool.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -21,10 +22,12 @@
   WcSettingsChanged        changed;
   void                    *user_data;
   uint64_t                 look_deadline_us;
+  bool                     is_missing;
   struct stat              seen;
 };
 
 static bool is_changed (WcSettingsWatch *watch);
+static void log_missing (WcSettingsWatch *watch, int reason);
 static bool needs_start (const WcForwardSettings *old, const WcForwardSettings *new);
 
 WcSettingsWatch *
@@ -94,13 +97,28 @@
   bool        changed;
 
   if (stat (watch->path, &now) < 0)
-    return false;
+    {
+      if (!watch->is_missing)
+        log_missing (watch, errno);
+      watch->is_missing = true;
+      return false;
+    }
+  watch->is_missing = false;
   changed = now.st_mtim.tv_sec != watch->seen.st_mtim.tv_sec || now.st_mtim.tv_nsec != watch->seen.st_mtim.tv_nsec ||
             now.st_size != watch->seen.st_size || now.st_ino != watch->seen.st_ino;
   watch->seen = now;
   return changed;
 }
 
+static void
+log_missing (WcSettingsWatch *watch, int reason)
+{
+  WcEventLine *line = wc_event_log_begin (watch->log, "settings", "reload_failed");
+
+  wc_event_line_add_text (line, "reason", g_strerror (reason));
+  wc_event_line_end (line);
+}
+
 static bool
 needs_start (const WcForwardSettings *old, const WcForwardSettings *new)
 {
--- a/tests/test_forward_settings.c
+++ b/tests/test_forward_settings.c
@@ -120,12 +120,52 @@
 }
 END_TEST
 
+/* Guards against a settings file that is gone without a trace, and against a line about it each second. */
+START_TEST (missing_file_is_logged_once)
+{
+  struct ev_loop    *loop = ev_loop_new (0);
+  int                pipe_fds[2];
+  WcEventLog        *log;
+  char              *path = write_file (VALID);
+  WcForwardSettings *settings = wc_forward_settings_load (path, NULL);
+  size_t             seeds = 0;
+  WcSettingsWatch   *watch;
+  char               text[4096] = "";
+  char             **lines;
+
+  ck_assert_int_eq (pipe (pipe_fds), 0);
+  log = wc_event_log_new (loop, pipe_fds[1], "i-1");
+  watch = wc_settings_watch_new (path, settings, log, take_change, &seeds);
+  unlink (path);
+  for (uint64_t second = 1; second <= 5; second++)
+    wc_settings_watch_tick (watch, second * 1000 * 1000);
+  ck_assert (g_file_set_contents (path, VALID, -1, NULL));
+  wc_settings_watch_tick (watch, 6 * 1000 * 1000);
+  ck_assert_uint_eq (seeds, 2);
+  wc_settings_watch_delete (watch);
+  wc_event_log_delete (log);
+  ck_assert_int_gt (read (pipe_fds[0], text, sizeof text - 1), 0);
+  lines = g_strsplit (text, "\n", 0);
+  ck_assert_uint_eq (g_strv_length (lines), 3);
+  ck_assert_ptr_nonnull (strstr (lines[0], "reload_failed"));
+  ck_assert_ptr_nonnull (strstr (lines[1], "reloaded"));
+  g_strfreev (lines);
+  wc_forward_settings_delete (settings);
+  ev_loop_destroy (loop);
+  unlink (path);
+  g_free (path);
+  close (pipe_fds[0]);
+  close (pipe_fds[1]);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, valid_file_is_read);
   tcase_add_test (tests, wrong_values_are_named);
   tcase_add_test (tests, changed_file_is_noticed);
+  tcase_add_test (tests, missing_file_is_logged_once);
 }
 
 int
