--- a/src/cli/emulate.c
+++ b/src/cli/emulate.c
@@ -7,6 +7,7 @@
 #include "cli/arguments.h"
 #include "cli/cli_options.h"
 #include "cli/command.h"
+#include "cli/command_part.h"
 #include "emulator/emulated_fabric.h"
 #include "emulator/emulated_platform.h"
 #include "emulator/emulated_targets.h"
@@ -34,26 +35,14 @@
 static int
 run (int argc, char **argv)
 {
-  const char *part = argc > 1 ? argv[1] : "";
+  static const WcCommandPart parts[] = {
+    { "platform", run_platform },
+    { "targets", run_targets },
+    { "fabric", run_fabric },
+    { 0 },
+  };
 
-  if (strcmp (part, "platform") == 0)
-    return run_platform (argc - 1, argv + 1);
-  if (strcmp (part, "targets") == 0)
-    return run_targets (argc - 1, argv + 1);
-  if (strcmp (part, "fabric") == 0)
-    return run_fabric (argc - 1, argv + 1);
-  if (strcmp (part, "--help") == 0)
-    {
-      print_usage (stdout);
-      return WC_EXIT_OK;
-    }
-  if (strcmp (part, "--version") == 0)
-    {
-      printf ("wigeoncart %s\n", WC_VERSION);
-      return WC_EXIT_OK;
-    }
-  print_usage (stderr);
-  return WC_EXIT_USAGE;
+  return wc_command_part_run (parts, print_usage, argc, argv);
 }
 
 static int
--- a/src/cli/speed.c
+++ b/src/cli/speed.c
@@ -7,6 +7,7 @@
 #include "cli/arguments.h"
 #include "cli/cli_options.h"
 #include "cli/command.h"
+#include "cli/command_part.h"
 #include "emulator/speed_run.h"
 #include "emulator/bare_relay.h"
 #include "emulator/state_size.h"
@@ -43,26 +44,14 @@
 static int
 run (int argc, char **argv)
 {
-  const char *part = argc > 1 ? argv[1] : "";
+  static const WcCommandPart parts[] = {
+    { "run", run_measurement },
+    { "bare", run_bare },
+    { "memory", run_memory },
+    { 0 },
+  };
 
-  if (strcmp (part, "run") == 0)
-    return run_measurement (argc - 1, argv + 1);
-  if (strcmp (part, "bare") == 0)
-    return run_bare (argc - 1, argv + 1);
-  if (strcmp (part, "memory") == 0)
-    return run_memory (argc - 1, argv + 1);
-  if (strcmp (part, "--help") == 0)
-    {
-      print_usage (stdout);
-      return WC_EXIT_OK;
-    }
-  if (strcmp (part, "--version") == 0)
-    {
-      printf ("wigeoncart %s\n", WC_VERSION);
-      return WC_EXIT_OK;
-    }
-  print_usage (stderr);
-  return WC_EXIT_USAGE;
+  return wc_command_part_run (parts, print_usage, argc, argv);
 }
 
 static int
