--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -44,8 +44,9 @@
  * @request_id: last request on the flow; 0 when it is not known.
  * @host: the host, or NULL.
  * @version: of the configuration in force; 0 for none.
- * @evidence_us: since when the inputs say so, such as the first packet that was not answered; 0 when there is none.
- * @count: how many flows or packets the evidence consists of.
+ * @evidence_us: since when the inputs say so, such as the first packet that was not answered, or the first that a
+ * caller sent of an opening which is held; 0 when there is none.
+ * @count: how many flows or packets the evidence consists of; of an opening, how many others are held.
  * @witnesses: how many instances see the evidence; 0 when others were not asked.
  */
 typedef struct
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -27,6 +27,7 @@
 static void    reject_expired (WcForwarder *forwarder);
 static void    reject_held (WcForwarder *forwarder, WcHeldOpening *held, WcDecisionKind kind);
 static void    reject (WcForwarder *forwarder, const WcHeldOpening *held, WcDecisionKind kind);
+static void    decide (WcForwarder *forwarder, WcDecisionKind kind, const WcHeldOpening *held);
 static bool    try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial);
 static void    open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host);
 static void    place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow);
@@ -124,7 +125,7 @@
   uint64_t          limit = wc_placement_count_served (forwarder->hosts, &placement, span_us, forwarder->now_us);
   WcHeldOpening     rejected;
 
-  wc_forwarder_decide (forwarder, WC_DECISION_HELD, key, NULL);
+  decide (forwarder, WC_DECISION_HELD, held);
   forwarder->admit_deadline_us = forwarder->now_us;
   if (wc_admission_queue_add (forwarder->held, held, MAX (limit, HELD_LEAST), forwarder->now_us, &rejected))
     return;
@@ -179,7 +180,22 @@
   const WcPacket packet = wc_opening_get_packet (&held->opening);
 
   wc_retry_memory_add (&forwarder->rejected, &packet.key, held->sent_us, forwarder->now_us);
-  wc_forwarder_reset_flow (forwarder, &packet, kind, NULL);
+  decide (forwarder, kind, held);
+  forwarder->ops.reset (forwarder->user_data, &packet.key, packet.acknowledged);
+}
+
+static void
+decide (WcForwarder *forwarder, WcDecisionKind kind, const WcHeldOpening *held)
+{
+  const WcDecision decision = {
+    .kind = kind,
+    .key = &held->opening.packet.key,
+    .version = forwarder->routes ? wc_route_table_get_version (forwarder->routes) : 0,
+    .evidence_us = held->sent_us,
+    .count = (uint32_t)wc_admission_queue_get_count (forwarder->held),
+  };
+
+  forwarder->ops.decided (forwarder->user_data, &decision);
 }
 
 /*
--- a/tests/forward_fixture.h
+++ b/tests/forward_fixture.h
@@ -37,6 +37,7 @@
   WcFlowKey      resets[FIXTURE_RECORDS];
   uint32_t       reset_sequences[FIXTURE_RECORDS];
   uint32_t       decisions[WC_DECISION_COUNT];
+  uint64_t       last_evidence_us;
   uint32_t       opened;
   uint32_t       answered;
 } ForwardFixture;
@@ -65,6 +66,7 @@
   ForwardFixture *fixture = user_data;
 
   fixture->decisions[decision->kind]++;
+  fixture->last_evidence_us = decision->evidence_us;
 }
 
 static void
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -570,8 +570,9 @@
   fixture_init (&fixture);
   fixture_host (&fixture, 1, "a", WC_HOST_READY);
   start_requests (&fixture, 5, FIXTURE_TARGET_PORT);
-  fixture_syn (&fixture, 500, FIXTURE_TARGET_PORT, 0);
   fixture_syn (&fixture, 500, FIXTURE_TARGET_PORT, 1);
+  ck_assert_uint_eq (fixture.last_evidence_us, fixture.now_us - 200 * 1000);
+  fixture_syn (&fixture, 500, FIXTURE_TARGET_PORT, 2);
   ck_assert_uint_eq (fixture.decisions[WC_DECISION_HELD], 1);
   ck_assert_uint_eq (fixture.decisions[WC_DECISION_PLACED], 0);
   fixture_host (&fixture, 2, "b", WC_HOST_READY);
