--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -126,7 +126,12 @@
   forwarder->now_us = now_us;
   wc_flow_table_walk (forwarder->flows, WALK_SLOTS, visit_old, forwarder);
   for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
-    wc_forwarder_judge (forwarder, wc_host_table_get (forwarder->hosts, i));
+    {
+      WcHost *host = wc_host_table_get (forwarder->hosts, i);
+
+      if (host->silence.requests > 0)
+        wc_forwarder_judge (forwarder, host);
+    }
   wc_host_table_forget (forwarder->hosts, now_us);
 }
 
