--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 WARNINGS  = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith
 CFLAGS   ?= -O2 -g
 ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE $(CFLAGS) $(WARNINGS) -Iinclude -Isrc -Iplatform -Iproto $(shell pkg-config --cflags $(PACKAGES))
-LIBS      = $(shell pkg-config --libs $(PACKAGES)) -lgsl -lgslcblas -lev -lhttp_parser -lpthread -ldl -lm
+LIBS      = $(shell pkg-config --libs $(PACKAGES)) -lgsl -lgslcblas -lev -lhttp_parser -lz -lpthread -ldl -lm
 CHECK_LIBS = $(shell pkg-config --libs check)
 
 LIB_SOURCES  = $(wildcard src/core/*.c src/forward/*.c src/edge/*.c src/client/*.c src/emulator/*.c platform/*.c)
@@ -48,7 +48,7 @@
 # The binary for the operators' platform. All libraries but libc are linked statically: each shared one costs an instance
 # memory and time at every start.
 DEPLOY_CFLAGS = -O2 -g -ffunction-sections -fdata-sections -fno-pie
-DEPLOY_LIBS   = -Wl,-Bstatic -lgsl -lgslcblas -lev -lhttp_parser -ljson-c -lprotobuf-c -lsodium -lglib-2.0 -lpcre2-8 -Wl,-Bdynamic \
+DEPLOY_LIBS   = -Wl,-Bstatic -lgsl -lgslcblas -lev -lhttp_parser -ljson-c -lprotobuf-c -lsodium -lglib-2.0 -lpcre2-8 -lz -Wl,-Bdynamic \
   -lpthread -ldl -lm
 deploy:
 	@$(MAKE) --no-print-directory BUILD=target CFLAGS="$(DEPLOY_CFLAGS)" \
--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -2768,7 +2768,7 @@
   (ProtobufCMessageInit) wc__view_change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__view_changes__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wc__view_changes__field_descriptors[6] =
 {
   {
     "revision",
@@ -2818,17 +2818,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "compressed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChanges, compressed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unpacked_bytes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChanges, unpacked_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__view_changes__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   2,   /* field[2] = changes */
+  4,   /* field[4] = compressed */
   3,   /* field[3] = logical */
   0,   /* field[0] = revision */
+  5,   /* field[5] = unpacked_bytes */
 };
 static const ProtobufCIntRange wc__view_changes__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wc__view_changes__descriptor =
 {
@@ -2838,7 +2864,7 @@
   "Wc__ViewChanges",
   "wc",
   sizeof(Wc__ViewChanges),
-  4,
+  6,
   wc__view_changes__field_descriptors,
   wc__view_changes__field_indices_by_name,
   1,  wc__view_changes__number_ranges,
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -390,10 +390,15 @@
   size_t n_changes;
   Wc__ViewChange **changes;
   uint64_t logical;
+  /*
+   * A long message is sent as a ViewChanges with these fields only: its bytes compressed with zlib, and their length. 
+   */
+  ProtobufCBinaryData compressed;
+  uint32_t unpacked_bytes;
 };
 #define WC__VIEW_CHANGES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__view_changes__descriptor) \
-    , 0, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0, {0,NULL}, 0 }
 
 
 /* Wc__AnswerRef methods */
--- a/src/edge/peer_port.c
+++ b/src/edge/peer_port.c
@@ -13,9 +13,23 @@
 enum
 {
   /* Longer than any peer waits. */
-  WAIT_MAX_MS = 5000
+  WAIT_MAX_MS = 5000,
+  /* How long an encoded answer is used again; the age of the view in it is off by that much. */
+  ENCODED_LIFE_US = 50 * 1000
 };
 
+/*
+ * Changes after a revision as they were last encoded. Peers wait for the same change, and a configuration of 450 kB
+ * takes a small instance some 100 ms to encode.
+ */
+typedef struct
+{
+  uint64_t after;
+  uint64_t revision;
+  uint64_t deadline_us;
+  GBytes  *body;
+} Encoded;
+
 /* A peer that waits for changes after a revision. */
 typedef struct
 {
@@ -37,6 +51,7 @@
   uint64_t              malformed;
   ev_io                 readable;
   GArray               *waiters;
+  Encoded               encoded;
 };
 
 static void     datagrams_readable (struct ev_loop *loop, ev_io *watcher, int events);
@@ -48,6 +63,7 @@
 static void     request_aborted (void *user_data, WcHttpExchange *exchange);
 static void     answer_waiters (WcPeerPort *port, uint64_t revision, uint64_t now_us);
 static void     answer (WcPeerPort *port, WcHttpExchange *exchange, uint64_t revision);
+static bool     encode (WcPeerPort *port, uint64_t after);
 static uint64_t get_number (const WcHttpExchange *exchange, const char *name);
 
 WcPeerPort *
@@ -92,6 +108,7 @@
   wc_http_server_delete (port->server);
   wc_udp_batch_delete (port->datagrams);
   g_array_free (port->waiters, TRUE);
+  g_bytes_unref (port->encoded.body);
   g_free (port);
 }
 
@@ -269,27 +286,44 @@
 static void
 answer (WcPeerPort *port, WcHttpExchange *exchange, uint64_t revision)
 {
-  uint64_t     age_us = wc_clock_monotonic_us () - wc_store_replica_get_time_us (port->replica);
+  gsize       size_bytes;
+  const void *data;
+
+  if (!encode (port, revision))
+    {
+      wc_http_exchange_respond (exchange, 410, NULL, NULL, 0);
+      return;
+    }
+  data = g_bytes_get_data (port->encoded.body, &size_bytes);
+  wc_http_exchange_respond (exchange, 200, NULL, data, size_bytes);
+}
+
+/* Return: false when the changes after @after are no longer known. */
+static bool
+encode (WcPeerPort *port, uint64_t after)
+{
+  uint64_t     now_us = wc_clock_monotonic_us ();
+  uint64_t     revision = wc_store_replica_get_revision (port->replica);
+  uint64_t     age_us = now_us - wc_store_replica_get_time_us (port->replica);
   WcViewOrigin origin = {
     .age_ms = (uint32_t)MIN (age_us / 1000, UINT32_MAX),
     .logical = wc_event_log_get_logical (port->log),
   };
   WcStoreReply reply;
-  GBytes      *body;
-  gsize        size_bytes;
-  const void  *data;
+  bool         is_known;
 
+  if (port->encoded.body && port->encoded.after == after && port->encoded.revision == revision &&
+      now_us < port->encoded.deadline_us)
+    return true;
   wc_store_reply_init (&reply);
-  if (wc_store_replica_get_changes (port->replica, revision, &reply))
+  is_known = wc_store_replica_get_changes (port->replica, after, &reply);
+  if (is_known)
     {
-      body = wc_view_changes_pack (&reply, &origin);
-      data = g_bytes_get_data (body, &size_bytes);
-      wc_http_exchange_respond (exchange, 200, NULL, data, size_bytes);
-      g_bytes_unref (body);
+      g_bytes_unref (port->encoded.body);
+      port->encoded = (Encoded){ after, revision, now_us + ENCODED_LIFE_US, wc_view_changes_pack (&reply, &origin) };
     }
-  else
-    wc_http_exchange_respond (exchange, 410, NULL, NULL, 0);
   wc_store_reply_finish (&reply);
+  return is_known;
 }
 
 static uint64_t
--- a/src/edge/platform_client.c
+++ b/src/edge/platform_client.c
@@ -25,6 +25,9 @@
 static const double ANSWER_LIMIT_S = 2.0;
 static const double BLOCKED_DELAY_S = 0.05;
 
+/* From the first part of a body to its end. The platform allows 5 s at most until a configuration is in force. */
+static const double BODY_LIMIT_S = 5.0;
+
 /*
  * A page of the store has up to 1 MB of values, a third more as text, and their keys; a peer gives all items at once, 2
  * MB of entries at the size planned for and a configuration of up to 1 MB.
@@ -63,6 +66,8 @@
   char        field[HEADER_BYTES];
   char        value[HEADER_BYTES];
   bool        in_value;
+  /* On the clock of the event loop: until then the body must be whole. */
+  double      body_deadline_s;
   http_parser parser;
   ev_io       io;
   ev_timer    timer;
@@ -85,6 +90,7 @@
 static void attempt_failed (Read *read, const char *reason);
 static void finish (Read *read, WcPlatformResult result);
 static void limit_answer (Read *read, uint32_t wait_ms);
+static void limit_body (Read *read);
 static void keep_connection (Read *read);
 static void close_socket (Read *read);
 static void io_ready (struct ev_loop *loop, ev_io *watcher, int events);
@@ -315,6 +321,22 @@
   ev_timer_start (read->client->loop, &read->timer);
 }
 
+/*
+ * A configuration of 450 kB for eight peers at once takes 3 s over a link of 10 Mbit/s, so that it is a pause between
+ * two parts that shows a lost connection, and not the time of the whole.
+ */
+static void
+limit_body (Read *read)
+{
+  double now_s = ev_now (read->client->loop);
+
+  if (read->body->len == 0)
+    read->body_deadline_s = now_s + BODY_LIMIT_S;
+  ev_timer_stop (read->client->loop, &read->timer);
+  ev_timer_set (&read->timer, CLAMP (read->body_deadline_s - now_s, 0.0, read->client->answer_limit_s), 0.0);
+  ev_timer_start (read->client->loop, &read->timer);
+}
+
 static void
 keep_connection (Read *read)
 {
@@ -500,6 +522,7 @@
       read->too_large = true;
       return 1;
     }
+  limit_body (read);
   g_byte_array_append (read->body, (const guint8 *)data, (guint)size_bytes);
   return 0;
 }
--- a/src/edge/platform_client.h
+++ b/src/edge/platform_client.h
@@ -49,7 +49,10 @@
                                           WcPlatformCallback callback, void *user_data);
 void              wc_platform_client_delete (WcPlatformClient *client);
 
-/** wc_platform_client_set_answer_limit_us() - time to connect, and to answer on top of the wait; 2 s unless set. */
+/**
+ * wc_platform_client_set_answer_limit_us() - time to connect, to begin an answer on top of the wait, and between two
+ * parts of it; 2 s unless set.
+ */
 void wc_platform_client_set_answer_limit_us (WcPlatformClient *client, uint64_t limit_us);
 
 /**
--- a/src/forward/peer_news.c
+++ b/src/forward/peer_news.c
@@ -3,12 +3,24 @@
 #include <assert.h>
 #include <string.h>
 
+#include <zlib.h>
+
 #include "wigeoncart.pb-c.h"
 
-static void pack_entry (const WcPeerEntry *entry, Wc__PeerEntry *message);
-static bool unpack_entry (const Wc__PeerEntry *message, WcPeerEntry *entry);
-static void pack_report (const WcHostReport *report, Wc__HostReport *message);
-static void unpack_report (const Wc__HostReport *message, WcHostReport *report);
+enum
+{
+  /* Changes of single hosts are shorter; what is longer holds a configuration or all hosts, and shrinks to a tenth. */
+  COMPRESS_BYTES = 4096,
+  /* The limit on answers of peers, see platform_client.c. */
+  UNPACKED_MAX_BYTES = 8 << 20
+};
+
+static void             pack_entry (const WcPeerEntry *entry, Wc__PeerEntry *message);
+static bool             unpack_entry (const Wc__PeerEntry *message, WcPeerEntry *entry);
+static GBytes          *compress_changes (uint8_t *data, size_t size_bytes);
+static Wc__ViewChanges *uncompress_changes (Wc__ViewChanges *message);
+static void             pack_report (const WcHostReport *report, Wc__HostReport *message);
+static void             unpack_report (const Wc__HostReport *message, WcHostReport *report);
 
 size_t
 wc_peer_news_pack (const WcPeerNews *news, uint8_t out[WC_PEER_NEWS_MAX_BYTES])
@@ -109,7 +121,7 @@
   wc__view_changes__pack (&message, data);
   g_free (list);
   g_free (changes);
-  return g_bytes_new_take (data, size_bytes);
+  return size_bytes < COMPRESS_BYTES ? g_bytes_new_take (data, size_bytes) : compress_changes (data, size_bytes);
 }
 
 WcStatus
@@ -119,6 +131,8 @@
 
   assert (reply != NULL && origin != NULL);
 
+  if (message && message->compressed.len > 0)
+    message = uncompress_changes (message);
   if (!message)
     return WC_STATUS_PARSE;
   for (size_t i = 0; i < message->n_changes; i++)
@@ -192,3 +206,44 @@
     .silence_age_ms = message->silence_age_ms,
   };
 }
+
+/* Takes over @data. A message that cannot be compressed goes as it is. */
+static GBytes *
+compress_changes (uint8_t *data, size_t size_bytes)
+{
+  Wc__ViewChanges message = WC__VIEW_CHANGES__INIT;
+  uLongf          length = compressBound (size_bytes);
+  uint8_t        *compressed = g_malloc (length);
+  uint8_t        *packed;
+  size_t          packed_bytes;
+
+  if (size_bytes > UNPACKED_MAX_BYTES || compress2 (compressed, &length, data, size_bytes, Z_BEST_SPEED) != Z_OK)
+    {
+      g_free (compressed);
+      return g_bytes_new_take (data, size_bytes);
+    }
+  message.compressed.data = compressed;
+  message.compressed.len = length;
+  message.unpacked_bytes = (uint32_t)size_bytes;
+  packed_bytes = wc__view_changes__get_packed_size (&message);
+  packed = g_malloc (packed_bytes);
+  wc__view_changes__pack (&message, packed);
+  g_free (compressed);
+  g_free (data);
+  return g_bytes_new_take (packed, packed_bytes);
+}
+
+/* Takes over @message. Return: the message that is compressed in it, or NULL. */
+static Wc__ViewChanges *
+uncompress_changes (Wc__ViewChanges *message)
+{
+  uLongf           length = message->unpacked_bytes;
+  uint8_t         *data = length <= UNPACKED_MAX_BYTES ? g_malloc (length + 1) : NULL;
+  Wc__ViewChanges *inner = NULL;
+
+  if (data && uncompress (data, &length, message->compressed.data, message->compressed.len) == Z_OK)
+    inner = wc__view_changes__unpack (NULL, length, data);
+  g_free (data);
+  wc__view_changes__free_unpacked (message, NULL);
+  return inner;
+}
--- a/tests/test_peer_news.c
+++ b/tests/test_peer_news.c
@@ -124,6 +124,53 @@
 }
 END_TEST
 
+/* Guards against a configuration of many routes that takes seconds over slow links, and against bombs and broken bytes.
+ */
+START_TEST (long_changes_are_compressed)
+{
+  const WcViewOrigin origin = { 250, 99 };
+  WcViewOrigin       copy_origin;
+  WcStoreReply       reply;
+  WcStoreReply       copy;
+  GString           *config = g_string_new (NULL);
+  GBytes            *packed;
+  uint8_t           *broken;
+  gsize              size_bytes;
+
+  for (int i = 0; i < 1800; i++)
+    g_string_append_printf (config,
+                            "{\"name\":\"r-%d\",\"host\":\"198.18.0.%d\",\"prefix\":\"/%d/\",\"kind\":\"safe\"}", i,
+                            i % 250, 1000 + i);
+  wc_store_reply_init (&reply);
+  wc_store_reply_init (&copy);
+  reply.revision = 12;
+  wc_store_reply_add (&reply, "op/config", g_bytes_new (config->str, config->len), 11);
+  packed = wc_view_changes_pack (&reply, &origin);
+  size_bytes = g_bytes_get_size (packed);
+  ck_assert_uint_lt (size_bytes, config->len / 4);
+  ck_assert_int_eq (wc_view_changes_unpack (g_bytes_get_data (packed, NULL), size_bytes, &copy, &copy_origin),
+                    WC_STATUS_OK);
+  ck_assert_uint_eq (copy.revision, 12);
+  ck_assert_uint_eq (copy_origin.age_ms, 250);
+  ck_assert_mem_eq (g_bytes_get_data (g_array_index (copy.changes, WcStoreChange, 0).value, NULL), config->str,
+                    config->len);
+  wc_store_reply_finish (&copy);
+  broken = g_memdup2 (g_bytes_get_data (packed, NULL), size_bytes);
+  for (gsize i = 0; i < size_bytes; i += 97)
+    {
+      broken[i] ^= 0x55;
+      wc_store_reply_init (&copy);
+      (void)wc_view_changes_unpack (broken, size_bytes, &copy, &copy_origin);
+      wc_store_reply_finish (&copy);
+    }
+  ck_assert_int_ne (wc_view_changes_unpack (broken, size_bytes / 2, &copy, &copy_origin), WC_STATUS_OK);
+  g_free (broken);
+  g_bytes_unref (packed);
+  g_string_free (config, TRUE);
+  wc_store_reply_finish (&reply);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -131,6 +178,7 @@
   tcase_add_test (tests, question_survives);
   tcase_add_test (tests, broken_news_are_rejected);
   tcase_add_test (tests, changes_survive);
+  tcase_add_test (tests, long_changes_are_compressed);
 }
 
 int
--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -21,9 +21,12 @@
   WcAddress   address;
   const char *answer;
   size_t      answer_bytes;
-  unsigned    connections;
-  int         descriptor;
-  GThread    *sender;
+  /* Largest part that is sent at once, and the pause after it; 0 for none. */
+  size_t   part_bytes;
+  gulong   pause_us;
+  unsigned connections;
+  int      descriptor;
+  GThread *sender;
 } Server;
 
 typedef struct
@@ -46,8 +49,13 @@
 
   while (step > 0 && sent < server->answer_bytes)
     {
-      step = send (server->descriptor, server->answer + sent, server->answer_bytes - sent, MSG_NOSIGNAL);
+      size_t left = server->answer_bytes - sent;
+
+      step = send (server->descriptor, server->answer + sent,
+                   server->part_bytes > 0 ? MIN (left, server->part_bytes) : left, MSG_NOSIGNAL);
       sent += step > 0 ? (size_t)step : 0;
+      if (server->pause_us > 0)
+        g_usleep (server->pause_us);
     }
   close (server->descriptor);
   return NULL;
@@ -263,6 +271,35 @@
 }
 END_TEST
 
+/*
+ * Replays a configuration of 1,800 routes that comes over a slow link: it takes longer than the limit, but flows.
+ * Guards against reads that are given up and begun again, by which it was in force after 7 s in a fleet of 75
+ * instances; and against a connection that went silent in the middle of an answer and is waited for.
+ */
+START_TEST (pause_and_not_length_ends_an_answer)
+{
+  static const char bytes[] = "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"
+                              "123456789012345678901234567890";
+  struct ev_loop   *loop = ev_loop_new (EVFLAG_AUTO);
+  Answer            answer = { 0 };
+  Server            server;
+  WcPlatformClient *client;
+
+  server_open (&server, loop, bytes);
+  server.part_bytes = 10;
+  client = wc_platform_client_new (loop, &server.address, 1, on_answer, &answer);
+  wc_platform_client_set_answer_limit_us (client, 1000 * 1000);
+  server.pause_us = (gulong)(_i == 0 ? 200 * 1000 : 1500 * 1000);
+  wc_platform_client_get (client, WC_PLATFORM_READ_CHANGES, "/changes", 0);
+  run_until_answer (loop, &answer);
+  ck_assert_int_eq (answer.result, _i == 0 ? WC_PLATFORM_READ_OK : WC_PLATFORM_READ_FAILED);
+  g_free (answer.body);
+  wc_platform_client_delete (client);
+  server_close (&server, loop);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -273,5 +310,6 @@
   tcase_add_test (cases, next_platform);
   tcase_add_loop_test (cases, size_limit, 0, 4);
   tcase_add_test (cases, cancel_and_block);
+  tcase_add_loop_test (cases, pause_and_not_length_ends_an_answer, 0, 2);
   return run_cases ("platform_client", cases);
 }
