--- a/src/edge/platform_client.c
+++ b/src/edge/platform_client.c
@@ -21,6 +21,8 @@
   HEADER_MAX_BYTES = 64
 };
 
+static const char DEFAULT_VERSION_HEADER[] = "X-Version";
+
 /* Default time for one server to respond, in addition to the requested wait of a watch. */
 static const double RESPONSE_TIMEOUT_S = 2.0;
 
@@ -87,6 +89,7 @@
   double             response_timeout_s;
   WcPlatformCallback callback;
   void              *user_data;
+  const char        *version_header;
   ReadState          reads[WC_PLATFORM_READ_COUNT];
 };
 
@@ -134,6 +137,7 @@
   client->response_timeout_s = RESPONSE_TIMEOUT_S;
   client->callback = callback;
   client->user_data = user_data;
+  client->version_header = DEFAULT_VERSION_HEADER;
   for (int i = 0; i < WC_PLATFORM_READ_COUNT; i++)
     {
       ReadState *read = &client->reads[i];
@@ -175,6 +179,14 @@
   client->response_timeout_s = (double)limit_us / 1e6;
 }
 
+void
+wc_platform_client_set_version_header (WcPlatformClient *client, const char *name)
+{
+  assert (client != NULL && name != NULL);
+
+  client->version_header = name;
+}
+
 void
 wc_platform_client_get (WcPlatformClient *client, WcPlatformRead kind, const char *path, uint32_t wait_ms)
 {
@@ -476,7 +488,7 @@
 static void
 header_complete (ReadState *read)
 {
-  if (strcasecmp (read->header_name, "X-Version") == 0)
+  if (strcasecmp (read->header_name, read->client->version_header) == 0)
     read->version = g_ascii_strtoull (read->header_value, NULL, 10);
   read->header_name[0] = '\0';
   read->header_value[0] = '\0';
--- a/src/edge/platform_client.h
+++ b/src/edge/platform_client.h
@@ -35,7 +35,8 @@
 
 /**
  * WcPlatformCallback - called at the end of a read, never from inside wc_platform_client_get().
- * @version: value of the X-Version header; 0 when absent.
+ * @version: number in the version header, see wc_platform_client_set_version_header(); 0 when absent, or when the read
+ * failed before a response.
  * @body: body of the response; valid only during the call.
  */
 typedef void (*WcPlatformCallback) (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
@@ -58,6 +59,12 @@
  */
 void wc_platform_client_set_response_timeout_us (WcPlatformClient *client, uint64_t limit_us);
 
+/**
+ * wc_platform_client_set_version_header() - set the response header that is passed to the callback as @version;
+ * X-Version by default. @name: must outlive the client.
+ */
+void wc_platform_client_set_version_header (WcPlatformClient *client, const char *name);
+
 /**
  * wc_platform_client_get() - start a read. A read of the same kind in progress is cancelled without a callback.
  * @path: request path with its query.
--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -59,6 +59,7 @@
   WcViewSource         source;
   uint64_t             store_avoid_deadline_us;
   bool                 store_lost;
+  uint64_t             store_era;
   WcEventLog          *log;
   WcViewReaderOps      ops;
   void                *user_data;
@@ -74,6 +75,7 @@
 static void pause_expired (struct ev_loop *loop, ev_timer *watcher, int events);
 static void read_finished (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
                            const char *body, size_t size_bytes);
+static void set_store_era (WcViewReader *reader, uint64_t era);
 static bool decode_reply (const WcViewReader *reader, const char *body, size_t size_bytes, WcStoreReply *reply,
                           uint64_t *age_us, WcError *error);
 static void reply_received (WcViewReader *reader, WcPlatformRead read, const WcStoreReply *reply, uint64_t age_us);
@@ -95,6 +97,7 @@
   reader->sync = wc_store_sync_new (replica);
   reader->store_client = wc_platform_client_new (loop, store, 1, read_finished, reader);
   wc_platform_client_set_response_timeout_us (reader->store_client, STORE_TIMEOUT_US);
+  wc_platform_client_set_version_header (reader->store_client, WC_STORE_WIRE_ERA_HEADER);
   reader->source.kind = WC_VIEW_SOURCE_NONE;
   reader->log = log;
   reader->ops = *ops;
@@ -245,9 +248,11 @@
   WcError       error;
   uint64_t      age_us = 0;
 
-  (void)version;
+  if (reader->source.kind == WC_VIEW_SOURCE_STORE && version != 0)
+    set_store_era (reader, version);
   if (result == WC_PLATFORM_RESULT_EXPIRED)
     {
+      reader->counters.expired++;
       log_state (reader, "history_expired", "the source no longer keeps the changes since this revision");
       wc_store_sync_expired (reader->sync);
       read_next (reader);
@@ -266,6 +271,17 @@
   wc_store_reply_finish (&reply);
 }
 
+/* Logs the first answer of a store that was restored from an older copy. */
+static void
+set_store_era (WcViewReader *reader, uint64_t era)
+{
+  bool is_restored = reader->store_era != 0 && era != reader->store_era;
+
+  reader->store_era = era;
+  if (is_restored)
+    log_state (reader, "store_restored", "the store was restored from an older copy");
+}
+
 static bool
 decode_reply (const WcViewReader *reader, const char *body, size_t size_bytes, WcStoreReply *reply, uint64_t *age_us,
               WcError *error)
@@ -362,6 +378,7 @@
   wc_event_line_add_text (line, "source", source_names[reader->source.kind]);
   if (reader->source.kind == WC_VIEW_SOURCE_PEER)
     wc_event_line_add_text (line, "peer", wc_address_format (&reader->source.peer, text));
+  wc_event_line_add_uint (line, "store_era", reader->store_era);
   wc_event_line_add_uint (line, "view_revision", wc_store_replica_get_revision (reader->replica));
   if (confirmed_us > 0)
     wc_event_line_add_uint (line, "view_age_ms", (wc_clock_monotonic_us () - confirmed_us) / 1000);
--- a/src/edge/view_reader.h
+++ b/src/edge/view_reader.h
@@ -17,12 +17,14 @@
  * @store_reads: reads sent to the store.
  * @peer_reads: reads sent to a peer.
  * @failures: reads that failed, of either source.
+ * @expired: reads whose source no longer knew the requested revision.
  */
 typedef struct
 {
   uint64_t store_reads;
   uint64_t peer_reads;
   uint64_t failures;
+  uint64_t expired;
 } WcViewReaderCounters;
 
 /**
