--- a/src/emulator/emulated_store.c
+++ b/src/emulator/emulated_store.c
@@ -7,6 +7,7 @@
 
 #include "edge/clock.h"
 #include "edge/http_server.h"
+#include "store_wire.h"
 
 enum
 {
@@ -37,6 +38,8 @@
  * @items: Item by key, sorted.
  * @history: changes as Item, oldest first.
  * @history_start: revision before the oldest change in @history; earlier changes cannot be watched.
+ * @era: number of the history; sent in each response.
+ * @copy, @copy_revision: items and revision of the saved copy; NULL when none was saved.
  * @unanswered: exchanges without a response, received in silent mode.
  */
 struct WcEmulatedStore
@@ -47,7 +50,10 @@
   size_t          page_items;
   uint64_t        revision;
   uint64_t        history_start;
+  uint64_t        era;
   GTree          *items;
+  GTree          *copy;
+  uint64_t        copy_revision;
   GArray         *history;
   GArray         *watches;
   GPtrArray      *unanswered;
@@ -67,12 +73,14 @@
 static void                tick_expired (struct ev_loop *loop, ev_timer *watcher, int events);
 static void                add_change (WcEmulatedStore *store, const char *key, GBytes *value);
 static struct json_object *item_to_json (const Item *item);
-static void                respond_json (WcHttpExchange *exchange, struct json_object *body);
-static uint64_t            get_number (const WcHttpExchange *exchange, const char *name);
-static int                 compare_keys (gconstpointer a, gconstpointer b, gpointer data);
-static void                clear_item (gpointer data);
-static void                free_item (gpointer data);
-static void                clear_watch (gpointer data);
+static GTree              *copy_items (GTree *items);
+static gboolean            copy_item (gpointer key, gpointer value, gpointer data);
+static void     respond (const WcEmulatedStore *store, WcHttpExchange *exchange, int status, struct json_object *body);
+static uint64_t get_number (const WcHttpExchange *exchange, const char *name);
+static int      compare_keys (gconstpointer a, gconstpointer b, gpointer data);
+static void     clear_item (gpointer data);
+static void     free_item (gpointer data);
+static void     clear_watch (gpointer data);
 
 /* A page of a range read that is being filled; @left: number of items that still fit. */
 typedef struct
@@ -94,6 +102,7 @@
 
   store->loop = loop;
   store->page_items = page_items;
+  store->era = 1;
   store->items = g_tree_new_full (compare_keys, NULL, NULL, free_item);
   store->history = g_array_new (FALSE, FALSE, sizeof (Item));
   g_array_set_clear_func (store->history, clear_item);
@@ -121,6 +130,8 @@
   g_array_free (store->watches, TRUE);
   g_array_free (store->history, TRUE);
   g_tree_destroy (store->items);
+  if (store->copy)
+    g_tree_destroy (store->copy);
   g_free (store);
 }
 
@@ -174,6 +185,27 @@
   wc_http_server_close_connections (store->server);
 }
 
+void
+wc_emulated_store_save_copy (WcEmulatedStore *store)
+{
+  if (store->copy)
+    g_tree_destroy (store->copy);
+  store->copy = copy_items (store->items);
+  store->copy_revision = store->revision;
+}
+
+void
+wc_emulated_store_restore_copy (WcEmulatedStore *store)
+{
+  assert (store->copy != NULL);
+
+  g_tree_destroy (store->items);
+  store->items = copy_items (store->copy);
+  store->revision = store->copy_revision;
+  store->era++;
+  wc_emulated_store_drop_history (store);
+}
+
 uint64_t
 wc_emulated_store_get_calls (const WcEmulatedStore *store)
 {
@@ -192,10 +224,10 @@
   switch (store->mode)
     {
     case WC_STORE_IS_BUSY:
-      wc_http_exchange_respond (exchange, 503, NULL, NULL, 0);
+      respond (store, exchange, 503, NULL);
       return;
     case WC_STORE_RATE_LIMITS:
-      wc_http_exchange_respond (exchange, 429, NULL, NULL, 0);
+      respond (store, exchange, 429, NULL);
       return;
     case WC_STORE_RESETS:
       wc_http_exchange_abort (exchange);
@@ -211,7 +243,7 @@
   else if (strcmp (path, "/v1/kv-watch") == 0)
     handle_watch (store, exchange);
   else
-    wc_http_exchange_respond (exchange, 404, NULL, NULL, 0);
+    respond (store, exchange, 404, NULL);
 }
 
 static void
@@ -240,7 +272,7 @@
   json_object_object_add (body, "items", page.items);
   json_object_object_add (body, "has-more", json_object_new_boolean (page.has_more));
   json_object_object_add (body, "as-of", json_object_new_uint64 (store->revision));
-  respond_json (exchange, body);
+  respond (store, exchange, 200, body);
 }
 
 static gboolean
@@ -271,9 +303,9 @@
           .deadline_us = wc_clock_monotonic_us () + MIN (get_number (exchange, "wait-ms"), WAIT_MAX_MS) * 1000,
   };
 
-  if (watch.after < store->history_start)
+  if (watch.after < store->history_start || watch.after > store->revision)
     {
-      wc_http_exchange_respond (exchange, 410, NULL, NULL, 0);
+      respond (store, exchange, 410, NULL);
       clear_watch (&watch);
     }
   else if (respond_events (store, &watch, false))
@@ -304,7 +336,7 @@
   body = json_object_new_object ();
   json_object_object_add (body, "events", events);
   json_object_object_add (body, "as-of", json_object_new_uint64 (store->revision));
-  respond_json (watch->exchange, body);
+  respond (store, watch->exchange, 200, body);
   return true;
 }
 
@@ -361,13 +393,39 @@
   return object;
 }
 
+static GTree *
+copy_items (GTree *items)
+{
+  GTree *copy = g_tree_new_full (compare_keys, NULL, NULL, free_item);
+
+  g_tree_foreach (items, copy_item, copy);
+  return copy;
+}
+
+static gboolean
+copy_item (gpointer key, gpointer value, gpointer data)
+{
+  const Item *item = value;
+  Item       *copy = g_new0 (Item, 1);
+
+  copy->key = g_strdup (key);
+  copy->value = g_bytes_ref (item->value);
+  copy->revision = item->revision;
+  g_tree_replace (data, copy->key, copy);
+  return FALSE;
+}
+
+/* Takes ownership of @body; NULL for none. */
 static void
-respond_json (WcHttpExchange *exchange, struct json_object *body)
+respond (const WcEmulatedStore *store, WcHttpExchange *exchange, int status, struct json_object *body)
 {
-  size_t      size_bytes;
-  const char *text = json_object_to_json_string_length (body, JSON_C_TO_STRING_PLAIN, &size_bytes);
+  size_t      size_bytes = 0;
+  const char *text = body ? json_object_to_json_string_length (body, JSON_C_TO_STRING_PLAIN, &size_bytes) : NULL;
+  char *headers = g_strdup_printf ("%s%s: %" G_GUINT64_FORMAT "\r\n", body ? "Content-Type: application/json\r\n" : "",
+                                   WC_STORE_WIRE_ERA_HEADER, store->era);
 
-  wc_http_exchange_respond (exchange, 200, "Content-Type: application/json\r\n", text, size_bytes);
+  wc_http_exchange_respond (exchange, status, headers, text, size_bytes);
+  g_free (headers);
   json_object_put (body);
 }
 
--- a/src/emulator/emulated_store.h
+++ b/src/emulator/emulated_store.h
@@ -60,6 +60,15 @@
  */
 void wc_emulated_store_drop_history (WcEmulatedStore *store);
 
+/** wc_emulated_store_save_copy() - save a copy of all items and of the revision; it replaces the one saved before. */
+void wc_emulated_store_save_copy (WcEmulatedStore *store);
+
+/**
+ * wc_emulated_store_restore_copy() - go back to the saved copy: what was written since is lost, its revisions are given
+ * out again, and the era in the responses increases by 1. The history is empty. All connections are closed.
+ */
+void wc_emulated_store_restore_copy (WcEmulatedStore *store);
+
 /** wc_emulated_store_get_calls() - number of calls received in any mode. */
 uint64_t wc_emulated_store_get_calls (const WcEmulatedStore *store);
 
