--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -2691,7 +2691,7 @@
   (ProtobufCMessageInit) wc__peer_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__view_change__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wc__view_change__field_descriptors[5] =
 {
   {
     "key",
@@ -2741,9 +2741,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChange, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__view_change__field_indices_by_name[] = {
   2,   /* field[2] = deleted */
+  4,   /* field[4] = era */
   0,   /* field[0] = key */
   3,   /* field[3] = revision */
   1,   /* field[1] = value */
@@ -2751,7 +2764,7 @@
 static const ProtobufCIntRange wc__view_change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wc__view_change__descriptor =
 {
@@ -2761,14 +2774,14 @@
   "Wc__ViewChange",
   "wc",
   sizeof(Wc__ViewChange),
-  4,
+  5,
   wc__view_change__field_descriptors,
   wc__view_change__field_indices_by_name,
   1,  wc__view_change__number_ranges,
   (ProtobufCMessageInit) wc__view_change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__view_changes__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wc__view_changes__field_descriptors[7] =
 {
   {
     "revision",
@@ -2842,11 +2855,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChanges, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__view_changes__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   2,   /* field[2] = changes */
   4,   /* field[4] = compressed */
+  6,   /* field[6] = era */
   3,   /* field[3] = logical */
   0,   /* field[0] = revision */
   5,   /* field[5] = unpacked_bytes */
@@ -2854,7 +2880,7 @@
 static const ProtobufCIntRange wc__view_changes__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wc__view_changes__descriptor =
 {
@@ -2864,7 +2890,7 @@
   "Wc__ViewChanges",
   "wc",
   sizeof(Wc__ViewChanges),
-  6,
+  7,
   wc__view_changes__field_descriptors,
   wc__view_changes__field_indices_by_name,
   1,  wc__view_changes__number_ranges,
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -365,7 +365,7 @@
 
 
 /*
- * Change or deletion of a key in the platform's store. 
+ * Change or deletion of a key in the platform's store, at a revision of one of the store's histories. 
  */
 struct  Wc__ViewChange
 {
@@ -374,10 +374,11 @@
   ProtobufCBinaryData value;
   protobuf_c_boolean deleted;
   uint64_t revision;
+  uint64_t era;
 };
 #define WC__VIEW_CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__view_change__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0 }
 
 
 /*
@@ -397,10 +398,14 @@
    */
   ProtobufCBinaryData compressed;
   uint32_t unpacked_bytes;
+  /*
+   * Number of the store's history that revision belongs to. 
+   */
+  uint64_t era;
 };
 #define WC__VIEW_CHANGES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__view_changes__descriptor) \
-    , 0, 0, 0,NULL, 0, {0,NULL}, 0 }
+    , 0, 0, 0,NULL, 0, {0,NULL}, 0, 0 }
 
 
 /* Wc__AnswerRef methods */
--- a/src/edge/forward_metrics.c
+++ b/src/edge/forward_metrics.c
@@ -50,6 +50,9 @@
                gauges->log_lines_suppressed);
   add_gauge (text, "config_version", "Version of the configuration in force.",
              routes ? (double)wc_route_table_get_version (routes) : 0);
+  add_gauge (text, "view_era", "Number of the store's history that is known.", (double)gauges->view_era);
+  add_gauge (text, "view_held_changes", "Changes of a restored store that are held back.",
+             (double)gauges->held_changes);
   add_gauge (text, "view_revision", "Revision of the store that is known.", (double)gauges->view_revision);
   add_gauge (text, "view_age_seconds", "Time since the store confirmed the view; -1 for never.",
              gauges->view_age_us == UINT64_MAX ? -1 : (double)gauges->view_age_us / 1e6);
--- a/src/edge/forward_metrics.h
+++ b/src/edge/forward_metrics.h
@@ -25,6 +25,7 @@
 
 /**
  * struct WcForwardGauges - current state, exported together with the counters.
+ * @held_changes: changes of a restored store that are held back.
  * @view_age_us: time since the store confirmed the view; UINT64_MAX when it never did.
  * @peers: number of other live instances.
  */
@@ -33,7 +34,9 @@
   const WcForwarder            *forwarder;
   const WcPacketSocketCounters *packets;
   const WcViewReaderCounters   *reader;
+  uint64_t                      view_era;
   uint64_t                      view_revision;
+  size_t                        held_changes;
   uint64_t                      view_age_us;
   uint32_t                      peers;
   uint64_t                      peer_datagrams_malformed;
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -131,6 +131,8 @@
   .answered = request_answered,
 };
 
+static const WcStoreReplicaOps REPLICA_OPS = { .apply = apply_change, .compare = wc_store_view_compare };
+
 static const WcViewReaderOps VIEW_READER_OPS = { .view_updated = view_updated, .source_lost = source_lost };
 
 static const WcPeerEndpointOps PEER_ENDPOINT_OPS = {
@@ -163,7 +165,7 @@
   server->loop = ev_default_loop (EVFLAG_AUTO);
   server->log = wc_event_log_new (server->loop, STDOUT_FILENO, settings->instance);
   server->forwarder = wc_forwarder_new (&forwarder_settings, &FORWARDER_OPS, server);
-  server->replica = wc_store_replica_new (forwarder_settings.flow_lifetime_us, apply_change, server);
+  server->replica = wc_store_replica_new (forwarder_settings.flow_lifetime_us, &REPLICA_OPS, server);
   server->peers = wc_peer_table_new (&self);
   wc_peer_table_set_seeds (server->peers, settings->seeds, settings->seed_count);
   wc_forward_metrics_init (&server->metrics);
@@ -332,7 +334,7 @@
   uint64_t         age_us = get_view_age_us (server);
 
   server->metrics.decisions[decision->kind]++;
-  wc_decision_log_write (server->log, decision, wc_store_replica_get_revision (server->replica),
+  wc_decision_log_write (server->log, decision, wc_store_replica_get_version (server->replica).revision,
                          age_us != UINT64_MAX ? age_us : 0, server->now_us);
 }
 
@@ -367,7 +369,7 @@
   WcForwardServer *server = user_data;
 
   wc_peer_endpoint_view_changed (server->peer_endpoint);
-  if (server->is_view_loaded || wc_store_replica_get_revision (server->replica) == 0 ||
+  if (server->is_view_loaded || wc_store_replica_get_version (server->replica).revision == 0 ||
       !wc_forwarder_get_routes (server->forwarder))
     return;
   server->is_view_loaded = true;
@@ -412,7 +414,9 @@
      .forwarder = server->forwarder,
      .packets = wc_packet_socket_get_counters (server->packet_socket),
      .reader = wc_view_reader_get_counters (server->reader),
-     .view_revision = wc_store_replica_get_revision (server->replica),
+     .view_era = wc_store_replica_get_version (server->replica).era,
+     .held_changes = wc_store_replica_get_held (server->replica),
+     .view_revision = wc_store_replica_get_version (server->replica).revision,
      .view_age_us = get_view_age_us (server),
      .peers = wc_peer_table_count_live (server->peers, wc_clock_monotonic_us ()),
      .peer_datagrams_malformed = wc_peer_endpoint_get_malformed (server->peer_endpoint),
@@ -428,7 +432,7 @@
   const WcForwardServer *server = user_data;
   uint64_t               age_us = get_view_age_us (server);
 
-  gossip->revision = wc_store_replica_get_revision (server->replica);
+  gossip->revision = wc_store_replica_get_version (server->replica).revision;
   gossip->view_age_ms = age_us != UINT64_MAX ? (uint32_t)(age_us / 1000) : UINT32_MAX;
   gossip->stopping = server->stop_start_us > 0;
 }
@@ -592,7 +596,8 @@
 
   wc_event_line_add_text (line, "domain", server->settings->domain);
   wc_event_line_add_uint (line, "config", routes ? wc_route_table_get_version (routes) : 0);
-  wc_event_line_add_uint (line, "view_revision", wc_store_replica_get_revision (server->replica));
+  wc_event_line_add_uint (line, "view_era", wc_store_replica_get_version (server->replica).era);
+  wc_event_line_add_uint (line, "view_revision", wc_store_replica_get_version (server->replica).revision);
   wc_event_line_add_uint (line, "flows", wc_forwarder_get_flow_count (server->forwarder));
   wc_event_line_end (line);
 }
--- a/src/edge/peer_endpoint.c
+++ b/src/edge/peer_endpoint.c
@@ -19,22 +19,22 @@
 };
 
 /*
- * Last encoded response with the changes after a revision. Many peers wait for the same change, and a small instance
+ * Last encoded response with the changes after a version. Many peers wait for the same change, and a small instance
  * needs about 100 ms to encode a configuration of 450 kB.
  */
 typedef struct
 {
-  uint64_t after;
-  uint64_t revision;
-  uint64_t deadline_us;
-  GBytes  *body;
+  WcStoreVersion after;
+  WcStoreVersion version;
+  uint64_t       deadline_us;
+  GBytes        *body;
 } CachedResponse;
 
-/* A peer that waits for changes after a revision. */
+/* A peer that waits for changes after a version. */
 typedef struct
 {
   WcHttpExchange *exchange;
-  uint64_t        revision;
+  WcStoreVersion  version;
   uint64_t        deadline_us;
 } Waiter;
 
@@ -61,9 +61,9 @@
 static void     send_datagram (WcPeerEndpoint *endpoint, WcGossip *gossip, const WcAddress *destination);
 static void     request_received (void *user_data, WcHttpExchange *exchange);
 static void     request_aborted (void *user_data, WcHttpExchange *exchange);
-static void     respond_to_waiters (WcPeerEndpoint *endpoint, uint64_t revision, uint64_t now_us);
-static void     respond (WcPeerEndpoint *endpoint, WcHttpExchange *exchange, uint64_t revision);
-static bool     encode_changes (WcPeerEndpoint *endpoint, uint64_t after);
+static void     respond_to_waiters (WcPeerEndpoint *endpoint, WcStoreVersion version, uint64_t now_us);
+static void     respond (WcPeerEndpoint *endpoint, WcHttpExchange *exchange, WcStoreVersion after);
+static bool     encode_changes (WcPeerEndpoint *endpoint, WcStoreVersion after);
 static uint64_t get_uint_parameter (const WcHttpExchange *exchange, const char *name);
 
 WcPeerEndpoint *
@@ -146,7 +146,7 @@
 void
 wc_peer_endpoint_view_changed (WcPeerEndpoint *endpoint)
 {
-  respond_to_waiters (endpoint, wc_store_replica_get_revision (endpoint->replica), 0);
+  respond_to_waiters (endpoint, wc_store_replica_get_version (endpoint->replica), 0);
 }
 
 void
@@ -164,7 +164,7 @@
 void
 wc_peer_endpoint_tick (WcPeerEndpoint *endpoint, uint64_t now_us)
 {
-  respond_to_waiters (endpoint, 0, now_us);
+  respond_to_waiters (endpoint, (WcStoreVersion){ 0 }, now_us);
 }
 
 /* local functions */
@@ -243,17 +243,19 @@
 static void
 request_received (void *user_data, WcHttpExchange *exchange)
 {
-  WcPeerEndpoint *endpoint = user_data;
-  uint64_t        revision = get_uint_parameter (exchange, "after");
-  uint64_t        wait_ms = get_uint_parameter (exchange, "wait_ms");
-  const Waiter    waiter = { exchange, revision, wc_clock_monotonic_us () + MIN (wait_ms, LONG_POLL_MAX_MS) * 1000 };
+  WcPeerEndpoint      *endpoint = user_data;
+  const WcStoreVersion known = wc_store_replica_get_version (endpoint->replica);
+  const WcStoreVersion after = { get_uint_parameter (exchange, "era"), get_uint_parameter (exchange, "after") };
+  uint64_t             wait_ms = get_uint_parameter (exchange, "wait_ms");
+  const Waiter         waiter = { exchange, after, wc_clock_monotonic_us () + MIN (wait_ms, LONG_POLL_MAX_MS) * 1000 };
 
   if (strcmp (wc_http_exchange_get_path (exchange), "/changes") != 0)
     wc_http_exchange_respond (exchange, 404, NULL, NULL, 0);
-  else if (wc_store_replica_get_revision (endpoint->replica) == 0)
+  /* A peer that knows a later era should not wait until this instance learns of it. */
+  else if (known.revision == 0 || after.era > known.era)
     wc_http_exchange_respond (exchange, 503, NULL, NULL, 0);
-  else if (wait_ms == 0 || revision < wc_store_replica_get_revision (endpoint->replica))
-    respond (endpoint, exchange, revision);
+  else if (wait_ms == 0 || wc_store_version_compare (after, known) < 0)
+    respond (endpoint, exchange, after);
   else
     g_array_append_val (endpoint->waiters, waiter);
 }
@@ -271,28 +273,28 @@
       }
 }
 
-/* Responds to the waiters whose revision is older than @revision or whose deadline has expired at @now_us. */
+/* Responds to the waiters whose version is older than @version or whose deadline has expired at @now_us. */
 static void
-respond_to_waiters (WcPeerEndpoint *endpoint, uint64_t revision, uint64_t now_us)
+respond_to_waiters (WcPeerEndpoint *endpoint, WcStoreVersion version, uint64_t now_us)
 {
   for (guint i = endpoint->waiters->len; i > 0; i--)
     {
       const Waiter waiter = g_array_index (endpoint->waiters, Waiter, i - 1);
 
-      if (waiter.revision >= revision && now_us < waiter.deadline_us)
+      if (wc_store_version_compare (waiter.version, version) >= 0 && now_us < waiter.deadline_us)
         continue;
       g_array_remove_index_fast (endpoint->waiters, i - 1);
-      respond (endpoint, waiter.exchange, waiter.revision);
+      respond (endpoint, waiter.exchange, waiter.version);
     }
 }
 
 static void
-respond (WcPeerEndpoint *endpoint, WcHttpExchange *exchange, uint64_t revision)
+respond (WcPeerEndpoint *endpoint, WcHttpExchange *exchange, WcStoreVersion after)
 {
   gsize       size_bytes;
   const void *data;
 
-  if (!encode_changes (endpoint, revision))
+  if (!encode_changes (endpoint, after))
     {
       wc_http_exchange_respond (exchange, 410, NULL, NULL, 0);
       return;
@@ -301,29 +303,29 @@
   wc_http_exchange_respond (exchange, 200, NULL, data, size_bytes);
 }
 
-/* Fills endpoint->cached with the changes after revision @after. Return: false when these are no longer known. */
+/* Fills endpoint->cached with the changes after @after. Return: false when these are no longer known. */
 static bool
-encode_changes (WcPeerEndpoint *endpoint, uint64_t after)
+encode_changes (WcPeerEndpoint *endpoint, WcStoreVersion after)
 {
-  uint64_t     now_us = wc_clock_monotonic_us ();
-  uint64_t     revision = wc_store_replica_get_revision (endpoint->replica);
-  uint64_t     age_us = now_us - wc_store_replica_get_confirmed_us (endpoint->replica);
-  WcViewOrigin origin = {
-    .age_ms = (uint32_t)MIN (age_us / 1000, UINT32_MAX),
-    .logical = wc_event_log_get_logical_clock (endpoint->log),
+  uint64_t             now_us = wc_clock_monotonic_us ();
+  const WcStoreVersion version = wc_store_replica_get_version (endpoint->replica);
+  uint64_t             age_us = now_us - wc_store_replica_get_confirmed_us (endpoint->replica);
+  WcViewOrigin         origin = {
+            .age_ms = (uint32_t)MIN (age_us / 1000, UINT32_MAX),
+            .logical = wc_event_log_get_logical_clock (endpoint->log),
   };
   WcStoreReply reply;
   bool         is_known;
 
-  if (endpoint->cached.body && endpoint->cached.after == after && endpoint->cached.revision == revision &&
-      now_us < endpoint->cached.deadline_us)
+  if (endpoint->cached.body && wc_store_version_compare (endpoint->cached.after, after) == 0 &&
+      wc_store_version_compare (endpoint->cached.version, version) == 0 && now_us < endpoint->cached.deadline_us)
     return true;
   wc_store_reply_init (&reply);
   is_known = wc_store_replica_get_changes (endpoint->replica, after, &reply);
   if (is_known)
     {
       g_bytes_unref (endpoint->cached.body);
-      endpoint->cached = (CachedResponse){ after, revision, now_us + RESPONSE_CACHE_LIFETIME_US,
+      endpoint->cached = (CachedResponse){ after, version, now_us + RESPONSE_CACHE_LIFETIME_US,
                                            wc_view_changes_pack (&reply, &origin) };
     }
   wc_store_reply_finish (&reply);
--- a/src/edge/store_view.c
+++ b/src/edge/store_view.c
@@ -8,6 +8,9 @@
 static void apply_config (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us);
 static void
 apply_host (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t id, uint64_t now_us);
+static int  compare_configs (GBytes *a, GBytes *b);
+static int  compare_hosts (const char *key, GBytes *a, GBytes *b);
+static bool decode_host (const char *key, GBytes *value, WcHostRecord *record, WcError *error);
 static void log_rejected (WcEventLog *log, const char *event, const WcStoreChange *change, const char *reason);
 
 void
@@ -24,6 +27,16 @@
     apply_host (forwarder, log, change, id, now_us);
 }
 
+int
+wc_store_view_compare (const char *key, GBytes *a, GBytes *b)
+{
+  assert (key != NULL && a != NULL && b != NULL);
+
+  if (wc_config_wire_is_key (key))
+    return compare_configs (a, b);
+  return wc_host_wire_id_from_key (key) != 0 ? compare_hosts (key, a, b) : 0;
+}
+
 /* local functions */
 
 static void
@@ -53,31 +66,67 @@
 {
   WcError      error = { 0 };
   WcHostRecord record;
-  gsize        size_bytes;
-  const void  *bytes;
 
   if (!change->value)
     {
       wc_forwarder_set_host_gone (forwarder, id, now_us);
       return;
     }
-  bytes = g_bytes_get_data (change->value, &size_bytes);
-  if (wc_host_wire_decode (change->key, bytes, size_bytes, &record, &error) == WC_STATUS_OK)
+  if (decode_host (change->key, change->value, &record, &error))
     {
-      wc_forwarder_put_host (forwarder, &record, change->revision, now_us);
+      wc_forwarder_put_host (forwarder, &record, change->version.revision, now_us);
       return;
     }
   log_rejected (log, "host_rejected", change, error.message);
   wc_forwarder_set_host_gone (forwarder, id, now_us);
 }
 
+static int
+compare_configs (GBytes *a, GBytes *b)
+{
+  uint64_t versions[2];
+  GBytes  *values[] = { a, b };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      gsize       size_bytes;
+      const void *bytes = g_bytes_get_data (values[i], &size_bytes);
+
+      if (!wc_config_wire_decode_version (bytes, size_bytes, &versions[i]))
+        return 0;
+    }
+  return (versions[0] > versions[1]) - (versions[0] < versions[1]);
+}
+
+static int
+compare_hosts (const char *key, GBytes *a, GBytes *b)
+{
+  WcHostRecord first;
+  WcHostRecord second;
+  WcError      error;
+
+  if (!decode_host (key, a, &first, &error) || !decode_host (key, b, &second, &error))
+    return 0;
+  return wc_host_record_compare (&first, &second);
+}
+
+static bool
+decode_host (const char *key, GBytes *value, WcHostRecord *record, WcError *error)
+{
+  gsize       size_bytes;
+  const void *bytes = g_bytes_get_data (value, &size_bytes);
+
+  return wc_host_wire_decode (key, bytes, size_bytes, record, error) == WC_STATUS_OK;
+}
+
 static void
 log_rejected (WcEventLog *log, const char *event, const WcStoreChange *change, const char *reason)
 {
   WcEventLine *line = wc_event_log_begin (log, "view", event);
 
   wc_event_line_add_text (line, "key", change->key);
-  wc_event_line_add_uint (line, "revision", change->revision);
+  wc_event_line_add_uint (line, "era", change->version.era);
+  wc_event_line_add_uint (line, "revision", change->version.revision);
   wc_event_line_add_text (line, "reason", reason);
   wc_event_line_end (line);
 }
--- a/src/edge/store_view.h
+++ b/src/edge/store_view.h
@@ -13,4 +13,12 @@
  */
 void wc_store_view_apply (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us);
 
+/**
+ * wc_store_view_compare() - order two values of a key by what their writer put into them: configurations by version,
+ * entries of a host by its start and its own count of changes.
+ *
+ * Return: negative when @a is older than @b, positive when it is newer, 0 when they cannot be ordered.
+ */
+int wc_store_view_compare (const char *key, GBytes *a, GBytes *b);
+
 #endif
--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -76,8 +76,8 @@
 static void read_finished (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
                            const char *body, size_t size_bytes);
 static void set_store_era (WcViewReader *reader, uint64_t era);
-static bool decode_reply (const WcViewReader *reader, const char *body, size_t size_bytes, WcStoreReply *reply,
-                          uint64_t *age_us, WcError *error);
+static bool decode_reply (const WcViewReader *reader, uint64_t era, const char *body, size_t size_bytes,
+                          WcStoreReply *reply, uint64_t *age_us, WcError *error);
 static void reply_received (WcViewReader *reader, WcPlatformRead read, const WcStoreReply *reply, uint64_t age_us);
 static void handle_read_failure (WcViewReader *reader, const char *reason);
 static void avoid_peer (WcViewReader *reader);
@@ -190,7 +190,7 @@
     }
   else
     {
-      path = wc_store_wire_watch_path (wc_store_replica_get_revision (reader->replica), wait_ms);
+      path = wc_store_wire_watch_path (wc_store_replica_get_version (reader->replica).revision, wait_ms);
       wc_platform_client_get (reader->store_client, WC_PLATFORM_READ_STORE_CHANGES, path, wait_ms);
     }
   g_free (path);
@@ -200,10 +200,11 @@
 static void
 read_peer (WcViewReader *reader, WcStoreRead read)
 {
-  bool     is_range = read == WC_STORE_READ_RANGE;
-  uint64_t revision = is_range ? 0 : wc_store_replica_get_revision (reader->replica);
-  uint32_t wait_ms = is_range ? 0 : WATCH_WAIT_MS;
-  char    *path = g_strdup_printf ("/changes?after=%" G_GUINT64_FORMAT "&wait_ms=%u", revision, wait_ms);
+  bool                 is_range = read == WC_STORE_READ_RANGE;
+  const WcStoreVersion version = wc_store_replica_get_version (reader->replica);
+  uint32_t             wait_ms = is_range ? 0 : WATCH_WAIT_MS;
+  char *path = g_strdup_printf ("/changes?era=%" G_GUINT64_FORMAT "&after=%" G_GUINT64_FORMAT "&wait_ms=%u",
+                                version.era, is_range ? 0 : version.revision, wait_ms);
 
   reader->counters.peer_reads++;
   wc_platform_client_get (reader->peer_client, is_range ? WC_PLATFORM_READ_STORE_ITEMS : WC_PLATFORM_READ_STORE_CHANGES,
@@ -248,7 +249,7 @@
   WcError       error;
   uint64_t      age_us = 0;
 
-  if (reader->source.kind == WC_VIEW_SOURCE_STORE && version != 0)
+  if (reader->source.kind == WC_VIEW_SOURCE_STORE)
     set_store_era (reader, version);
   if (result == WC_PLATFORM_RESULT_EXPIRED)
     {
@@ -264,7 +265,7 @@
       return;
     }
   wc_store_reply_init (&reply);
-  if (decode_reply (reader, body, size_bytes, &reply, &age_us, &error))
+  if (decode_reply (reader, version, body, size_bytes, &reply, &age_us, &error))
     reply_received (reader, read, &reply, age_us);
   else
     handle_read_failure (reader, error.message);
@@ -275,21 +276,21 @@
 static void
 set_store_era (WcViewReader *reader, uint64_t era)
 {
-  bool is_restored = reader->store_era != 0 && era != reader->store_era;
+  bool is_new = era > reader->store_era;
 
-  reader->store_era = era;
-  if (is_restored)
+  reader->store_era = MAX (reader->store_era, era);
+  if (is_new && wc_store_replica_get_version (reader->replica).revision > 0)
     log_state (reader, "store_restored", "the store was restored from an older copy");
 }
 
 static bool
-decode_reply (const WcViewReader *reader, const char *body, size_t size_bytes, WcStoreReply *reply, uint64_t *age_us,
-              WcError *error)
+decode_reply (const WcViewReader *reader, uint64_t era, const char *body, size_t size_bytes, WcStoreReply *reply,
+              uint64_t *age_us, WcError *error)
 {
   WcViewOrigin origin;
 
   if (reader->source.kind == WC_VIEW_SOURCE_STORE)
-    return wc_store_wire_decode (body, size_bytes, reply, error) == WC_STATUS_OK;
+    return wc_store_wire_decode (body, size_bytes, era, reply, error) == WC_STATUS_OK;
   if (wc_view_changes_unpack (body, size_bytes, reply, &origin) != WC_STATUS_OK)
     {
       wc_error_set (error, WC_STATUS_PARSE, "response of the peer cannot be decoded");
@@ -306,9 +307,16 @@
   uint64_t    now_us = wc_clock_monotonic_us ();
   WcStoreRead sync_read = read == WC_PLATFORM_READ_STORE_ITEMS ? WC_STORE_READ_RANGE : WC_STORE_READ_CHANGES;
 
+  /* The store's answers are linearizable, so that a lower version is not its current state. */
+  if (reader->source.kind == WC_VIEW_SOURCE_STORE &&
+      wc_store_version_compare (reply->version, wc_store_replica_get_version (reader->replica)) < 0)
+    {
+      handle_read_failure (reader, "response is older than the view");
+      return;
+    }
   if (!wc_store_sync_answered (reader->sync, sync_read, reply, age_us, now_us))
     {
-      handle_read_failure (reader, "response does not continue the range");
+      handle_read_failure (reader, "response does not continue the range, or is of an earlier era");
       return;
     }
   if (reader->source.kind == WC_VIEW_SOURCE_STORE && reader->store_lost)
@@ -371,6 +379,7 @@
 log_state (WcViewReader *reader, const char *event, const char *reason)
 {
   static const char *const source_names[] = { "store", "peer", "none" };
+  const WcStoreVersion     version = wc_store_replica_get_version (reader->replica);
   uint64_t                 confirmed_us = wc_store_replica_get_confirmed_us (reader->replica);
   WcEventLine             *line = wc_event_log_begin (reader->log, "view", event);
   char                     text[WC_ADDRESS_TEXT_BYTES];
@@ -378,8 +387,8 @@
   wc_event_line_add_text (line, "source", source_names[reader->source.kind]);
   if (reader->source.kind == WC_VIEW_SOURCE_PEER)
     wc_event_line_add_text (line, "peer", wc_address_format (&reader->source.peer, text));
-  wc_event_line_add_uint (line, "store_era", reader->store_era);
-  wc_event_line_add_uint (line, "view_revision", wc_store_replica_get_revision (reader->replica));
+  wc_event_line_add_uint (line, "view_era", version.era);
+  wc_event_line_add_uint (line, "view_revision", version.revision);
   if (confirmed_us > 0)
     wc_event_line_add_uint (line, "view_age_ms", (wc_clock_monotonic_us () - confirmed_us) / 1000);
   if (reason[0] != '\0')
--- a/src/forward/gossip.c
+++ b/src/forward/gossip.c
@@ -107,13 +107,15 @@
 
       wc__view_change__init (&changes[i]);
       changes[i].key = change->key;
-      changes[i].revision = change->revision;
+      changes[i].revision = change->version.revision;
+      changes[i].era = change->version.era;
       changes[i].deleted = change->value == NULL;
       if (change->value)
         changes[i].value.data = (uint8_t *)g_bytes_get_data (change->value, &changes[i].value.len);
       list[i] = &changes[i];
     }
-  message.revision = reply->revision;
+  message.revision = reply->version.revision;
+  message.era = reply->version.era;
   message.age_ms = origin->age_ms;
   message.logical = origin->logical;
   message.n_changes = count;
@@ -140,12 +142,12 @@
   for (size_t i = 0; i < message->n_changes; i++)
     {
       const Wc__ViewChange *change = message->changes[i];
+      const WcStoreVersion  version = { change->era, change->revision };
 
       wc_store_reply_add (reply, change->key,
-                          change->deleted ? NULL : g_bytes_new (change->value.data, change->value.len),
-                          change->revision);
+                          change->deleted ? NULL : g_bytes_new (change->value.data, change->value.len), version);
     }
-  reply->revision = message->revision;
+  reply->version = (WcStoreVersion){ message->era, message->revision };
   *origin = (WcViewOrigin){ message->age_ms, message->logical };
   wc__view_changes__free_unpacked (message, NULL);
   return WC_STATUS_OK;
--- a/src/forward/host_table.c
+++ b/src/forward/host_table.c
@@ -39,6 +39,16 @@
 static void     claim_cookie (WcHostTable *table, WcHost *host);
 static void     reset_health (WcHost *host);
 
+int
+wc_host_record_compare (const WcHostRecord *a, const WcHostRecord *b)
+{
+  if (a->started_ms != b->started_ms)
+    return a->started_ms == 0 || b->started_ms == 0 ? 0 : a->started_ms < b->started_ms ? -1 : 1;
+  if (a->sequence == 0 || b->sequence == 0)
+    return 0;
+  return (a->sequence > b->sequence) - (a->sequence < b->sequence);
+}
+
 WcHostTable *
 wc_host_table_new (uint64_t gone_retention_us)
 {
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -39,6 +39,7 @@
  * @warm_up_left_ms: remaining warm-up time when the host published the entry.
  * @started_ms: wall-clock time of the host's start by its own clock; 0 when not published. Only compared with other
  * values of the same host.
+ * @sequence: the host's count of what it published since its start; 0 when not published.
  */
 typedef struct
 {
@@ -51,8 +52,16 @@
   uint16_t    slots;
   uint32_t    warm_up_left_ms;
   uint64_t    started_ms;
+  uint64_t    sequence;
 } WcHostRecord;
 
+/**
+ * wc_host_record_compare() - order two records of the same host.
+ *
+ * Return: negative when @a is older than @b, positive when it is newer, 0 when they cannot be ordered.
+ */
+int wc_host_record_compare (const WcHostRecord *a, const WcHostRecord *b);
+
 /**
  * struct WcHost - a host with the local state of this instance.
  * @cookie: identifies the host in the packets of its flows; never 0.
--- a/src/forward/store_change.c
+++ b/src/forward/store_change.c
@@ -12,7 +12,7 @@
   reply->changes = g_array_new (FALSE, FALSE, sizeof (WcStoreChange));
   g_array_set_clear_func (reply->changes, clear_change);
   reply->has_more = false;
-  reply->revision = 0;
+  reply->version = (WcStoreVersion){ 0 };
 }
 
 void
@@ -25,9 +25,9 @@
 }
 
 void
-wc_store_reply_add (WcStoreReply *reply, const char *key, GBytes *value, uint64_t revision)
+wc_store_reply_add (WcStoreReply *reply, const char *key, GBytes *value, WcStoreVersion version)
 {
-  const WcStoreChange change = { g_strdup (key), value, revision };
+  const WcStoreChange change = { g_strdup (key), value, version };
 
   g_array_append_val (reply->changes, change);
 }
--- a/src/forward/store_change.h
+++ b/src/forward/store_change.h
@@ -7,30 +7,32 @@
 
 #include <glib.h>
 
+#include "forward/store_version.h"
+
 /**
  * struct WcStoreChange - an item of the store as written, or its deletion.
  * @key: name of the item.
  * @value: bytes of the item; NULL when it was deleted.
- * @revision: store revision of this change.
+ * @version: position of this change in the history of the store.
  */
 typedef struct
 {
-  char    *key;
-  GBytes  *value;
-  uint64_t revision;
+  char          *key;
+  GBytes        *value;
+  WcStoreVersion version;
 } WcStoreChange;
 
 /**
  * struct WcStoreReply - changes in a reply to a read of the store or of a peer.
  * @changes: elements of type WcStoreChange, in the order of the reply; the array owns them.
  * @has_more: the range continues after the last key.
- * @revision: store revision at the time of the reply; a watch continues from it.
+ * @version: the store's position in its history at the time of the reply; a watch continues from it.
  */
 typedef struct
 {
-  GArray  *changes;
-  bool     has_more;
-  uint64_t revision;
+  GArray        *changes;
+  bool           has_more;
+  WcStoreVersion version;
 } WcStoreReply;
 
 /** wc_store_reply_init() - initialize an empty reply. */
@@ -40,6 +42,6 @@
 void wc_store_reply_finish (WcStoreReply *reply);
 
 /** wc_store_reply_add() - append a change; takes ownership of the reference to @value. */
-void wc_store_reply_add (WcStoreReply *reply, const char *key, GBytes *value, uint64_t revision);
+void wc_store_reply_add (WcStoreReply *reply, const char *key, GBytes *value, WcStoreVersion version);
 
 #endif
--- a/src/forward/store_sync.c
+++ b/src/forward/store_sync.c
@@ -17,17 +17,20 @@
 /*
  * @full_read_done: all items were read once.
  * @after_key: last key of the pages read so far; NULL before the first page.
+ * @page_era: era of those pages.
  */
 struct WcStoreSync
 {
   WcStoreReplica *replica;
   bool            full_read_done;
   char           *after_key;
+  uint64_t        page_era;
   uint32_t        failures;
 };
 
-static bool is_next_page (const WcStoreSync *sync, const WcStoreReply *reply);
-static void restart_full_read (WcStoreSync *sync);
+static bool     is_next_page (const WcStoreSync *sync, const WcStoreReply *reply);
+static uint64_t get_page_era (const WcStoreSync *sync, const WcStoreReply *reply);
+static void     restart_full_read (WcStoreSync *sync);
 
 WcStoreSync *
 wc_store_sync_new (WcStoreReplica *replica)
@@ -62,11 +65,18 @@
 wc_store_sync_answered (WcStoreSync *sync, WcStoreRead read, const WcStoreReply *reply, uint64_t age_us,
                         uint64_t now_us)
 {
+  const uint64_t known_era = wc_store_replica_get_version (sync->replica).era;
+
   assert (sync != NULL && reply != NULL);
 
-  if (read == WC_STORE_READ_RANGE && !is_next_page (sync, reply))
+  if (reply->version.era < known_era || (read == WC_STORE_READ_RANGE && !is_next_page (sync, reply)))
     return false;
   sync->failures = 0;
+  if (reply->version.era != (read == WC_STORE_READ_CHANGES ? known_era : get_page_era (sync, reply)))
+    {
+      restart_full_read (sync);
+      return true;
+    }
   if (read == WC_STORE_READ_CHANGES)
     {
       wc_store_replica_add_changes (sync->replica, reply, age_us, now_us);
@@ -74,6 +84,7 @@
     }
   if (!sync->after_key)
     wc_store_replica_begin_full_read (sync->replica);
+  sync->page_era = reply->version.era;
   sync->full_read_done = wc_store_replica_add_page (sync->replica, reply, age_us, now_us);
   g_free (sync->after_key);
   sync->after_key = NULL;
@@ -133,6 +144,13 @@
   return true;
 }
 
+/* Return: era that a page must have to continue the full read; the first page may have any. */
+static uint64_t
+get_page_era (const WcStoreSync *sync, const WcStoreReply *reply)
+{
+  return sync->after_key ? sync->page_era : reply->version.era;
+}
+
 static void
 restart_full_read (WcStoreSync *sync)
 {
--- a/src/forward/store_sync.h
+++ b/src/forward/store_sync.h
@@ -17,7 +17,7 @@
 
 /**
  * struct WcStoreSync - keeps a replica up to date from a source: first reads all items page by page, then their
- * changes; starts again with all items when the source no longer keeps the missing changes.
+ * changes; starts again with all items when the source no longer keeps the missing changes, or has a new era.
  */
 typedef struct WcStoreSync WcStoreSync;
 
@@ -35,8 +35,11 @@
  * wc_store_sync_answered() - process the reply to a read.
  * @age_us: age of the source's own data when it replied; 0 for the store.
  *
+ * A reply of another era than the view or the pages before it is not applied; the full read starts again.
+ *
  * Return: false when the reply cannot belong to the read, such as a page that does not continue the one before it, or
- * is empty although more follow. It is not applied, and counts as a failed read.
+ * is empty although more follow, or when its era is older than that of the view. It is not applied, and counts as a
+ * failed read.
  */
 bool wc_store_sync_answered (WcStoreSync *sync, WcStoreRead read, const WcStoreReply *reply, uint64_t age_us,
                              uint64_t now_us);
--- a/tests/fuzz/fuzz_parsers.c
+++ b/tests/fuzz/fuzz_parsers.c
@@ -500,7 +500,7 @@
   WcStoreReply reply;
 
   wc_store_reply_init (&reply);
-  accepted[KIND_STORE_REPLY] += wc_store_wire_decode (text, length, &reply, NULL) == WC_STATUS_OK;
+  accepted[KIND_STORE_REPLY] += wc_store_wire_decode (text, length, 1, &reply, NULL) == WC_STATUS_OK;
   wc_store_reply_finish (&reply);
   g_free (text);
 }
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -104,19 +104,22 @@
 
   wc_store_reply_init (&reply);
   wc_store_reply_init (&copy);
-  reply.revision = 12;
-  wc_store_reply_add (&reply, "servers/i-1", g_bytes_new ("\0\xff{", 3), 11);
-  wc_store_reply_add (&reply, "servers/i-2", NULL, 12);
+  reply.version = (WcStoreVersion){ 3, 12 };
+  wc_store_reply_add (&reply, "servers/i-1", g_bytes_new ("\0\xff{", 3), (WcStoreVersion){ 2, 11 });
+  wc_store_reply_add (&reply, "servers/i-2", NULL, (WcStoreVersion){ 3, 12 });
   packed = wc_view_changes_pack (&reply, &origin);
   ck_assert_int_eq (
       wc_view_changes_unpack (g_bytes_get_data (packed, NULL), g_bytes_get_size (packed), &copy, &copy_origin),
       WC_STATUS_OK);
-  ck_assert_uint_eq (copy.revision, 12);
+  ck_assert_uint_eq (copy.version.era, 3);
+  ck_assert_uint_eq (copy.version.revision, 12);
   ck_assert_uint_eq (copy_origin.age_ms, 250);
   ck_assert_uint_eq (copy_origin.logical, 99);
   ck_assert_uint_eq (copy.changes->len, 2);
   change = &g_array_index (copy.changes, WcStoreChange, 0);
   ck_assert_str_eq (change->key, "servers/i-1");
+  ck_assert_uint_eq (change->version.era, 2);
+  ck_assert_uint_eq (change->version.revision, 11);
   ck_assert_mem_eq (g_bytes_get_data (change->value, NULL), "\0\xff{", 3);
   ck_assert_ptr_null (g_array_index (copy.changes, WcStoreChange, 1).value);
   g_bytes_unref (packed);
@@ -146,14 +149,15 @@
                             i % 250, 1000 + i);
   wc_store_reply_init (&reply);
   wc_store_reply_init (&copy);
-  reply.revision = 12;
-  wc_store_reply_add (&reply, "op/config", g_bytes_new (config->str, config->len), 11);
+  reply.version = (WcStoreVersion){ 3, 12 };
+  wc_store_reply_add (&reply, "op/config", g_bytes_new (config->str, config->len), (WcStoreVersion){ 3, 11 });
   packed = wc_view_changes_pack (&reply, &origin);
   size_bytes = g_bytes_get_size (packed);
   ck_assert_uint_lt (size_bytes, config->len / 4);
   ck_assert_int_eq (wc_view_changes_unpack (g_bytes_get_data (packed, NULL), size_bytes, &copy, &copy_origin),
                     WC_STATUS_OK);
-  ck_assert_uint_eq (copy.revision, 12);
+  ck_assert_uint_eq (copy.version.era, 3);
+  ck_assert_uint_eq (copy.version.revision, 12);
   ck_assert_uint_eq (copy_origin.age_ms, 250);
   ck_assert_mem_eq (g_bytes_get_data (g_array_index (copy.changes, WcStoreChange, 0).value, NULL), config->str,
                     config->len);
--- a/tests/test_peer_endpoint.c
+++ b/tests/test_peer_endpoint.c
@@ -7,6 +7,7 @@
 
 #include "edge/clock.h"
 #include "edge/peer_endpoint.h"
+#include "edge/store_view.h"
 #include "edge/socket_address.h"
 
 /* Peer endpoints on loopback. Each one puts its incarnation into its host reports, which shows their origin. */
@@ -71,6 +72,7 @@
 static void
 start (Instance *instance, struct ev_loop *loop, uint64_t incarnation)
 {
+  static const WcStoreReplicaOps replica_ops = { .apply = apply, .compare = wc_store_view_compare };
   static const WcPeerEndpointOps ops = { fill_own_state, add_next_reports, add_host_reports, gossip_received };
   const WcPeerEntry              self = {
                  .address = { .ip = { 127, 0, 0, 1 },
@@ -87,7 +89,7 @@
   instance->address = self.address;
   instance->log = wc_event_log_new (loop, STDERR_FILENO, "test");
   instance->peers = wc_peer_table_new (&self);
-  instance->replica = wc_store_replica_new (60 * 1000 * 1000, apply, instance);
+  instance->replica = wc_store_replica_new (60 * 1000 * 1000, &replica_ops, instance);
   instance->endpoint = wc_peer_endpoint_new (loop, &self.address, instance->peers, instance->replica, instance->log,
                                              &ops, instance, &error);
   ck_assert_msg (instance->endpoint != NULL, "%s", error.message);
--- a/tests/test_store_replica.c
+++ b/tests/test_store_replica.c
@@ -1,5 +1,6 @@
 #include "test_main.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "forward/store_replica.h"
@@ -26,6 +27,16 @@
   strncpy (applied->last_key, change->key, sizeof applied->last_key - 1);
 }
 
+/* Values are texts "=N"; the higher number is the newer one. */
+static int
+compare (const char *key, GBytes *a, GBytes *b)
+{
+  (void)key;
+  return atoi ((const char *)g_bytes_get_data (a, NULL) + 1) - atoi ((const char *)g_bytes_get_data (b, NULL) + 1);
+}
+
+static const WcStoreReplicaOps OPS = { .apply = apply, .compare = compare };
+
 /* Fills a reply at @revision from "key=revision" pairs, "-key=revision" for a deletion. */
 static void
 fill (WcStoreReply *reply, uint64_t revision, const char *items)
@@ -33,15 +44,16 @@
   char **list = g_strsplit (items, " ", -1);
 
   wc_store_reply_init (reply);
-  reply->revision = revision;
+  reply->version.revision = revision;
   for (char **item = list; *item && **item; item++)
     {
       char   *equals = strchr (*item, '=');
       bool    deleted = **item == '-';
-      GBytes *value = deleted ? NULL : g_bytes_new (equals, strlen (equals));
+      GBytes *value = deleted ? NULL : g_bytes_new (equals, strlen (equals) + 1);
 
       *equals = '\0';
-      wc_store_reply_add (reply, *item + deleted, value, g_ascii_strtoull (equals + 1, NULL, 10));
+      wc_store_reply_add (reply, *item + deleted, value,
+                          (WcStoreVersion){ .revision = g_ascii_strtoull (equals + 1, NULL, 10) });
     }
   g_strfreev (list);
 }
@@ -71,14 +83,14 @@
 START_TEST (older_revisions_are_ignored)
 {
   AppliedChanges  applied = { 0 };
-  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, apply, &applied);
+  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, &OPS, &applied);
 
   read_all (replica, 10, "op/config=9", 1000);
   read_changes (replica, 20, "op/config=15", 0, 2000);
   read_changes (replica, 12, "op/config=12", 0, 3000);
   read_changes (replica, 20, "op/config=15", 0, 4000);
   ck_assert_uint_eq (applied.changes, 2);
-  ck_assert_uint_eq (wc_store_replica_get_revision (replica), 20);
+  ck_assert_uint_eq (wc_store_replica_get_version (replica).revision, 20);
   wc_store_replica_delete (replica);
 }
 END_TEST
@@ -87,7 +99,7 @@
 START_TEST (lagging_source_does_not_confirm)
 {
   AppliedChanges  applied = { 0 };
-  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, apply, &applied);
+  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, &OPS, &applied);
 
   read_all (replica, 10, "a=9", 1000000);
   read_changes (replica, 5, "", 0, 2000000);
@@ -102,7 +114,7 @@
 START_TEST (full_read_detects_deletions)
 {
   AppliedChanges  applied = { 0 };
-  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, apply, &applied);
+  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, &OPS, &applied);
 
   read_all (replica, 10, "a=1 b=2 c=3", 1000);
   read_all (replica, 50, "a=1 c=40", 2000);
@@ -122,7 +134,7 @@
 START_TEST (write_between_pages_is_kept)
 {
   AppliedChanges  applied = { 0 };
-  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, apply, &applied);
+  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, &OPS, &applied);
   WcStoreReply    reply;
 
   read_all (replica, 10, "a=1 b=2", 1000);
@@ -137,7 +149,7 @@
   ck_assert (wc_store_replica_add_page (replica, &reply, 0, 3000));
   wc_store_reply_finish (&reply);
   ck_assert_uint_eq (applied.deletions, 0);
-  ck_assert_uint_eq (wc_store_replica_get_revision (replica), 30);
+  ck_assert_uint_eq (wc_store_replica_get_version (replica).revision, 30);
   wc_store_replica_delete (replica);
 }
 END_TEST
@@ -146,27 +158,27 @@
 START_TEST (changes_include_tombstones_until_evicted)
 {
   AppliedChanges  applied = { 0 };
-  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, apply, &applied);
+  WcStoreReplica *replica = wc_store_replica_new (TOMBSTONE_LIFETIME_US, &OPS, &applied);
   WcStoreReply    reply;
 
   read_all (replica, 10, "a=1 b=2", 1000);
   read_changes (replica, 12, "-b=11 c=12", 0, 2000);
   wc_store_reply_init (&reply);
-  ck_assert (wc_store_replica_get_changes (replica, 10, &reply));
+  ck_assert (wc_store_replica_get_changes (replica, (WcStoreVersion){ 0, 10 }, &reply));
   ck_assert_uint_eq (reply.changes->len, 2);
   ck_assert_str_eq (g_array_index (reply.changes, WcStoreChange, 0).key, "b");
   ck_assert_ptr_null (g_array_index (reply.changes, WcStoreChange, 0).value);
-  ck_assert_uint_eq (reply.revision, 12);
+  ck_assert_uint_eq (reply.version.revision, 12);
   wc_store_reply_finish (&reply);
 
   read_changes (replica, 12, "", 0, 2000 + TOMBSTONE_LIFETIME_US);
   wc_store_reply_init (&reply);
-  ck_assert (!wc_store_replica_get_changes (replica, 10, &reply));
-  ck_assert (wc_store_replica_get_changes (replica, 11, &reply));
+  ck_assert (!wc_store_replica_get_changes (replica, (WcStoreVersion){ 0, 10 }, &reply));
+  ck_assert (wc_store_replica_get_changes (replica, (WcStoreVersion){ 0, 11 }, &reply));
   wc_store_reply_finish (&reply);
   /* A reader that requests everything always receives it, without tombstones. */
   wc_store_reply_init (&reply);
-  ck_assert (wc_store_replica_get_changes (replica, 0, &reply));
+  ck_assert (wc_store_replica_get_changes (replica, (WcStoreVersion){ 0, 0 }, &reply));
   ck_assert_uint_eq (reply.changes->len, 2);
   wc_store_reply_finish (&reply);
   wc_store_replica_delete (replica);
--- a/tests/test_store_restore.c
+++ b/tests/test_store_restore.c
@@ -27,11 +27,19 @@
   return wc_emulated_store_put (fixture->store, key, value, strlen (value));
 }
 
+/* The first instance has loaded its view. */
+static void
+init_loaded (ViewFixture *fixture)
+{
+  view_fixture_init (fixture);
+  view_wait_for_revision (fixture, &fixture->first, 10);
+}
+
 /* The first instance has loaded a view with configuration 1, of which the store has a copy. */
 static void
 init_with_copy (ViewFixture *fixture)
 {
-  view_fixture_init (fixture);
+  init_loaded (fixture);
   put (fixture, CONFIG_KEY, CONFIG_1);
   view_wait_for_value (fixture, &fixture->first, CONFIG_KEY, CONFIG_1);
   wc_emulated_store_save_copy (fixture->store);
@@ -143,10 +151,11 @@
 {
   ViewFixture fixture;
 
-  view_fixture_init (&fixture);
+  init_loaded (&fixture);
   put (&fixture, HOST_KEY, HOST_READY);
   put (&fixture, "servers/i-b2", HOST_READY);
   wc_emulated_store_save_copy (fixture.store);
+  view_wait_for_value (&fixture, &fixture.first, "servers/i-b2", HOST_READY);
   put (&fixture, HOST_KEY, HOST_DRAINING);
   view_wait_for_value (&fixture, &fixture.first, HOST_KEY, HOST_DRAINING);
   wc_emulated_store_remove (fixture.store, "servers/i-b2");
@@ -205,9 +214,10 @@
 {
   ViewFixture fixture;
 
-  view_fixture_init (&fixture);
+  init_loaded (&fixture);
   put (&fixture, HOST_KEY, HOST_READY);
   wc_emulated_store_save_copy (fixture.store);
+  view_wait_for_value (&fixture, &fixture.first, HOST_KEY, HOST_READY);
   wc_emulated_store_remove (fixture.store, HOST_KEY);
   put (&fixture, "other", "x");
   view_wait_for_value (&fixture, &fixture.first, "other", "x");
@@ -230,13 +240,15 @@
   put (&fixture, HOST_KEY, HOST_READY);
   put (&fixture, "servers/i-b2", HOST_READY);
   wc_emulated_store_save_copy (fixture.store);
+  view_wait_for_value (&fixture, &fixture.first, "servers/i-b2", HOST_READY);
   put (&fixture, CONFIG_KEY, CONFIG_2);
   put (&fixture, HOST_KEY, HOST_DRAINING);
   wc_emulated_store_remove (fixture.store, "servers/i-b2");
+  view_wait_for_value (&fixture, &fixture.first, CONFIG_KEY, CONFIG_2);
   view_wait_for_value (&fixture, &fixture.first, "servers/i-b2", NULL);
   wc_emulated_store_restore_copy (fixture.store);
   put (&fixture, "other", "x");
-  view_wait_for_value (&fixture, &fixture.first, "other", "x");
+  view_wait_for_era (&fixture, &fixture.first, 2);
   view_fixture_start (&fixture, &fixture.second, 2, "b", &nobody);
   view_add_peer (&fixture.second, &fixture.first);
   view_wait_for_value (&fixture, &fixture.second, "other", "x");
@@ -272,7 +284,8 @@
     }
   while (wc_peer_rank (&wc_peer_table_get_self (fixture.second.peers)->address) <
          wc_peer_rank (&wc_peer_table_get_self (fixture.first.peers)->address));
-  view_wait_for_value (&fixture, &fixture.second, CONFIG_KEY, CONFIG_3);
+  view_wait_for_era (&fixture, &fixture.second, 2);
+  ck_assert (view_has_value (&fixture.second, CONFIG_KEY, CONFIG_3));
   view_add_peer (&fixture.second, &fixture.first);
   put (&fixture, "later", "y");
   /* The watch of the store ends after one second; a wait for the peer would take as long again. */
--- a/tests/test_store_sync.c
+++ b/tests/test_store_sync.c
@@ -9,6 +9,17 @@
   (void)change;
 }
 
+static int
+cannot_compare (const char *key, GBytes *a, GBytes *b)
+{
+  (void)key;
+  (void)a;
+  (void)b;
+  return 0;
+}
+
+static const WcStoreReplicaOps OPS = { .apply = ignore_change, .compare = cannot_compare };
+
 static bool
 answer (WcStoreSync *sync, WcStoreRead read, uint64_t revision, const char *key, bool has_more)
 {
@@ -16,10 +27,10 @@
   bool         is_applied;
 
   wc_store_reply_init (&reply);
-  reply.revision = revision;
+  reply.version.revision = revision;
   reply.has_more = has_more;
   if (key)
-    wc_store_reply_add (&reply, key, g_bytes_new ("v", 1), revision);
+    wc_store_reply_add (&reply, key, g_bytes_new ("v", 1), reply.version);
   is_applied = wc_store_sync_answered (sync, read, &reply, 0, 1000);
   wc_store_reply_finish (&reply);
   return is_applied;
@@ -28,7 +39,7 @@
 /* Guards against pages that are skipped or read forever, and against changes missed between the pages. */
 START_TEST (pages_then_changes)
 {
-  WcStoreReplica *replica = wc_store_replica_new (1000, ignore_change, NULL);
+  WcStoreReplica *replica = wc_store_replica_new (1000, &OPS, NULL);
   WcStoreSync    *sync = wc_store_sync_new (replica);
   const char     *after;
 
@@ -40,7 +51,7 @@
   answer (sync, WC_STORE_READ_RANGE, 12, "b", false);
   ck_assert_int_eq (wc_store_sync_next (sync, &after), WC_STORE_READ_CHANGES);
   /* Changes since the first page, because the pages are not a consistent snapshot. */
-  ck_assert_uint_eq (wc_store_replica_get_revision (replica), 10);
+  ck_assert_uint_eq (wc_store_replica_get_version (replica).revision, 10);
   wc_store_sync_delete (sync);
   wc_store_replica_delete (replica);
 }
@@ -52,7 +63,7 @@
  */
 START_TEST (wrong_page_is_not_applied)
 {
-  WcStoreReplica *replica = wc_store_replica_new (1000, ignore_change, NULL);
+  WcStoreReplica *replica = wc_store_replica_new (1000, &OPS, NULL);
   WcStoreSync    *sync = wc_store_sync_new (replica);
   const char     *after;
 
@@ -63,7 +74,7 @@
   ck_assert (!answer (sync, WC_STORE_READ_RANGE, 10, NULL, true));
   ck_assert_int_eq (wc_store_sync_next (sync, &after), WC_STORE_READ_RANGE);
   ck_assert_str_eq (after, "b");
-  ck_assert_uint_eq (wc_store_replica_get_revision (replica), 0);
+  ck_assert_uint_eq (wc_store_replica_get_version (replica).revision, 0);
   (void)wc_store_sync_failed (sync);
   ck_assert_int_eq (wc_store_sync_next (sync, &after), WC_STORE_READ_RANGE);
   ck_assert_ptr_null (after);
@@ -82,7 +93,7 @@
 /* Guards against a replica that waits for changes which the store no longer keeps. */
 START_TEST (compacted_history_restarts_full_read)
 {
-  WcStoreReplica *replica = wc_store_replica_new (1000, ignore_change, NULL);
+  WcStoreReplica *replica = wc_store_replica_new (1000, &OPS, NULL);
   WcStoreSync    *sync = wc_store_sync_new (replica);
   const char     *after;
 
@@ -98,7 +109,7 @@
 /* Guards against a flood of reads while a store is unavailable, and against a long delay after its return. */
 START_TEST (backoff_grows_to_limit)
 {
-  WcStoreReplica *replica = wc_store_replica_new (1000, ignore_change, NULL);
+  WcStoreReplica *replica = wc_store_replica_new (1000, &OPS, NULL);
   WcStoreSync    *sync = wc_store_sync_new (replica);
   uint64_t        last_us = 0;
 
--- a/tests/test_store_wire.c
+++ b/tests/test_store_wire.c
@@ -15,17 +15,19 @@
   WcStoreReply         reply;
 
   wc_store_reply_init (&reply);
-  ck_assert_int_eq (wc_store_wire_decode (range, strlen (range), &reply, NULL), WC_STATUS_OK);
-  ck_assert_uint_eq (reply.revision, 530);
+  ck_assert_int_eq (wc_store_wire_decode (range, strlen (range), 7, &reply, NULL), WC_STATUS_OK);
+  ck_assert_uint_eq (reply.version.revision, 530);
+  ck_assert_uint_eq (reply.version.era, 7);
   ck_assert (reply.has_more);
   change = &g_array_index (reply.changes, WcStoreChange, 0);
   ck_assert_str_eq (change->key, "my/leader");
-  ck_assert_uint_eq (change->revision, 412);
+  ck_assert_uint_eq (change->version.revision, 412);
+  ck_assert_uint_eq (change->version.era, 7);
   ck_assert_uint_eq (g_bytes_get_size (change->value), 6);
   wc_store_reply_finish (&reply);
 
   wc_store_reply_init (&reply);
-  ck_assert_int_eq (wc_store_wire_decode (watch, strlen (watch), &reply, NULL), WC_STATUS_OK);
+  ck_assert_int_eq (wc_store_wire_decode (watch, strlen (watch), 7, &reply, NULL), WC_STATUS_OK);
   ck_assert (!reply.has_more);
   ck_assert_ptr_null (g_array_index (reply.changes, WcStoreChange, 0).value);
   ck_assert_ptr_nonnull (g_array_index (reply.changes, WcStoreChange, 1).value);
@@ -53,7 +55,7 @@
       WcError      error;
 
       wc_store_reply_init (&reply);
-      ck_assert_int_ne (wc_store_wire_decode (texts[i], strlen (texts[i]), &reply, &error), WC_STATUS_OK);
+      ck_assert_int_ne (wc_store_wire_decode (texts[i], strlen (texts[i]), 7, &reply, &error), WC_STATUS_OK);
       wc_store_reply_finish (&reply);
     }
 }
--- a/tests/test_view_reader.c
+++ b/tests/test_view_reader.c
@@ -121,7 +121,7 @@
       ev_sleep (0.01);
       ev_run (fixture.loop, EVRUN_NOWAIT);
     }
-  ck_assert_uint_eq (wc_store_replica_get_revision (fixture.second.replica), revision);
+  ck_assert_uint_eq (wc_store_replica_get_version (fixture.second.replica).revision, revision);
   view_fixture_finish (&fixture);
 }
 END_TEST
--- a/tests/view_fixture.h
+++ b/tests/view_fixture.h
@@ -9,6 +9,7 @@
 
 #include "edge/clock.h"
 #include "edge/peer_endpoint.h"
+#include "edge/store_view.h"
 #include "edge/view_reader.h"
 #include "emulator/emulated_store.h"
 #include "emulator/tcp_relay.h"
@@ -78,7 +79,7 @@
 {
   ViewInstance *instance = user_data;
 
-  gossip->revision = wc_store_replica_get_revision (instance->replica);
+  gossip->revision = wc_store_replica_get_version (instance->replica).revision;
   gossip->view_age_ms = 100;
 }
 
@@ -130,12 +131,13 @@
                                           .domain = g_quark_from_string (domain) };
   static const WcPeerEndpointOps peer_ops = { view_fill_own_state, view_add_next_reports, view_add_host_reports,
                                               view_gossip_received };
+  static const WcStoreReplicaOps replica_ops = { .apply = view_apply, .compare = wc_store_view_compare };
   static const WcViewReaderOps   ops = { .view_updated = view_was_updated, .source_lost = view_source_lost };
   WcError                        error;
 
   instance->log = wc_event_log_new (fixture->loop, STDERR_FILENO, domain);
   instance->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
-  instance->replica = wc_store_replica_new (60 * 1000 * 1000, view_apply, instance);
+  instance->replica = wc_store_replica_new (60 * 1000 * 1000, &replica_ops, instance);
   instance->peers = wc_peer_table_new (&self);
   instance->endpoint = wc_peer_endpoint_new (fixture->loop, &self.address, instance->peers, instance->replica,
                                              instance->log, &peer_ops, instance, &error);
@@ -213,10 +215,10 @@
 
   ev_timer_init (&poll_timer, view_break_loop, 0.02, 0.02);
   ev_timer_start (fixture->loop, &poll_timer);
-  for (int i = 0; i < 1000 && wc_store_replica_get_revision (instance->replica) < revision; i++)
+  for (int i = 0; i < 1000 && wc_store_replica_get_version (instance->replica).revision < revision; i++)
     ev_run (fixture->loop, 0);
   ev_timer_stop (fixture->loop, &poll_timer);
-  ck_assert_uint_ge (wc_store_replica_get_revision (instance->replica), revision);
+  ck_assert_uint_ge (wc_store_replica_get_version (instance->replica).revision, revision);
 }
 
 /* Runs the loop for @duration_ms. */
@@ -254,6 +256,15 @@
   ck_assert_msg (view_has_value (instance, key, value), "%s is not %s", key, value ? value : "deleted");
 }
 
+/* Runs the loop until @instance has a complete view of @era, for at most 20 s, which only a failing test takes. */
+static inline void
+view_wait_for_era (ViewFixture *fixture, const ViewInstance *instance, uint64_t era)
+{
+  for (int i = 0; i < 2000 && wc_store_replica_get_version (instance->replica).era < era; i++)
+    view_run_for (fixture, 10);
+  ck_assert_uint_eq (wc_store_replica_get_version (instance->replica).era, era);
+}
+
 /* Adds @peer, with an up-to-date view, to the peer table of @instance. */
 static inline void
 view_add_peer (const ViewInstance *instance, const ViewInstance *peer)
