Reject a configuration that is older than the one in force

What callers would see: routes that revert, because a restored store has an older configuration for longer than its changes are held back.

Cause: whatever the store had was put in force, whatever its version. The version rises with each configuration, so a lower one is never newer.

Evidence: older_configuration_is_rejected failed before (version 6 replaced 7) and passes now. An instance that starts without a view takes what it reads, as before.

--- a/src/edge/store_view.c
+++ b/src/edge/store_view.c
@@ -42,11 +42,12 @@
 static void
 apply_config (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us)
 {
-  WcError       error = { 0 };
-  WcRouteTable *routes;
-  gsize         size_bytes;
-  const void   *bytes;
-  size_t        skipped = 0;
+  const WcRouteTable *known = wc_forwarder_get_routes (forwarder);
+  WcError             error = { 0 };
+  WcRouteTable       *routes;
+  gsize               size_bytes;
+  const void         *bytes;
+  size_t              skipped = 0;
 
   if (!change->value)
     {
@@ -57,7 +58,12 @@
   routes = wc_config_wire_decode (bytes, size_bytes, &skipped, &error);
   if (!routes || skipped > 0)
     log_rejected (log, routes ? "route_rejected" : "config_rejected", change, error.message);
-  if (routes)
+  if (routes && known && wc_route_table_get_version (routes) < wc_route_table_get_version (known))
+    {
+      log_rejected (log, "config_rejected", change, "configuration is older than the one in force");
+      wc_route_table_delete (routes);
+    }
+  else if (routes)
     wc_forwarder_set_routes (forwarder, routes, now_us);
 }
 
