Settle a restored view only when the store has confirmed it later

What callers would see: an older value of a restored copy in force, although its writer had written the newest one again, on an instance that reads through a peer which was cut off from the store meanwhile.

Cause: changes held back were applied 3 s after the instance learned of the restore, on any reply. The reply of a peer may describe a view that is older than what was written again. Now the view must have been confirmed by the store after that time, as the age in the reply tells.

--- a/src/forward/store_replica.c
+++ b/src/forward/store_replica.c
@@ -34,7 +34,7 @@
 /*
  * @first_page: version of the first page of the read in progress; revision 0 for none.
  * @compacted: highest version of an evicted tombstone.
- * @settle_deadline_us: until then, changes of the era of @version may be held back.
+ * @settle_deadline_us: changes of the era of @version may be held back until the view was confirmed after this time.
  */
 struct WcStoreReplica
 {
@@ -49,15 +49,15 @@
   uint64_t          settle_deadline_us;
 };
 
-static void merge_change (WcStoreReplica *replica, const WcStoreChange *change, uint64_t now_us);
-static bool must_hold (const WcStoreReplica *replica, const Item *item, const WcStoreChange *change, uint64_t now_us);
-static void finish_full_read (WcStoreReplica *replica, uint64_t age_us, uint64_t now_us);
-static void confirm (WcStoreReplica *replica, WcStoreVersion version, uint64_t age_us, uint64_t now_us);
-static bool is_settling (const WcStoreReplica *replica, uint64_t era, uint64_t now_us);
-static void settle (WcStoreReplica *replica, uint64_t now_us);
-static void hold_change (Item *item, const WcStoreChange *change);
-static void release_held (Item *item);
-static void apply_change (WcStoreReplica *replica, Item *item, const WcStoreChange *change, uint64_t now_us);
+static void           merge_change (WcStoreReplica *replica, const WcStoreChange *change, uint64_t now_us);
+static bool           must_hold (const WcStoreReplica *replica, const Item *item, const WcStoreChange *change);
+static void           finish_full_read (WcStoreReplica *replica, uint64_t age_us, uint64_t now_us);
+static void           confirm (WcStoreReplica *replica, WcStoreVersion version, uint64_t age_us, uint64_t now_us);
+static bool           is_settling (const WcStoreReplica *replica, uint64_t era);
+static void           settle (WcStoreReplica *replica, uint64_t now_us);
+static void           hold_change (Item *item, const WcStoreChange *change);
+static void           release_held (Item *item);
+static void           apply_change (WcStoreReplica *replica, Item *item, const WcStoreChange *change, uint64_t now_us);
 static WcStoreVersion get_stored_version (const Item *item);
 static void           evict_tombstones (WcStoreReplica *replica, uint64_t now_us);
 static void           free_item (gpointer data);
@@ -205,7 +205,7 @@
       item = g_new0 (Item, 1);
       g_hash_table_insert (replica->items, g_strdup (change->key), item);
     }
-  else if (must_hold (replica, item, change, now_us))
+  else if (must_hold (replica, item, change))
     {
       hold_change (item, change);
       return;
@@ -226,9 +226,9 @@
  * content than the known one, or not newer than the one that was deleted.
  */
 static bool
-must_hold (const WcStoreReplica *replica, const Item *item, const WcStoreChange *change, uint64_t now_us)
+must_hold (const WcStoreReplica *replica, const Item *item, const WcStoreChange *change)
 {
-  if (!change->value || change->version.era == item->version.era || !is_settling (replica, change->version.era, now_us))
+  if (!change->value || change->version.era == item->version.era || !is_settling (replica, change->version.era))
     return false;
   if (item->value)
     return replica->ops.compare (change->key, change->value, item->value) < 0;
@@ -257,8 +257,7 @@
       if (is_confirmed || (!item->value && !item->is_held) ||
           wc_store_version_compare (get_stored_version (item), replica->first_page) > 0)
         continue;
-      if (item->value && item->version.era < replica->first_page.era &&
-          is_settling (replica, replica->first_page.era, now_us))
+      if (item->value && item->version.era < replica->first_page.era && is_settling (replica, replica->first_page.era))
         hold_change (item, &change);
       else
         apply_change (replica, item, &change, now_us);
@@ -287,10 +286,11 @@
     replica->confirmed_us = confirmed_us;
 }
 
+/* A source whose own view is older than the deadline may have missed what was written again. */
 static bool
-is_settling (const WcStoreReplica *replica, uint64_t era, uint64_t now_us)
+is_settling (const WcStoreReplica *replica, uint64_t era)
 {
-  return era > replica->version.era || now_us < replica->settle_deadline_us;
+  return era > replica->version.era || replica->confirmed_us < replica->settle_deadline_us;
 }
 
 /* Applies what was held back once a source has confirmed that it still stands. */
@@ -301,7 +301,7 @@
   gpointer       key;
   gpointer       value;
 
-  if (now_us < replica->settle_deadline_us)
+  if (is_settling (replica, replica->version.era))
     return;
   g_hash_table_iter_init (&iter, replica->items);
   while (g_hash_table_iter_next (&iter, &key, &value))
