Restore the store from a copy in the soak test, and check for reverts

A new fault saves a copy, takes the store away, brings it back as the copy, has operator and hosts write again and lets the entries of departed hosts expire. Hosts publish their start and count. New checks: an instance that has shown a configuration forwards nothing that it has removed, under any fault; no new flow to a host that left; a share of the requests uses removed routes.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -53,6 +53,7 @@
   soak_hosts_stop (&soak);
   wc_emulated_store_delete (soak.store);
   g_hash_table_destroy (soak.runs);
+  g_hash_table_destroy (soak.departed);
   g_rand_free (soak.random);
   g_rand_free (soak.fault_random);
   g_free (soak.directory);
@@ -106,6 +107,12 @@
   return soak->now_us >= soak->global_faults_end_us + SOAK_STABLE_US;
 }
 
+void
+soak_mark_unstable (Soak *soak, uint64_t until_us)
+{
+  soak->global_faults_end_us = MAX (soak->global_faults_end_us, until_us);
+}
+
 /* local functions */
 
 static bool
@@ -122,6 +129,7 @@
   soak->random = g_rand_new_with_seed (seed);
   soak->fault_random = g_rand_new_with_seed (seed + 1);
   soak->runs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  soak->departed = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   /* Concurrent runs use different networks and ports. */
   soak->net = (uint8_t)(1 + getpid () % 250);
   soak->port = (uint16_t)(20000 + getpid () % 2500 * 4);
@@ -140,7 +148,7 @@
       return false;
     }
   for (int i = 0; i < SOAK_ROUTES; i++)
-    soak->routes[i] = (SoakRoute){ (uint16_t)(8000 + i), i % SOAK_SERVICES, i % 3 == 0, true, soak->now_us };
+    soak->routes[i] = (SoakRoute){ (uint16_t)(8000 + i), i % SOAK_SERVICES, i % 3 == 0, true, soak->now_us, 0 };
   soak_config_publish (soak);
   return soak_hosts_start (soak) && soak_instances_start (soak) && soak_callers_start (soak);
 }
@@ -194,10 +202,12 @@
           ",\"starts\":%" G_GUINT64_FORMAT ",\"requests\":%" G_GUINT64_FORMAT ",\"done\":%" G_GUINT64_FORMAT
           ",\"failed\":%" G_GUINT64_FORMAT ",\"system_resets\":%" G_GUINT64_FORMAT
           ",\"checked_openings\":%" G_GUINT64_FORMAT ",\"checked_drains\":%" G_GUINT64_FORMAT
-          ",\"checked_resets\":%" G_GUINT64_FORMAT ",\"wrong_host\":%" G_GUINT64_FORMAT
-          ",\"store_calls\":%" G_GUINT64_FORMAT ",\"stalls\":%" G_GUINT64_FORMAT "}\n",
+          ",\"checked_resets\":%" G_GUINT64_FORMAT ",\"checked_rollbacks\":%" G_GUINT64_FORMAT
+          ",\"restores\":%" G_GUINT64_FORMAT ",\"wrong_host\":%" G_GUINT64_FORMAT ",\"store_calls\":%" G_GUINT64_FORMAT
+          ",\"stalls\":%" G_GUINT64_FORMAT "}\n",
           soak->seed, soak->violations, recovered ? "true" : "false", counts->faults, counts->starts, counts->requests,
           counts->done, counts->failed, counts->system_resets, counts->checked_openings, counts->checked_drains,
-          counts->checked_resets, counts->wrong_host, wc_emulated_store_get_calls (soak->store), counts->stalls);
+          counts->checked_resets, counts->checked_rollbacks, counts->restores, counts->wrong_host,
+          wc_emulated_store_get_calls (soak->store), counts->stalls);
   return soak->violations == 0 && recovered ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -35,6 +35,10 @@
    * the configuration is in force after SOAK_APPLY_US, and a draining host gets no new flows after SOAK_DRAIN_US. */
   SOAK_STABLE_US = 4000 * 1000,
   SOAK_APPLY_US = 3000 * 1000,
+  /* An instance that has shown the effect of a configuration does not go back to an older one after this time. */
+  SOAK_ROLLBACK_US = 250 * 1000,
+  /* A host whose entry was removed may still be used while it could register again. */
+  SOAK_DEPARTED_US = 5500 * 1000,
   SOAK_DRAIN_US = 3000 * 1000,
   SOAK_RESET_WINDOW = 76800,
   SOAK_STOP_MS = 6000
@@ -65,6 +69,7 @@
  * @stop_deadline_us: time limit of a planned stop; 0 for none.
  * @blocked_domain, @blocked_deadline_us: domain whose hosts the instance cannot reach, and until when; -1 for none.
  * @relay_deadline_us: end of the fault on the instance's store connections; 0 for none.
+ * @shown_version, @shown_us: newest configuration whose effect a host has seen since the process started, and when.
  */
 typedef struct
 {
@@ -85,6 +90,8 @@
   int               blocked_domain;
   uint64_t          blocked_deadline_us;
   uint64_t          relay_deadline_us;
+  uint64_t          shown_version;
+  uint64_t          shown_us;
 } SoakInstance;
 
 /** enum SoakHostState - state of an emulated host; SOAK_HOST_UNRESPONSIVE drops all packets. */
@@ -97,6 +104,7 @@
 
 /**
  * struct SoakHost - an emulated host.
+ * @started_ms, @sequence: published start, and number of entries published since then.
  * @drain_start_us: when the draining state was published.
  * @faults_end_us: when the host was last replaced; it counts as stable SOAK_STABLE_US later.
  * @state_deadline_us: when a draining or unresponsive host is replaced by another host at the same address.
@@ -107,6 +115,8 @@
   struct Soak  *soak;
   int           number;
   uint64_t      id;
+  uint64_t      started_ms;
+  uint64_t      sequence;
   int           service;
   int           domain;
   SoakHostState state;
@@ -120,7 +130,10 @@
   GHashTable   *flows;
 } SoakHost;
 
-/** struct SoakRoute - a route of the configuration; @changed_us: when it was last added or removed. */
+/**
+ * struct SoakRoute - a route of the configuration.
+ * @changed_us, @changed_version: when it was last added or removed, and in which version.
+ */
 typedef struct
 {
   uint16_t port;
@@ -128,8 +141,30 @@
   bool     is_once;
   bool     exists;
   uint64_t changed_us;
+  uint64_t changed_version;
 } SoakRoute;
 
+/** enum SoakRestoreState - progress of a restore of the store from a copy. */
+typedef enum
+{
+  SOAK_RESTORE_NONE = 0,
+  /* The copy was saved; what is written from now on will be lost. */
+  SOAK_RESTORE_SAVED,
+  SOAK_RESTORE_AWAY,
+  SOAK_RESTORE_RETURNED,
+  /* The writers have written again what was lost. */
+  SOAK_RESTORE_WRITTEN
+} SoakRestoreState;
+
+/** struct SoakRestore - a restore in progress; @deadline_us: end of the current state. */
+typedef struct
+{
+  SoakRestoreState state;
+  uint64_t         copy_us;
+  uint64_t         returned_us;
+  uint64_t         deadline_us;
+} SoakRestore;
+
 /** struct SoakCounts - events that callers and hosts observed; recovery requests start after the end of all faults. */
 typedef struct
 {
@@ -143,6 +178,8 @@
   uint64_t checked_openings;
   uint64_t checked_drains;
   uint64_t checked_resets;
+  uint64_t checked_rollbacks;
+  uint64_t restores;
   uint64_t wrong_host;
   uint64_t faults;
   uint64_t stalls;
@@ -156,6 +193,7 @@
  * @net: second byte of the loopback addresses of this run.
  * @recovery_start_us: when the faults were ended, to check the recovery; 0 before.
  * @global_faults_end_us: end of the last fault that affects all instances.
+ * @departed: when each host that left was removed, by identifier.
  * @runs: how often each request was run by a host, by request ID.
  */
 typedef struct Soak
@@ -184,6 +222,8 @@
   SoakHost         hosts[SOAK_HOSTS];
   SoakRoute        routes[SOAK_ROUTES];
   GPtrArray       *callers;
+  SoakRestore      restore;
+  GHashTable      *departed;
   GHashTable      *runs;
   SoakCounts       counts;
   uint32_t         violations;
@@ -198,6 +238,8 @@
 WcAddress soak_address (const Soak *soak, int subnet, int number, uint16_t port);
 double    soak_random_range (Soak *soak, double low, double high);
 bool      soak_is_stable (const Soak *soak);
+/** soak_mark_unstable() - a fault that affects all instances lasts until @until_us. */
+void soak_mark_unstable (Soak *soak, uint64_t until_us);
 
 /* Processes. */
 bool          soak_instances_start (Soak *soak);
@@ -214,16 +256,26 @@
 /* Hosts and configuration. */
 bool soak_hosts_start (Soak *soak);
 void soak_host_publish (SoakHost *host);
+/** soak_host_publish_again() - write the entry again that was published last. */
+void soak_host_publish_again (SoakHost *host);
+/** soak_host_unpublish() - remove the entry of a host. */
+void soak_host_unpublish (Soak *soak, uint64_t id);
 void soak_host_replace (SoakHost *host, int service);
 void soak_hosts_tick (Soak *soak);
 void soak_hosts_stop (Soak *soak);
 void soak_config_publish (Soak *soak);
+/** soak_config_publish_again() - write the configuration again that was published last. */
+void soak_config_publish_again (Soak *soak);
 
 /* Callers. */
 bool soak_callers_start (Soak *soak);
 void soak_callers_tick (Soak *soak);
 void soak_callers_stop (Soak *soak);
 
+/* Restore of the store from a copy. */
+void soak_restore_begin (Soak *soak);
+void soak_restore_tick (Soak *soak);
+
 /* Faults. */
 void soak_faults_tick (Soak *soak);
 void soak_faults_end (Soak *soak);
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -20,6 +20,8 @@
 };
 
 /* Times of the retransmissions after the first transmission. */
+static const double REMOVED_ROUTE_SHARE = 0.08;
+
 static const uint64_t RETRANSMIT_US[] = { 200 * 1000, 600 * 1000, 1400 * 1000, 3000 * 1000 };
 
 typedef enum
@@ -65,20 +67,21 @@
   User     users[SOAK_USERS];
 } Caller;
 
-static void  readable (struct ev_loop *loop, ev_io *watcher, int events);
-static void  receive (User *user, const WcPacket *packet, SoakHost *host);
-static void  receive_system_reset (User *user, const WcPacket *packet, const SoakInstance *instance);
-static User *find_user (Caller *caller, const WcPacket *packet);
-static void  start_request (User *user);
-static void  open_flow (User *user);
-static void  step (User *user);
-static void  attempt_failed (User *user, bool may_have_run);
-static void  end_request (User *user, bool done);
-static void  close_flow (User *user);
-static void  send_request (User *user);
-static void  send_packet (User *user, uint8_t flags, uint32_t sequence, uint32_t acknowledged, const void *data,
-                          uint16_t data_bytes);
-static void  free_caller (gpointer data);
+static void             readable (struct ev_loop *loop, ev_io *watcher, int events);
+static void             receive (User *user, const WcPacket *packet, SoakHost *host);
+static void             receive_system_reset (User *user, const WcPacket *packet, const SoakInstance *instance);
+static User            *find_user (Caller *caller, const WcPacket *packet);
+static void             start_request (User *user);
+static const SoakRoute *pick_route (Soak *soak);
+static void             open_flow (User *user);
+static void             step (User *user);
+static void             attempt_failed (User *user, bool may_have_run);
+static void             end_request (User *user, bool done);
+static void             close_flow (User *user);
+static void             send_request (User *user);
+static void send_packet (User *user, uint8_t flags, uint32_t sequence, uint32_t acknowledged, const void *data,
+                         uint16_t data_bytes);
+static void free_caller (gpointer data);
 
 bool
 soak_callers_start (Soak *soak)
@@ -278,20 +281,35 @@
       send_request (user);
       return;
     }
-  do
-    user->route = &soak->routes[(int)soak_random_range (soak, 0, SOAK_ROUTES)];
-  while (!user->route->exists);
+  user->route = pick_route (soak);
   open_flow (user);
 }
 
+/* Some requests use a removed route, to see whether an instance goes back to a configuration that had it. */
+static const SoakRoute *
+pick_route (Soak *soak)
+{
+  bool may_be_removed = soak->recovery_start_us == 0 && soak_random_range (soak, 0, 1) < REMOVED_ROUTE_SHARE;
+  const SoakRoute *route;
+
+  do
+    route = &soak->routes[(int)soak_random_range (soak, 0, SOAK_ROUTES)];
+  while (!route->exists && !may_be_removed);
+  return route;
+}
+
 static void
 open_flow (User *user)
 {
-  Soak *soak = user->caller->soak;
+  Soak               *soak = user->caller->soak;
+  const SoakInstance *instance;
 
   close_flow (user);
   user->attempts++;
   user->key = (WcFlowKey){ user->caller->ip, ROUTE_IP, user->caller->next_port++, user->route->port };
+  instance = soak_instance_pick (soak, &user->key);
+  soak->counts.checked_rollbacks +=
+      instance && !user->route->exists && user->route->changed_version <= instance->shown_version;
   if (user->caller->next_port < 1024)
     user->caller->next_port = 1024;
   user->cookie = 0;
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -23,6 +23,7 @@
 static void fail_store (Soak *soak);
 static void expire_entries (Soak *soak);
 static void drop_store_history (Soak *soak);
+static void restore_store (Soak *soak);
 static void disturb_store_connection (Soak *soak);
 static void change_config (Soak *soak);
 static void change_config_repeatedly (Soak *soak);
@@ -46,6 +47,8 @@
   { "store fails", fail_store },
   { "host entries expire", expire_entries },
   { "store history is dropped", drop_store_history },
+  { "store is restored from a copy", restore_store },
+  { "store is restored from a copy", restore_store },
   { "store connections of an instance fail", disturb_store_connection },
   { "store connections of an instance fail", disturb_store_connection },
   { "configuration changes", change_config },
@@ -63,7 +66,6 @@
 static double        random_range (Soak *soak, double low, double high);
 static SoakInstance *pick_instance (Soak *soak);
 static SoakHost     *pick_host (Soak *soak);
-static void          mark_unstable (Soak *soak, uint64_t until_us);
 static void          send_random_datagrams (Soak *soak, const WcAddress *address);
 
 void
@@ -83,6 +85,7 @@
           soak_host_publish (&soak->hosts[i]);
       soak->entries_expired = false;
     }
+  soak_restore_tick (soak);
   if (soak->loss_deadline_us > 0 && soak->now_us >= soak->loss_deadline_us)
     {
       soak->loss = 0.002;
@@ -115,6 +118,7 @@
   soak_trace (soak, "all faults end");
   soak->recovery_start_us = soak->now_us;
   soak->store_deadline_us = MIN (soak->store_deadline_us, soak->now_us);
+  soak->restore.deadline_us = MIN (soak->restore.deadline_us, soak->now_us);
   soak->loss = 0.0;
   for (int i = 0; i < SOAK_INSTANCES; i++)
     {
@@ -156,12 +160,6 @@
   return host->state == SOAK_HOST_READY && ready > 2 ? host : NULL;
 }
 
-static void
-mark_unstable (Soak *soak, uint64_t until_us)
-{
-  soak->global_faults_end_us = MAX (soak->global_faults_end_us, until_us);
-}
-
 static void
 kill_one (Soak *soak)
 {
@@ -222,7 +220,7 @@
 
   wc_emulated_store_set_mode (soak->store, mode);
   soak->store_deadline_us = soak->now_us + (uint64_t)random_range (soak, 300e3, 4000e3);
-  mark_unstable (soak, soak->store_deadline_us);
+  soak_mark_unstable (soak, soak->store_deadline_us);
 }
 
 static void
@@ -231,19 +229,20 @@
   fail_store (soak);
   soak->entries_expired = true;
   for (int i = 0; i < SOAK_HOSTS; i++)
-    {
-      char *key = g_strdup_printf ("servers/i-%010" G_GINT64_MODIFIER "x", soak->hosts[i].id);
-
-      wc_emulated_store_remove (soak->store, key);
-      g_free (key);
-    }
+    soak_host_unpublish (soak, soak->hosts[i].id);
 }
 
 static void
 drop_store_history (Soak *soak)
 {
   wc_emulated_store_drop_history (soak->store);
-  mark_unstable (soak, soak->now_us);
+  soak_mark_unstable (soak, soak->now_us);
+}
+
+static void
+restore_store (Soak *soak)
+{
+  soak_restore_begin (soak);
 }
 
 static void
@@ -256,7 +255,7 @@
   wc_tcp_relay_set_fault (instance->store_relay, fault);
   instance->relay_deadline_us = soak->now_us + (uint64_t)random_range (soak, 500e3, 5000e3);
   /* Other instances may read the view from this instance. */
-  mark_unstable (soak, instance->relay_deadline_us);
+  soak_mark_unstable (soak, instance->relay_deadline_us);
 }
 
 static void
@@ -267,6 +266,7 @@
   route->exists = !route->exists;
   route->changed_us = soak->now_us;
   soak_config_publish (soak);
+  route->changed_version = soak->config_version;
 }
 
 static void
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -35,9 +35,13 @@
 } HostFlow;
 
 static void  readable (struct ev_loop *loop, ev_io *watcher, int events);
-static void  receive (SoakHost *host, const SoakInstance *instance, const WcPacket *packet);
-static void  receive_opening (SoakHost *host, const SoakInstance *instance, const WcPacket *packet);
-static void  check_opening (SoakHost *host, const SoakInstance *instance, const WcPacket *packet);
+static void  receive (SoakHost *host, SoakInstance *instance, const WcPacket *packet);
+static void  receive_opening (SoakHost *host, SoakInstance *instance, const WcPacket *packet);
+static void  check_opening (SoakHost *host, SoakInstance *instance, const WcPacket *packet);
+static void  check_departed (const SoakHost *host, const SoakInstance *instance, uint64_t id, const uint8_t *data,
+                             size_t size_bytes);
+static void  check_rollback (Soak *soak, SoakInstance *instance, const SoakRoute *route);
+static char *format_key (uint64_t id);
 static void  run_request (SoakHost *host, HostFlow *flow);
 static void  send_answer (SoakHost *host, HostFlow *flow);
 static void  send_packet (SoakHost *host, const HostFlow *flow, uint8_t flags, uint32_t sequence, uint16_t data_bytes);
@@ -78,7 +82,12 @@
   Soak *soak = host->soak;
 
   g_hash_table_remove_all (host->flows);
+  if (host->id != 0)
+    g_hash_table_replace (soak->departed, g_memdup2 (&host->id, sizeof host->id),
+                          g_memdup2 (&soak->now_us, sizeof soak->now_us));
   host->id = ++soak->next_id * 0x100000001b3 & 0xffffffffff;
+  host->started_ms = soak->now_us / 1000;
+  host->sequence = 0;
   host->service = service;
   host->state = SOAK_HOST_READY;
   host->state_deadline_us = 0;
@@ -89,26 +98,49 @@
 
 void
 soak_host_publish (SoakHost *host)
+{
+  host->sequence++;
+  soak_host_publish_again (host);
+}
+
+void
+soak_host_publish_again (SoakHost *host)
 {
   char  address[WC_ADDRESS_TEXT_BYTES];
-  char *key = g_strdup_printf ("servers/i-%010" G_GINT64_MODIFIER "x", host->id);
-  char *value = g_strdup_printf ("{\"service\":\"service-%d\",\"address\":\"%s\",\"zone\":\"d%d\",\"version\":\"v1\","
-                                 "\"slots\":2,\"state\":\"%s\",\"warmup-left-ms\":0,\"seq\":1}",
-                                 host->service, wc_address_format (&host->address, address), host->domain,
-                                 host->state == SOAK_HOST_READY ? "ready" : "draining");
+  char *key = format_key (host->id);
+  char *value = g_strdup_printf (
+      "{\"service\":\"service-%d\",\"address\":\"%s\",\"zone\":\"d%d\",\"version\":\"v1\","
+      "\"slots\":2,\"state\":\"%s\",\"warmup-left-ms\":0,\"seq\":%" G_GUINT64_FORMAT ",\"born\":%" G_GUINT64_FORMAT "}",
+      host->service, wc_address_format (&host->address, address), host->domain,
+      host->state == SOAK_HOST_READY ? "ready" : "draining", host->sequence, host->started_ms);
 
   wc_emulated_store_put (host->soak->store, key, value, strlen (value));
   g_free (value);
   g_free (key);
 }
 
+void
+soak_host_unpublish (Soak *soak, uint64_t id)
+{
+  char *key = format_key (id);
+
+  wc_emulated_store_remove (soak->store, key);
+  g_free (key);
+}
+
 void
 soak_config_publish (Soak *soak)
+{
+  soak->config_version += 1 + (uint64_t)soak_random_range (soak, 0, 3);
+  soak_config_publish_again (soak);
+}
+
+void
+soak_config_publish_again (Soak *soak)
 {
   GString *text = g_string_new (NULL);
   bool     is_first = true;
 
-  soak->config_version += 1 + (uint64_t)soak_random_range (soak, 0, 3);
   g_string_printf (text, "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[", soak->config_version);
   for (int i = 0; i < SOAK_ROUTES; i++)
     if (soak->routes[i].exists)
@@ -136,18 +168,12 @@
 
       if (host->entry_expiry_us > 0 && soak->now_us >= host->entry_expiry_us)
         {
-          char *key = g_strdup_printf ("servers/i-%010" G_GINT64_MODIFIER "x", host->id);
-
-          wc_emulated_store_remove (soak->store, key);
-          g_free (key);
+          soak_host_unpublish (soak, host->id);
           host->entry_expiry_us = 0;
         }
       if (host->state_deadline_us > 0 && soak->now_us >= host->state_deadline_us)
         {
-          char *key = g_strdup_printf ("servers/i-%010" G_GINT64_MODIFIER "x", host->id);
-
-          wc_emulated_store_remove (soak->store, key);
-          g_free (key);
+          soak_host_unpublish (soak, host->id);
           /* The replacement sometimes serves the other service at the same address. */
           soak_host_replace (host, soak_random_range (soak, 0, 1) < 0.3 ? 1 - host->service : host->service);
         }
@@ -207,13 +233,16 @@
     soak_report_violation (soak, "unchanged packets", "host %d received a packet with an invalid checksum",
                            host->number);
   else if (id != host->id)
-    soak->counts.wrong_host++;
+    {
+      soak->counts.wrong_host++;
+      check_departed (host, instance, id, data + HOST_ID_BYTES, (size_t)size - HOST_ID_BYTES);
+    }
   else if (wc_packet_wire_decode (data + HOST_ID_BYTES, (size_t)size - HOST_ID_BYTES, &packet))
     receive (host, instance, &packet);
 }
 
 static void
-receive (SoakHost *host, const SoakInstance *instance, const WcPacket *packet)
+receive (SoakHost *host, SoakInstance *instance, const WcPacket *packet)
 {
   HostFlow *flow = g_hash_table_lookup (host->flows, &packet->key);
 
@@ -253,7 +282,7 @@
 }
 
 static void
-receive_opening (SoakHost *host, const SoakInstance *instance, const WcPacket *packet)
+receive_opening (SoakHost *host, SoakInstance *instance, const WcPacket *packet)
 {
   HostFlow *flow = g_hash_table_lookup (host->flows, &packet->key);
 
@@ -272,7 +301,7 @@
 }
 
 static void
-check_opening (SoakHost *host, const SoakInstance *instance, const WcPacket *packet)
+check_opening (SoakHost *host, SoakInstance *instance, const WcPacket *packet)
 {
   Soak *soak = host->soak;
   bool  is_stable = soak_instance_is_stable (instance) && soak_is_stable (soak);
@@ -285,6 +314,7 @@
 
       if (route->port != packet->key.route_port)
         continue;
+      check_rollback (soak, instance, route);
       if (route->service != host->service)
         soak_report_violation (soak, "services stay apart",
                                "host %d of service %d received a flow of route %u from instance %d", host->number,
@@ -299,6 +329,49 @@
                            instance->number, host->number, (double)(soak->now_us - host->drain_start_us) / 1e6);
 }
 
+/* A host that left may not get new flows once its removal is known. */
+static void
+check_departed (const SoakHost *host, const SoakInstance *instance, uint64_t id, const uint8_t *data, size_t size_bytes)
+{
+  Soak           *soak = host->soak;
+  const uint64_t *departed_us = g_hash_table_lookup (soak->departed, &id);
+  WcPacket        packet;
+
+  if (!departed_us || !soak_instance_is_stable (instance) || !soak_is_stable (soak) ||
+      soak->now_us < *departed_us + SOAK_DEPARTED_US || !wc_packet_wire_decode (data, size_bytes, &packet) ||
+      !(packet.flags & WC_PACKET_SYN))
+    return;
+  soak_report_violation (soak, "departed hosts", "instance %d sent a new flow to a host that left %.1f s ago",
+                         instance->number, (double)(soak->now_us - *departed_us) / 1e6);
+}
+
+/*
+ * A host sees a new flow of @route. An instance that has shown a configuration without the route, or a later one, may
+ * not forward it; this holds under any fault, until the process ends.
+ */
+static void
+check_rollback (Soak *soak, SoakInstance *instance, const SoakRoute *route)
+{
+  if (route->exists && route->changed_version > instance->shown_version)
+    {
+      instance->shown_version = route->changed_version;
+      instance->shown_us = soak->now_us;
+    }
+  if (route->exists || route->changed_version > instance->shown_version)
+    return;
+  if (soak->now_us > MAX (instance->shown_us, route->changed_us) + SOAK_ROLLBACK_US)
+    soak_report_violation (soak, "configuration",
+                           "instance %d forwards an opening packet of route %u, which version %" G_GUINT64_FORMAT
+                           " has removed, after it has applied version %" G_GUINT64_FORMAT,
+                           instance->number, route->port, route->changed_version, instance->shown_version);
+}
+
+static char *
+format_key (uint64_t id)
+{
+  return g_strdup_printf ("servers/i-%010" G_GINT64_MODIFIER "x", id);
+}
+
 static void
 run_request (SoakHost *host, HostFlow *flow)
 {
--- a/tests/soak/soak_instances.c
+++ b/tests/soak/soak_instances.c
@@ -93,6 +93,7 @@
   soak->counts.starts++;
   instance->restart_deadline_us = 0;
   instance->stop_deadline_us = 0;
+  instance->shown_version = 0;
   instance->faults_end_us = MAX (instance->faults_end_us, soak->now_us);
   instance->pid = fork ();
   if (instance->pid == 0)
