--- a/src/edge/store_view.c
+++ b/src/edge/store_view.c
@@ -90,7 +90,7 @@
 static int
 compare_configs (GBytes *a, GBytes *b)
 {
-  uint64_t versions[2];
+  uint64_t versions[2] = { 0 };
   GBytes  *values[] = { a, b };
 
   for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
--- a/src/forward/store_replica.c
+++ b/src/forward/store_replica.c
@@ -326,10 +326,17 @@
   item->seen = true;
 }
 
+static void
+clear_value (GBytes **value)
+{
+  g_bytes_unref (*value);
+  *value = NULL;
+}
+
 static void
 release_held (Item *item)
 {
-  g_clear_pointer (&item->held_value, g_bytes_unref);
+  clear_value (&item->held_value);
   item->is_held = false;
 }
 
@@ -341,12 +348,13 @@
   release_held (item);
   if (item->value && !applied.value)
     {
-      g_clear_pointer (&item->deleted_value, g_bytes_unref);
-      item->deleted_value = g_steal_pointer (&item->value);
+      clear_value (&item->deleted_value);
+      item->deleted_value = item->value;
+      item->value = NULL;
     }
   else if (applied.value)
-    g_clear_pointer (&item->deleted_value, g_bytes_unref);
-  g_clear_pointer (&item->value, g_bytes_unref);
+    clear_value (&item->deleted_value);
+  clear_value (&item->value);
   item->value = applied.value;
   item->version = applied.version;
   item->seen = true;
@@ -386,8 +394,8 @@
   Item *item = data;
 
   release_held (item);
-  g_clear_pointer (&item->value, g_bytes_unref);
-  g_clear_pointer (&item->deleted_value, g_bytes_unref);
+  clear_value (&item->value);
+  clear_value (&item->deleted_value);
   g_free (item);
 }
 
--- a/src/forward/store_sync.c
+++ b/src/forward/store_sync.c
@@ -65,10 +65,11 @@
 wc_store_sync_answered (WcStoreSync *sync, WcStoreRead read, const WcStoreReply *reply, uint64_t age_us,
                         uint64_t now_us)
 {
-  const uint64_t known_era = wc_store_replica_get_version (sync->replica).era;
+  uint64_t known_era;
 
   assert (sync != NULL && reply != NULL);
 
+  known_era = wc_store_replica_get_version (sync->replica).era;
   if (reply->version.era < known_era || (read == WC_STORE_READ_RANGE && !is_next_page (sync, reply)))
     return false;
   sync->failures = 0;
