Answer reads of instances that send no era in the current one

What operators would see: during a rolling upgrade, instances of the earlier release read the whole view from a new one in a loop without a pause.

Cause: a read without an era counted as one of era 0 and got 410 each time.

Evidence: reads_are_answered_by_era (with the era taken as 0, its first case gets 410 instead of 200).

--- a/src/edge/peer_endpoint.c
+++ b/src/edge/peer_endpoint.c
@@ -245,9 +245,12 @@
 {
   WcPeerEndpoint      *endpoint = user_data;
   const WcStoreVersion known = wc_store_replica_get_version (endpoint->replica);
-  const WcStoreVersion after = { get_uint_parameter (exchange, "era"), get_uint_parameter (exchange, "after") };
-  uint64_t             wait_ms = get_uint_parameter (exchange, "wait_ms");
-  const Waiter         waiter = { exchange, after, wc_clock_monotonic_us () + MIN (wait_ms, LONG_POLL_MAX_MS) * 1000 };
+  /* Instances of earlier releases send no era. */
+  bool                 has_era = wc_http_exchange_get_query_parameter (exchange, "era") != NULL;
+  const WcStoreVersion after = { has_era ? get_uint_parameter (exchange, "era") : known.era,
+                                 get_uint_parameter (exchange, "after") };
+  uint64_t     wait_ms = get_uint_parameter (exchange, "wait_ms");
+  const Waiter waiter = { exchange, after, wc_clock_monotonic_us () + MIN (wait_ms, LONG_POLL_MAX_MS) * 1000 };
 
   if (strcmp (wc_http_exchange_get_path (exchange), "/changes") != 0)
     wc_http_exchange_respond (exchange, 404, NULL, NULL, 0);
--- a/tests/test_peer_endpoint.c
+++ b/tests/test_peer_endpoint.c
@@ -7,6 +7,7 @@
 
 #include "edge/clock.h"
 #include "edge/peer_endpoint.h"
+#include "edge/platform_client.h"
 #include "edge/store_view.h"
 #include "edge/socket_address.h"
 
@@ -169,11 +170,75 @@
 }
 END_TEST
 
+typedef struct
+{
+  uint32_t         calls;
+  WcPlatformResult result;
+} ReadResult;
+
+static void
+read_finished (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version, const char *body,
+               size_t size_bytes)
+{
+  ReadResult *finished = user_data;
+
+  (void)read;
+  (void)version;
+  (void)body;
+  (void)size_bytes;
+  finished->calls++;
+  finished->result = result;
+}
+
+/*
+ * Guards against instances of earlier releases, which send no era, that read the whole view in a loop; and against a
+ * reader that gets changes of another era.
+ */
+START_TEST (reads_are_answered_by_era)
+{
+  static const struct
+  {
+    const char      *path;
+    WcPlatformResult result;
+  } cases[] = {
+    { "/changes?after=5&wait_ms=0", WC_PLATFORM_RESULT_OK },
+    { "/changes?era=3&after=5&wait_ms=0", WC_PLATFORM_RESULT_OK },
+    { "/changes?era=2&after=5&wait_ms=1000", WC_PLATFORM_RESULT_EXPIRED },
+    { "/changes?era=2&after=0&wait_ms=0", WC_PLATFORM_RESULT_OK },
+    { "/changes?era=4&after=1&wait_ms=1000", WC_PLATFORM_RESULT_FAILED },
+  };
+  struct ev_loop   *loop = ev_loop_new (EVFLAG_AUTO);
+  Instance          instance;
+  WcPlatformClient *client;
+  WcStoreReply      reply;
+  ReadResult        finished = { 0 };
+
+  start (&instance, loop, 4);
+  wc_store_reply_init (&reply);
+  reply.version = (WcStoreVersion){ 3, 5 };
+  wc_store_replica_begin_full_read (instance.replica);
+  wc_store_replica_add_page (instance.replica, &reply, 0, wc_clock_monotonic_us ());
+  wc_store_reply_finish (&reply);
+  client = wc_platform_client_new (loop, &instance.address, 1, read_finished, &finished);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      wc_platform_client_get (client, WC_PLATFORM_READ_STORE_CHANGES, cases[i].path, 0);
+      run_until (loop, &finished.calls, i + 1);
+      ck_assert_uint_eq (finished.calls, i + 1);
+      ck_assert_int_eq (finished.result, cases[i].result);
+    }
+  wc_platform_client_delete (client);
+  finish (&instance);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, query_is_answered_once);
   tcase_add_test (tests, malformed_datagrams_are_counted);
+  tcase_add_test (tests, reads_are_answered_by_era);
 }
 
 int
