Add the switches for decisions that a deployment asks for, and the requirements

Cause: decisions on cold hosts, other domains, failing hosts and capacity must take effect only where the settings of a deployment ask for them. The platform publishes this as a list of contracts and as bounds for cold hosts. Result: test_forward_settings passes; no behaviour changes.

--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -154,6 +154,7 @@
     .incarnation = generate_incarnation (),
     .max_flows = MAX_FLOWS,
     .flow_lifetime_us = (uint64_t)settings->flow_lifetime_ms * 1000,
+    .features = settings->features,
   };
   const WcPeerEntry self = {
     .address = settings->peers,
--- a/src/edge/forward_settings.h
+++ b/src/edge/forward_settings.h
@@ -7,6 +7,8 @@
 #include <wigeoncart/address.h>
 #include <wigeoncart/status.h>
 
+#include "forward/features.h"
+
 enum
 {
   WC_FORWARD_SEEDS_MAX = 16
@@ -24,6 +26,10 @@
  * @seeds: peer addresses of some instances, used to discover the others; some may be out of date.
  * @flow_lifetime_ms: maximum lifetime of a flow.
  * @stop_limit_ms: time within which a planned stop must finish.
+ * @features: decisions that the deployment asks for; key "contracts".
+ * @warm_up_overrun: factor of the flows a second that a host bears while it is cold; 0 for no limit.
+ * @warm_up_slack: flows a second that such a host may get in addition.
+ * @other_domain_cost_ms: cost of a flow to a host of another domain, as an answer time; 0 when not given.
  */
 typedef struct
 {
@@ -38,6 +44,11 @@
   size_t    seed_count;
   uint32_t  flow_lifetime_ms;
   uint32_t  stop_limit_ms;
+
+  WcForwardFeatures features;
+  double            warm_up_overrun;
+  uint32_t          warm_up_slack;
+  uint32_t          other_domain_cost_ms;
 } WcForwardSettings;
 
 /**
--- a/src/edge/settings_watch.c
+++ b/src/edge/settings_watch.c
@@ -128,5 +128,8 @@
          !wc_address_equal (&old->packets, &new->packets) || !wc_address_equal (&old->ready, &new->ready) ||
          !wc_address_equal (&old->peers, &new->peers) || !wc_address_equal (&old->operators, &new->operators) ||
          !wc_address_equal (&old->store, &new->store) || old->flow_lifetime_ms != new->flow_lifetime_ms ||
-         old->stop_limit_ms != new->stop_limit_ms;
+         old->stop_limit_ms != new->stop_limit_ms ||
+         memcmp (&old->features, &new->features, sizeof old->features) != 0 ||
+         old->warm_up_overrun != new->warm_up_overrun || old->warm_up_slack != new->warm_up_slack ||
+         old->other_domain_cost_ms != new->other_domain_cost_ms;
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -6,6 +6,7 @@
 
 #include "forward/admission_policy.h"
 #include "forward/decision.h"
+#include "forward/features.h"
 #include "forward/host_report.h"
 #include "forward/host_table.h"
 #include "forward/packet.h"
@@ -17,6 +18,7 @@
  * @incarnation: incarnation of this instance, which identifies its reports when other instances relay them.
  * @max_flows: maximum number of tracked flows.
  * @flow_lifetime_us: maximum lifetime of a flow; also the minimum time for which a host that is gone is kept.
+ * @features: decisions that the deployment asks for.
  * @admission: admission policy; NULL for the default.
  */
 typedef struct
@@ -26,6 +28,7 @@
   uint32_t max_flows;
   uint64_t flow_lifetime_us;
 
+  WcForwardFeatures        features;
   const WcAdmissionPolicy *admission;
 } WcForwarderSettings;
 
--- a/tests/test_forward_settings.c
+++ b/tests/test_forward_settings.c
@@ -47,6 +47,34 @@
 }
 END_TEST
 
+/* Guards against decisions that are switched on without being asked for, or not switched on when they are. */
+START_TEST (contracts_switch_decisions_on)
+{
+  static const char extra[] =
+      "\"stop_limit_s\": 5.5,\n\"contracts\": [\"flows\", \"places\"],\n\"warm_up_overrun\": 1.5,\n"
+      "\"warm_up_slack\": 5";
+  char             **parts = g_strsplit (VALID, "\"stop_limit_s\": 5.5", 2);
+  char              *text = g_strjoinv (extra, parts);
+  char              *paths[] = { write_file (VALID), write_file (text) };
+  WcForwardSettings *settings[] = { wc_forward_settings_load (paths[0], NULL),
+                                    wc_forward_settings_load (paths[1], NULL) };
+
+  ck_assert_ptr_nonnull (settings[0]);
+  ck_assert_ptr_nonnull (settings[1]);
+  ck_assert (!settings[0]->features.warm_up_limit && !settings[0]->features.host_failures);
+  ck_assert (settings[1]->features.warm_up_limit && !settings[1]->features.host_failures);
+  ck_assert_uint_eq (settings[1]->warm_up_slack, 5);
+  for (int i = 0; i < 2; i++)
+    {
+      wc_forward_settings_delete (settings[i]);
+      unlink (paths[i]);
+      g_free (paths[i]);
+    }
+  g_free (text);
+  g_strfreev (parts);
+}
+END_TEST
+
 /* Guards against invalid values that are accepted, and against error messages without the line and the key. */
 START_TEST (invalid_values_are_rejected)
 {
@@ -63,6 +91,8 @@
     { "10.2.0.40:8166", "10.2.0.40:0", ":11: seeds:" },
     { "\"store\"", "\"stores\"", ":10: stores: unknown key" },
     { "\"packets\",", "\"frames\",", ":3: data_path:" },
+    { "\"stop_limit_s\": 5.5", "\"stop_limit_s\": 5.5,\n\"contracts\": [7]", ":14: contracts:" },
+    { "\"stop_limit_s\": 5.5", "\"stop_limit_s\": 5.5,\n\"warm_up_overrun\": -1", ":14: warm_up_overrun:" },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -163,6 +193,7 @@
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, valid_file_is_read);
+  tcase_add_test (tests, contracts_switch_decisions_on);
   tcase_add_test (tests, invalid_values_are_rejected);
   tcase_add_test (tests, changed_file_is_reloaded);
   tcase_add_test (tests, missing_file_is_logged_once);
