Do not let domains read the store through each other

Cause: the store rejected the first instances of all domains at once. Each of them read an instance of another domain, whose own first instance read through a third one. Change: an instance knows whether its domain reads the store through another domain, tells its readers so (field indirect of ViewChanges) and declines readers of other domains then (status 409). A first instance that every other domain has declined answers its waiting peers with 503, and the one with the next rank tries the store. Ruled out: handing on to the next rank whenever the first one loses the store: with a store that does not answer, each of them needs 1.5 s to notice, and a configuration was once in force only after 5.2 s.

--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -2781,7 +2781,7 @@
   (ProtobufCMessageInit) wc__view_change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__view_changes__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wc__view_changes__field_descriptors[8] =
 {
   {
     "revision",
@@ -2867,12 +2867,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "indirect",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wc__ViewChanges, indirect),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__view_changes__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   2,   /* field[2] = changes */
   4,   /* field[4] = compressed */
   6,   /* field[6] = era */
+  7,   /* field[7] = indirect */
   3,   /* field[3] = logical */
   0,   /* field[0] = revision */
   5,   /* field[5] = unpacked_bytes */
@@ -2880,7 +2893,7 @@
 static const ProtobufCIntRange wc__view_changes__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wc__view_changes__descriptor =
 {
@@ -2890,7 +2903,7 @@
   "Wc__ViewChanges",
   "wc",
   sizeof(Wc__ViewChanges),
-  7,
+  8,
   wc__view_changes__field_descriptors,
   wc__view_changes__field_indices_by_name,
   1,  wc__view_changes__number_ranges,
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -402,10 +402,14 @@
    * Number of the store's history that revision belongs to. 
    */
   uint64_t era;
+  /*
+   * The sender's domain reads the store through another domain. 
+   */
+  protobuf_c_boolean indirect;
 };
 #define WC__VIEW_CHANGES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__view_changes__descriptor) \
-    , 0, 0, 0,NULL, 0, {0,NULL}, 0, 0 }
+    , 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0 }
 
 
 /* Wc__AnswerRef methods */
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -107,6 +107,7 @@
 static void     apply_change (void *user_data, const WcStoreChange *change);
 static void     view_updated (void *user_data);
 static void     source_lost (void *user_data);
+static void     indirect_changed (void *user_data, bool is_indirect);
 static uint64_t get_view_age_us (const WcForwardServer *server);
 static bool     is_ready (void *user_data);
 static char    *format_metrics (void *user_data);
@@ -133,7 +134,9 @@
 
 static const WcStoreReplicaOps REPLICA_OPS = { .apply = apply_change, .compare = wc_store_view_compare };
 
-static const WcViewReaderOps VIEW_READER_OPS = { .view_updated = view_updated, .source_lost = source_lost };
+static const WcViewReaderOps VIEW_READER_OPS = { .view_updated = view_updated,
+                                                 .source_lost = source_lost,
+                                                 .indirect_changed = indirect_changed };
 
 static const WcPeerEndpointOps PEER_ENDPOINT_OPS = {
   .fill_own_state = fill_own_state,
@@ -385,6 +388,12 @@
   wc_peer_endpoint_source_lost (((WcForwardServer *)user_data)->peer_endpoint);
 }
 
+static void
+indirect_changed (void *user_data, bool is_indirect)
+{
+  wc_peer_endpoint_set_indirect (((WcForwardServer *)user_data)->peer_endpoint, is_indirect);
+}
+
 static uint64_t
 get_view_age_us (const WcForwardServer *server)
 {
--- a/src/edge/peer_endpoint.c
+++ b/src/edge/peer_endpoint.c
@@ -30,12 +30,13 @@
   GBytes        *body;
 } CachedResponse;
 
-/* A peer that waits for changes after a version. */
+/* A peer that waits for changes after a version. @wants_direct: not if they come through another domain. */
 typedef struct
 {
   WcHttpExchange *exchange;
   WcStoreVersion  version;
   uint64_t        deadline_us;
+  bool            wants_direct;
 } Waiter;
 
 struct WcPeerEndpoint
@@ -52,6 +53,7 @@
   ev_io                 readable;
   GArray               *waiters;
   CachedResponse        cached;
+  bool                  is_indirect;
 };
 
 static void     datagrams_readable (struct ev_loop *loop, ev_io *watcher, int events);
@@ -161,6 +163,25 @@
     }
 }
 
+void
+wc_peer_endpoint_set_indirect (WcPeerEndpoint *endpoint, bool is_indirect)
+{
+  if (endpoint->is_indirect == is_indirect)
+    return;
+  endpoint->is_indirect = is_indirect;
+  endpoint->cached.deadline_us = 0;
+  for (guint i = endpoint->waiters->len; is_indirect && i > 0; i--)
+    {
+      const Waiter waiter = g_array_index (endpoint->waiters, Waiter, i - 1);
+
+      g_array_remove_index_fast (endpoint->waiters, i - 1);
+      if (waiter.wants_direct)
+        wc_http_exchange_respond (waiter.exchange, 409, NULL, NULL, 0);
+      else
+        respond (endpoint, waiter.exchange, waiter.version);
+    }
+}
+
 void
 wc_peer_endpoint_tick (WcPeerEndpoint *endpoint, uint64_t now_us)
 {
@@ -250,13 +271,16 @@
   const WcStoreVersion after = { has_era ? get_uint_parameter (exchange, "era") : known.era,
                                  get_uint_parameter (exchange, "after") };
   uint64_t     wait_ms = get_uint_parameter (exchange, "wait_ms");
-  const Waiter waiter = { exchange, after, wc_clock_monotonic_us () + MIN (wait_ms, LONG_POLL_MAX_MS) * 1000 };
+  const Waiter waiter = { exchange, after, wc_clock_monotonic_us () + MIN (wait_ms, LONG_POLL_MAX_MS) * 1000,
+                          get_uint_parameter (exchange, "direct") == 1 };
 
   if (strcmp (wc_http_exchange_get_path (exchange), "/changes") != 0)
     wc_http_exchange_respond (exchange, 404, NULL, NULL, 0);
   /* A peer that knows a later era should not wait until this instance learns of it. */
   else if (known.revision == 0 || after.era > known.era)
     wc_http_exchange_respond (exchange, 503, NULL, NULL, 0);
+  else if (endpoint->is_indirect && waiter.wants_direct)
+    wc_http_exchange_respond (exchange, 409, NULL, NULL, 0);
   else if (wait_ms == 0 || wc_store_version_compare (after, known) < 0)
     respond (endpoint, exchange, after);
   else
@@ -316,6 +340,7 @@
   WcViewOrigin         origin = {
             .age_ms = (uint32_t)MIN (age_us / 1000, UINT32_MAX),
             .logical = wc_event_log_get_logical_clock (endpoint->log),
+            .is_indirect = endpoint->is_indirect,
   };
   WcStoreReply reply;
   bool         is_known;
--- a/src/edge/peer_endpoint.h
+++ b/src/edge/peer_endpoint.h
@@ -62,6 +62,14 @@
  */
 void wc_peer_endpoint_source_lost (WcPeerEndpoint *endpoint);
 
+/**
+ * wc_peer_endpoint_set_indirect() - set whether the domain of this instance reads the store through another domain.
+ *
+ * Peers of other domains that wait for changes are declined (status 409), and the peers of the own domain are answered
+ * at once, so that they decline too.
+ */
+void wc_peer_endpoint_set_indirect (WcPeerEndpoint *endpoint, bool is_indirect);
+
 /** wc_peer_endpoint_tick() - respond to the peers whose wait for changes has timed out. */
 void wc_peer_endpoint_tick (WcPeerEndpoint *endpoint, uint64_t now_us);
 
--- a/src/edge/platform_client.c
+++ b/src/edge/platform_client.c
@@ -479,8 +479,10 @@
     finish_read (read, WC_PLATFORM_RESULT_UNCHANGED);
   else if (read->is_complete && read->parser.status_code == 410)
     finish_read (read, WC_PLATFORM_RESULT_EXPIRED);
+  else if (read->is_complete && read->parser.status_code == 409)
+    finish_read (read, WC_PLATFORM_RESULT_DECLINED);
   else if (read->is_complete)
-    attempt_failed (read, "response status is not 200, 304 or 410");
+    attempt_failed (read, "response status is not 200, 304, 409 or 410");
   else if (parsed != (size_t)received)
     attempt_failed (read, "response is malformed");
 }
--- a/src/edge/platform_client.h
+++ b/src/edge/platform_client.h
@@ -29,6 +29,8 @@
   WC_PLATFORM_RESULT_UNCHANGED,
   /* The server no longer keeps the requested history (status 410). */
   WC_PLATFORM_RESULT_EXPIRED,
+  /* The server does not give its state to this reader now (status 409). */
+  WC_PLATFORM_RESULT_DECLINED,
   /* No server gave a valid response. */
   WC_PLATFORM_RESULT_FAILED
 } WcPlatformResult;
--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -44,6 +44,11 @@
    * from one instance to another.
    */
   CHANGE_BATCH_DELAY_US = 100 * 1000,
+  /*
+   * How long a domain that reads through another one is not asked again: as long as that one waits before it retries
+   * the store.
+   */
+  INDIRECT_AVOID_US = STORE_RETRY_DELAY_US,
   /* Minimum pause before a source is chosen again when none was available. */
   PAUSE_MIN_US = 20 * 1000
 };
@@ -59,6 +64,7 @@
   WcViewSource         source;
   uint64_t             store_avoid_deadline_us;
   bool                 store_lost;
+  bool                 is_indirect;
   uint64_t             store_era;
   WcEventLog          *log;
   WcViewReaderOps      ops;
@@ -72,13 +78,16 @@
 static void read_store (WcViewReader *reader, WcStoreRead read, const char *after_key);
 static void read_peer (WcViewReader *reader, WcStoreRead read);
 static void set_source (WcViewReader *reader, const WcViewSource *source);
+static void set_indirect (WcViewReader *reader, bool is_indirect);
 static void pause_expired (struct ev_loop *loop, ev_timer *watcher, int events);
 static void read_finished (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
                            const char *body, size_t size_bytes);
 static void set_store_era (WcViewReader *reader, uint64_t era);
 static bool decode_reply (const WcViewReader *reader, uint64_t era, const char *body, size_t size_bytes,
-                          WcStoreReply *reply, uint64_t *age_us, WcError *error);
-static void reply_received (WcViewReader *reader, WcPlatformRead read, const WcStoreReply *reply, uint64_t age_us);
+                          WcStoreReply *reply, WcViewOrigin *origin, WcError *error);
+static void
+reply_received (WcViewReader *reader, WcPlatformRead read, const WcStoreReply *reply, const WcViewOrigin *origin);
+static void handle_read_declined (WcViewReader *reader);
 static void handle_read_failure (WcViewReader *reader, const char *reason);
 static void avoid_peer (WcViewReader *reader);
 static void log_state (WcViewReader *reader, const char *event, const char *reason);
@@ -203,8 +212,9 @@
   bool                 is_range = read == WC_STORE_READ_RANGE;
   const WcStoreVersion version = wc_store_replica_get_version (reader->replica);
   uint32_t             wait_ms = is_range ? 0 : WATCH_WAIT_MS;
-  char *path = g_strdup_printf ("/changes?era=%" G_GUINT64_FORMAT "&after=%" G_GUINT64_FORMAT "&wait_ms=%u",
-                                version.era, is_range ? 0 : version.revision, wait_ms);
+  char                *path =
+      g_strdup_printf ("/changes?era=%" G_GUINT64_FORMAT "&after=%" G_GUINT64_FORMAT "&wait_ms=%u%s", version.era,
+                       is_range ? 0 : version.revision, wait_ms, reader->source.is_other_domain ? "&direct=1" : "");
 
   reader->counters.peer_reads++;
   wc_platform_client_get (reader->peer_client, is_range ? WC_PLATFORM_READ_STORE_ITEMS : WC_PLATFORM_READ_STORE_CHANGES,
@@ -219,6 +229,8 @@
                  (source->kind != WC_VIEW_SOURCE_PEER || wc_address_equal (&source->peer, &reader->source.peer));
 
   reader->source.is_other_domain = source->is_other_domain;
+  if (source->is_other_domain)
+    set_indirect (reader, true);
   if (is_same)
     return;
   if (source->kind == WC_VIEW_SOURCE_PEER)
@@ -232,6 +244,16 @@
   log_state (reader, "source_chosen", "");
 }
 
+static void
+set_indirect (WcViewReader *reader, bool is_indirect)
+{
+  if (reader->is_indirect == is_indirect)
+    return;
+  reader->is_indirect = is_indirect;
+  if (reader->ops.indirect_changed)
+    reader->ops.indirect_changed (reader->user_data, is_indirect);
+}
+
 static void
 pause_expired (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -246,8 +268,8 @@
 {
   WcViewReader *reader = user_data;
   WcStoreReply  reply;
+  WcViewOrigin  origin = { 0 };
   WcError       error;
-  uint64_t      age_us = 0;
 
   if (reader->source.kind == WC_VIEW_SOURCE_STORE)
     set_store_era (reader, version);
@@ -259,14 +281,19 @@
       read_next (reader);
       return;
     }
+  if (result == WC_PLATFORM_RESULT_DECLINED && reader->source.is_other_domain)
+    {
+      handle_read_declined (reader);
+      return;
+    }
   if (result != WC_PLATFORM_RESULT_OK)
     {
       handle_read_failure (reader, "no valid response");
       return;
     }
   wc_store_reply_init (&reply);
-  if (decode_reply (reader, version, body, size_bytes, &reply, &age_us, &error))
-    reply_received (reader, read, &reply, age_us);
+  if (decode_reply (reader, version, body, size_bytes, &reply, &origin, &error))
+    reply_received (reader, read, &reply, &origin);
   else
     handle_read_failure (reader, error.message);
   wc_store_reply_finish (&reply);
@@ -285,24 +312,21 @@
 
 static bool
 decode_reply (const WcViewReader *reader, uint64_t era, const char *body, size_t size_bytes, WcStoreReply *reply,
-              uint64_t *age_us, WcError *error)
+              WcViewOrigin *origin, WcError *error)
 {
-  WcViewOrigin origin;
-
   if (reader->source.kind == WC_VIEW_SOURCE_STORE)
     return wc_store_wire_decode (body, size_bytes, era, reply, error) == WC_STATUS_OK;
-  if (wc_view_changes_unpack (body, size_bytes, reply, &origin) != WC_STATUS_OK)
+  if (wc_view_changes_unpack (body, size_bytes, reply, origin) != WC_STATUS_OK)
     {
       wc_error_set (error, WC_STATUS_PARSE, "response of the peer cannot be decoded");
       return false;
     }
-  *age_us = (uint64_t)origin.age_ms * 1000;
-  wc_event_log_merge_logical_clock (reader->log, origin.logical);
+  wc_event_log_merge_logical_clock (reader->log, origin->logical);
   return true;
 }
 
 static void
-reply_received (WcViewReader *reader, WcPlatformRead read, const WcStoreReply *reply, uint64_t age_us)
+reply_received (WcViewReader *reader, WcPlatformRead read, const WcStoreReply *reply, const WcViewOrigin *origin)
 {
   uint64_t    now_us = wc_clock_monotonic_us ();
   WcStoreRead sync_read = read == WC_PLATFORM_READ_STORE_ITEMS ? WC_STORE_READ_RANGE : WC_STORE_READ_CHANGES;
@@ -314,7 +338,7 @@
       handle_read_failure (reader, "response is older than the view");
       return;
     }
-  if (!wc_store_sync_answered (reader->sync, sync_read, reply, age_us, now_us))
+  if (!wc_store_sync_answered (reader->sync, sync_read, reply, (uint64_t)origin->age_ms * 1000, now_us))
     {
       handle_read_failure (reader, "response does not continue the range, or is of an earlier era");
       return;
@@ -328,6 +352,8 @@
   if (reader->source.kind == WC_VIEW_SOURCE_PEER &&
       now_us - wc_store_replica_get_confirmed_us (reader->replica) > PEER_VIEW_MAX_AGE_US)
     avoid_peer (reader);
+  if (!reader->source.is_other_domain)
+    set_indirect (reader, origin->is_indirect);
   reader->ops.view_updated (reader->user_data);
   if (reader->source.kind == WC_VIEW_SOURCE_STORE && read == WC_PLATFORM_READ_STORE_CHANGES && reply->changes->len > 0)
     pause_for (reader, CHANGE_BATCH_DELAY_US);
@@ -335,6 +361,23 @@
     read_next (reader);
 }
 
+/*
+ * Load pattern: the store rejects the instances that read it in all domains at once. Domains that read through each
+ * other only exchange what they know, and none of their views is updated. When every other domain declines, the peers
+ * of this domain are answered with 503, so that the one with the next rank tries the store.
+ */
+static void
+handle_read_declined (WcViewReader *reader)
+{
+  log_state (reader, "peer_read_declined", "the peer's domain reads the store through another domain");
+  wc_peer_table_avoid_indirect (reader->peers, reader->source.domain, wc_clock_monotonic_us () + INDIRECT_AVOID_US);
+  read_next (reader);
+  if (reader->source.is_other_domain || reader->source.kind == WC_VIEW_SOURCE_STORE)
+    return;
+  reader->ops.source_lost (reader->user_data);
+  wc_platform_client_set_response_timeout_us (reader->store_client, LOST_STORE_TIMEOUT_US);
+}
+
 /*
  * Does not read from the failed source for a while, and reads from the next one. An instance that reads for its domain
  * continues to do so through another domain, and retries the store after STORE_RETRY_DELAY_US. Without another domain,
--- a/src/edge/view_reader.h
+++ b/src/edge/view_reader.h
@@ -32,11 +32,14 @@
  * @view_updated: the source has answered, with or without changes.
  * @source_lost: a read of the store has failed and no other domain can be read instead; peers that read through this
  * instance should not wait for it.
+ * @indirect_changed: whether the domain of this instance reads the store through another domain; false at first. May be
+ * NULL.
  */
 typedef struct
 {
   void (*view_updated) (void *user_data);
   void (*source_lost) (void *user_data);
+  void (*indirect_changed) (void *user_data, bool is_indirect);
 } WcViewReaderOps;
 
 /** wc_view_reader_new() - create a reader and start reading. @replica, @peers and @log must outlive it. */
--- a/src/forward/gossip.c
+++ b/src/forward/gossip.c
@@ -118,6 +118,7 @@
   message.era = reply->version.era;
   message.age_ms = origin->age_ms;
   message.logical = origin->logical;
+  message.indirect = origin->is_indirect;
   message.n_changes = count;
   message.changes = list;
   size_bytes = wc__view_changes__get_packed_size (&message);
@@ -148,7 +149,7 @@
                           change->deleted ? NULL : g_bytes_new (change->value.data, change->value.len), version);
     }
   reply->version = (WcStoreVersion){ message->era, message->revision };
-  *origin = (WcViewOrigin){ message->age_ms, message->logical };
+  *origin = (WcViewOrigin){ message->age_ms, message->logical, message->indirect };
   wc__view_changes__free_unpacked (message, NULL);
   return WC_STATUS_OK;
 }
--- a/src/forward/gossip.h
+++ b/src/forward/gossip.h
@@ -70,11 +70,13 @@
  * struct WcViewOrigin - metadata of store changes that one instance relays to another.
  * @age_ms: time since the store confirmed the sender's view.
  * @logical: logical clock of the sender.
+ * @is_indirect: the sender's domain reads the store through another domain.
  */
 typedef struct
 {
   uint32_t age_ms;
   uint64_t logical;
+  bool     is_indirect;
 } WcViewOrigin;
 
 /** wc_view_changes_pack() - encode store changes for another instance. */
--- a/src/forward/peer_table.c
+++ b/src/forward/peer_table.c
@@ -272,6 +272,20 @@
   peer->last_heartbeat_us = 0;
 }
 
+void
+wc_peer_table_avoid_indirect (WcPeerTable *table, uint32_t domain, uint64_t deadline_us)
+{
+  assert (table != NULL && domain != 0);
+
+  for (guint i = 0; i < table->peers->len; i++)
+    {
+      WcPeer *peer = table->peers->pdata[i];
+
+      if (peer->entry.domain == domain)
+        peer->indirect_deadline_us = deadline_us;
+    }
+}
+
 const WcPeerEntry *
 wc_peer_table_get_self (const WcPeerTable *table)
 {
--- a/src/forward/peer_table.h
+++ b/src/forward/peer_table.h
@@ -21,6 +21,7 @@
  * @revision, @view_us: revision of its view, and when the store confirmed that view, as stated by the peer.
  * @stopping: it is in a planned shutdown.
  * @avoid_deadline_us: until then the view is not read from it, because a read failed.
+ * @indirect_deadline_us: until then its domain counts as one that reads the store through another domain.
  */
 typedef struct
 {
@@ -32,6 +33,7 @@
   uint64_t    view_us;
   bool        stopping;
   uint64_t    avoid_deadline_us;
+  uint64_t    indirect_deadline_us;
 } WcPeer;
 
 /**
@@ -93,6 +95,10 @@
 /** wc_peer_table_avoid() - a read from a peer failed: do not read from it until @deadline_us and a new heartbeat. */
 void wc_peer_table_avoid (WcPeerTable *table, const WcAddress *address, uint64_t deadline_us);
 
+/** wc_peer_table_avoid_indirect() - an instance of @domain declined a read, because its domain reads through another.
+ */
+void wc_peer_table_avoid_indirect (WcPeerTable *table, uint32_t domain, uint64_t deadline_us);
+
 const WcPeerEntry *wc_peer_table_get_self (const WcPeerTable *table);
 
 /**
--- a/src/forward/view_source.c
+++ b/src/forward/view_source.c
@@ -108,7 +108,7 @@
       const WcPeer *peer = wc_peer_table_get (peers, i);
 
       if (now_us < peer->avoid_deadline_us || !wc_peer_is_live (peer, now_us) || peer->view_us == 0 ||
-          (scope == OTHER_DOMAINS && peer->entry.domain == self->domain))
+          (scope == OTHER_DOMAINS && (peer->entry.domain == self->domain || now_us < peer->indirect_deadline_us)))
         continue;
       if (!best || peer->view_us > best->view_us)
         best = peer;
@@ -119,5 +119,10 @@
 static WcViewSource
 make_peer_source (const WcPeer *peer, bool is_other_domain)
 {
-  return (WcViewSource){ .kind = WC_VIEW_SOURCE_PEER, .peer = peer->entry.address, .is_other_domain = is_other_domain };
+  return (WcViewSource){
+    .kind = WC_VIEW_SOURCE_PEER,
+    .peer = peer->entry.address,
+    .domain = peer->entry.domain,
+    .is_other_domain = is_other_domain,
+  };
 }
--- a/src/forward/view_source.h
+++ b/src/forward/view_source.h
@@ -18,6 +18,7 @@
 /**
  * struct WcViewSource - source from which the view is read next.
  * @peer: address of the peer; only for WC_VIEW_SOURCE_PEER.
+ * @domain: quark of the peer's domain; only for WC_VIEW_SOURCE_PEER.
  * @is_other_domain: the peer belongs to another domain and has a view that the store confirmed recently, so that this
  * instance can continue to relay changes to its own domain; only for WC_VIEW_SOURCE_PEER.
  * @deadline_us: when to choose again; only for WC_VIEW_SOURCE_NONE.
@@ -26,6 +27,7 @@
 {
   WcViewSourceKind kind;
   WcAddress        peer;
+  uint32_t         domain;
   bool             is_other_domain;
   uint64_t         deadline_us;
 } WcViewSource;
@@ -38,9 +40,9 @@
  * All instances rank the live instances of their domain in the same way and skip those they avoid. The first one reads
  * the store, the next eight read from the first, and so on. An instance that is dead, hung or partitioned is skipped by
  * each of the others independently, and the next one takes over without any agreement. If the first one cannot read the
- * store, it reads from a peer of another domain, because all others of its own domain only know what it relays. If
- * no other domain has a view that the store confirmed recently, it reads from the peer with the most recently confirmed
- * view.
+ * store, it reads from a peer of another domain that does not itself read through another one, because all others of
+ * its own domain only know what it relays. If no other domain has a view that the store confirmed recently, it reads
+ * from the peer with the most recently confirmed view.
  */
 WcViewSource wc_view_source_choose (const WcPeerTable *peers, uint64_t store_avoid_deadline_us, uint64_t now_us);
 
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -95,7 +95,7 @@
 /* Guards against values, deletions or the origin of store changes that are lost in encoding. */
 START_TEST (store_changes_round_trip)
 {
-  const WcViewOrigin   origin = { 250, 99 };
+  const WcViewOrigin   origin = { 250, 99, true };
   WcViewOrigin         copy_origin;
   WcStoreReply         reply;
   WcStoreReply         copy;
@@ -115,6 +115,7 @@
   ck_assert_uint_eq (copy.version.revision, 12);
   ck_assert_uint_eq (copy_origin.age_ms, 250);
   ck_assert_uint_eq (copy_origin.logical, 99);
+  ck_assert (copy_origin.is_indirect);
   ck_assert_uint_eq (copy.changes->len, 2);
   change = &g_array_index (copy.changes, WcStoreChange, 0);
   ck_assert_str_eq (change->key, "servers/i-1");
@@ -134,7 +135,7 @@
  */
 START_TEST (long_changes_are_compressed)
 {
-  const WcViewOrigin origin = { 250, 99 };
+  const WcViewOrigin origin = { 250, 99, false };
   WcViewOrigin       copy_origin;
   WcStoreReply       reply;
   WcStoreReply       copy;
--- a/tests/test_view_reader.c
+++ b/tests/test_view_reader.c
@@ -101,6 +101,38 @@
 }
 END_TEST
 
+/*
+ * The store rejects the first instances of two domains at once; the second instance of one of them can read it. Guards
+ * against domains that read through each other: a configuration was in force only after 3.8 s, when the view of the
+ * second instance had become too old.
+ */
+START_TEST (domains_do_not_read_through_each_other)
+{
+  ViewFixture fixture;
+  WcAddress   store;
+  WcAddress   relay;
+  uint64_t    revision;
+  uint64_t    start_us;
+
+  view_fixture_init (&fixture);
+  view_wait_for_revision (&fixture, &fixture.first, 10);
+  wc_emulated_store_get_address (fixture.store, &store);
+  wc_tcp_relay_get_address (fixture.relay, &relay);
+  view_start_follower (&fixture, &store);
+  view_fixture_start (&fixture, &fixture.third, 3, "b", &relay);
+  view_wait_for_revision (&fixture, &fixture.third, 10);
+  view_add_peer (&fixture.first, &fixture.third);
+  view_add_peer (&fixture.third, &fixture.first);
+  wc_tcp_relay_set_fault (fixture.relay, WC_RELAY_CUTS);
+  view_run_for (&fixture, 100);
+  revision = wc_emulated_store_put (fixture.store, "op/config", "{}", 2);
+  start_us = wc_clock_monotonic_us ();
+  view_wait_for_revision (&fixture, &fixture.second, revision);
+  ck_assert_uint_lt (wc_clock_monotonic_us () - start_us, 3000 * 1000);
+  view_fixture_finish (&fixture);
+}
+END_TEST
+
 /* Guards against instances that keep waiting for changes from a peer that has lost the store. */
 START_TEST (followers_are_rejected_when_store_is_lost)
 {
@@ -214,6 +246,7 @@
   tcase_add_test (tests, timed_out_store_read_is_not_retried);
   tcase_add_test (tests, followers_are_rejected_when_store_is_lost);
   tcase_add_test (tests, followers_keep_source_that_reads_another_domain);
+  tcase_add_test (tests, domains_do_not_read_through_each_other);
   tcase_add_test (tests, large_pages_are_read);
   tcase_add_test (tests, consecutive_changes_are_batched);
   tcase_add_test (tests, recovers_from_every_store_fault);
--- a/tests/view_fixture.h
+++ b/tests/view_fixture.h
@@ -74,6 +74,12 @@
   wc_peer_endpoint_source_lost (((ViewInstance *)user_data)->endpoint);
 }
 
+static inline void
+view_indirect_changed (void *user_data, bool is_indirect)
+{
+  wc_peer_endpoint_set_indirect (((ViewInstance *)user_data)->endpoint, is_indirect);
+}
+
 static inline void
 view_fill_own_state (void *user_data, WcGossip *gossip)
 {
@@ -132,7 +138,9 @@
   static const WcPeerEndpointOps peer_ops = { view_fill_own_state, view_add_next_reports, view_add_host_reports,
                                               view_gossip_received };
   static const WcStoreReplicaOps replica_ops = { .apply = view_apply, .compare = wc_store_view_compare };
-  static const WcViewReaderOps   ops = { .view_updated = view_was_updated, .source_lost = view_source_lost };
+  static const WcViewReaderOps   ops = { .view_updated = view_was_updated,
+                                         .source_lost = view_source_lost,
+                                         .indirect_changed = view_indirect_changed };
   WcError                        error;
 
   instance->log = wc_event_log_new (fixture->loop, STDERR_FILENO, domain);
