Send no new flows to the hosts of evacuated domains

Cause: operators evacuate a failure domain by the store key op/evacuate/DOMAIN, which the packets path ignored, so new flows went on to hosts that were about to be taken out of service.

Change: store_view passes the presence of the key to the forwarder, which keeps the set of evacuated domains (src/forward/evacuation) and marks known and later hosts. accepts_flows() leaves marked hosts out, so that new, held and repeated openings, trials, avoided hosts and hosts in the grace period go through one check, and capacity sums do not count them. Open flows are kept. Openings for which no host is left are reset as rejected_no_host at once, held ones included; before, those behind the openings of other services waited or were rejected as overload. Hosts of evacuated domains no longer count when hosts in the grace period are compared with ready ones. Decisions domain_evacuated and domain_restored, gauge evacuated_domains. The operators' port serves /status on the packets path too, so that the command status shows evacuated domains; the address of the readiness check is unchanged.

Ruled out: a change of the replica.

--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -10,6 +10,7 @@
 static void                print_header (void);
 static void                print_row (struct json_object *status);
 static void                print_rejection (struct json_object *status);
+static void                print_evacuation (struct json_object *status);
 static const char         *get_text (struct json_object *object, const char *key);
 static uint64_t            get_count (struct json_object *object, const char *key);
 static struct json_object *get_object (struct json_object *object, const char *key);
@@ -74,6 +75,8 @@
         print_row (json_object_array_get_idx (statuses, i));
       for (size_t i = 0; i < json_object_array_length (statuses); i++)
         print_rejection (json_object_array_get_idx (statuses, i));
+      for (size_t i = 0; i < json_object_array_length (statuses); i++)
+        print_evacuation (json_object_array_get_idx (statuses, i));
     }
   json_object_put (statuses);
   return exit_code;
@@ -122,6 +125,21 @@
             get_count (rejection, "revision"), get_text (rejection, "reason"));
 }
 
+static void
+print_evacuation (struct json_object *status)
+{
+  struct json_object *domains = get_object (status, "evacuated_domains");
+
+  for (size_t i = 0; domains && i < json_object_array_length (domains); i++)
+    {
+      struct json_object *domain = json_object_array_get_idx (domains, i);
+
+      printf ("%s has evacuated domain %s at revision %" G_GUINT64_FORMAT ", %" G_GUINT64_FORMAT " s ago\n",
+              get_text (status, "instance"), get_text (domain, "domain"), get_count (domain, "revision"),
+              get_count (domain, "since_ms_ago") / 1000);
+    }
+}
+
 static const char *
 get_text (struct json_object *object, const char *key)
 {
--- a/src/edge/decision_log.c
+++ b/src/edge/decision_log.c
@@ -10,6 +10,7 @@
 };
 
 static void add_flow (WcEventLine *line, const WcFlowKey *key);
+static void add_domain (WcEventLine *line, const WcDecision *decision);
 static void add_host (WcEventLine *line, const WcHost *host);
 
 void
@@ -28,9 +29,11 @@
     wc_event_line_add_id (line, "request", decision->request_id);
   if (decision->host)
     add_host (line, decision->host);
+  if (decision->domain != 0)
+    add_domain (line, decision);
   if (decision->evidence_us > 0)
     wc_event_line_add_uint (line, "evidence_ms", (now_us - decision->evidence_us) / 1000);
-  if (decision->count > 0)
+  if (decision->count > 0 && decision->domain == 0)
     wc_event_line_add_uint (line, "evidence_count", decision->count);
   if (decision->witnesses > 0)
     wc_event_line_add_uint (line, "witnesses", decision->witnesses);
@@ -58,6 +61,14 @@
   wc_event_line_add_text (line, "flow", text);
 }
 
+static void
+add_domain (WcEventLine *line, const WcDecision *decision)
+{
+  wc_event_line_add_text (line, "domain", g_quark_to_string (decision->domain));
+  wc_event_line_add_uint (line, "domain_revision", decision->domain_revision);
+  wc_event_line_add_uint (line, "domain_hosts", decision->count);
+}
+
 static void
 add_host (WcEventLine *line, const WcHost *host)
 {
--- a/src/edge/forward_metrics.c
+++ b/src/edge/forward_metrics.c
@@ -56,6 +56,8 @@
   add_gauge (text, "view_revision", "Revision of the store that is known.", (double)gauges->view_revision);
   add_gauge (text, "view_age_seconds", "Time since the store confirmed the view; -1 for never.",
              gauges->view_age_us == UINT64_MAX ? -1 : (double)gauges->view_age_us / 1e6);
+  add_gauge (text, "evacuated_domains", "Domains whose hosts receive no new flows.",
+             (double)wc_evacuation_get_count (wc_forwarder_get_evacuation (gauges->forwarder)));
   add_gauge (text, "peers", "Other instances that are live.", gauges->peers);
   add_gauge (text, "flows", "Flows remembered.", (double)wc_forwarder_get_flow_count (gauges->forwarder));
   add_hosts (text, wc_forwarder_get_hosts (gauges->forwarder));
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -12,6 +12,7 @@
 #include "edge/decision_log.h"
 #include "edge/event_log.h"
 #include "edge/forward_metrics.h"
+#include "edge/forward_status.h"
 #include "edge/packet_socket.h"
 #include "edge/peer_endpoint.h"
 #include "edge/settings_watch.h"
@@ -110,6 +111,7 @@
 static uint64_t get_view_age_us (const WcForwardServer *server);
 static bool     is_ready (void *user_data);
 static char    *format_metrics (void *user_data);
+static char    *format_status (void *user_data);
 static void     fill_own_state (void *user_data, WcGossip *gossip);
 static void     add_next_host_reports (void *user_data, WcGossip *gossip);
 static void     add_host_reports (void *user_data, uint64_t id, WcGossip *gossip);
@@ -234,11 +236,12 @@
   server->packet_socket = wc_packet_socket_new (server->loop, &settings->packets, &PACKET_SOCKET_OPS, server, error);
   if (!server->packet_socket)
     return false;
-  server->ready_port = wc_status_port_new (server->loop, &settings->ready, is_ready, format_metrics, server, error);
+  server->ready_port =
+      wc_status_port_new (server->loop, &settings->ready, is_ready, format_metrics, NULL, server, error);
   if (!server->ready_port)
     return false;
   server->operators_port =
-      wc_status_port_new (server->loop, &settings->operators, is_ready, format_metrics, server, error);
+      wc_status_port_new (server->loop, &settings->operators, is_ready, format_metrics, format_status, server, error);
   if (!server->operators_port)
     return false;
   server->peer_endpoint = wc_peer_endpoint_new (server->loop, &settings->peers, server->peers, server->replica,
@@ -370,6 +373,8 @@
   WcForwardServer *server = user_data;
 
   wc_peer_endpoint_view_changed (server->peer_endpoint);
+  /* The evacuation of a domain resets held openings. */
+  wc_packet_socket_flush (server->packet_socket);
   if (server->is_view_loaded || wc_store_replica_get_version (server->replica).revision == 0 ||
       !wc_forwarder_get_routes (server->forwarder))
     return;
@@ -427,6 +432,22 @@
   return wc_forward_metrics_format (&server->metrics, &gauges);
 }
 
+static char *
+format_status (void *user_data)
+{
+  WcForwardServer      *server = user_data;
+  const WcForwardStatus status = {
+    .instance = server->settings->instance,
+    .domain = server->settings->domain,
+    .forwarder = server->forwarder,
+    .view_age_us = get_view_age_us (server),
+    .is_ready = is_ready (server),
+    .is_stopping = server->stop_start_us > 0,
+  };
+
+  return wc_forward_status_format (&status, wc_clock_monotonic_us ());
+}
+
 static void
 fill_own_state (void *user_data, WcGossip *gossip)
 {
--- a/src/edge/status_port.c
+++ b/src/edge/status_port.c
@@ -12,14 +12,16 @@
   WcHttpServer       *server;
   WcStatusPortReady   ready;
   WcStatusPortMetrics metrics;
+  WcStatusPortStatus  status;
   void               *user_data;
 };
 
 static void request_received (void *user_data, WcHttpExchange *exchange);
+static void respond_text (WcHttpExchange *exchange, const char *headers, char *text);
 
 WcStatusPort *
 wc_status_port_new (struct ev_loop *loop, const WcAddress *address, WcStatusPortReady ready,
-                    WcStatusPortMetrics metrics, void *user_data, WcError *error)
+                    WcStatusPortMetrics metrics, WcStatusPortStatus status, void *user_data, WcError *error)
 {
   static const WcHttpServerOps ops = { .request = request_received };
   WcStatusPort                *port = g_new0 (WcStatusPort, 1);
@@ -28,6 +30,7 @@
 
   port->ready = ready;
   port->metrics = metrics;
+  port->status = status;
   port->user_data = user_data;
   port->server = wc_http_server_new (loop, address, &ops, port, error);
   if (port->server)
@@ -51,14 +54,20 @@
 request_received (void *user_data, WcHttpExchange *exchange)
 {
   WcStatusPort *port = user_data;
-  char         *text;
+  const char   *path = wc_http_exchange_get_path (exchange);
 
-  if (strcmp (wc_http_exchange_get_path (exchange), "/metrics") != 0)
-    {
-      wc_http_exchange_respond (exchange, port->ready (port->user_data) ? 200 : 503, NULL, NULL, 0);
-      return;
-    }
-  text = port->metrics (port->user_data);
-  wc_http_exchange_respond (exchange, 200, "Content-Type: text/plain; version=0.0.4\r\n", text, strlen (text));
+  if (strcmp (path, "/metrics") == 0)
+    respond_text (exchange, "Content-Type: text/plain; version=0.0.4\r\n", port->metrics (port->user_data));
+  else if (port->status && strcmp (path, "/status") == 0)
+    respond_text (exchange, "Content-Type: application/json\r\n", port->status (port->user_data));
+  else
+    wc_http_exchange_respond (exchange, port->ready (port->user_data) ? 200 : 503, NULL, NULL, 0);
+}
+
+/* Takes ownership of @text. */
+static void
+respond_text (WcHttpExchange *exchange, const char *headers, char *text)
+{
+  wc_http_exchange_respond (exchange, 200, headers, text, strlen (text));
   g_free (text);
 }
--- a/src/edge/status_port.h
+++ b/src/edge/status_port.h
@@ -9,10 +9,10 @@
 #include <wigeoncart/status.h>
 
 /**
- * struct WcStatusPort - HTTP port for readiness checks and metrics.
+ * struct WcStatusPort - HTTP port for readiness checks, metrics and status.
  *
- * GET /metrics returns the metrics. Every other path, including the one that the network fabric probes, returns 200
- * when the instance accepts packets and 503 otherwise.
+ * GET /metrics returns the metrics, and GET /status the status as JSON if the port has one. Every other path, including
+ * the one that the network fabric probes, returns 200 when the instance accepts packets and 503 otherwise.
  */
 typedef struct WcStatusPort WcStatusPort;
 
@@ -22,9 +22,18 @@
 /** WcStatusPortMetrics - text of the metrics; the port frees it with g_free(). */
 typedef char *(*WcStatusPortMetrics) (void *user_data);
 
-/** wc_status_port_new() - listen on @address. Return: NULL with @error set when the address cannot be bound. */
-WcStatusPort *wc_status_port_new (struct ev_loop *loop, const WcAddress *address, WcStatusPortReady ready,
-                                  WcStatusPortMetrics metrics, void *user_data, WcError *error);
-void          wc_status_port_delete (WcStatusPort *port);
+/** WcStatusPortStatus - the status as JSON; the port frees it with g_free(). */
+typedef char *(*WcStatusPortStatus) (void *user_data);
+
+/**
+ * wc_status_port_new() - listen on @address.
+ * @status: NULL for a port without a status.
+ *
+ * Return: NULL with @error set when the address cannot be bound.
+ */
+WcStatusPort      *
+wc_status_port_new (struct ev_loop *loop, const WcAddress *address, WcStatusPortReady ready,
+                         WcStatusPortMetrics metrics, WcStatusPortStatus status, void *user_data, WcError *error);
+void wc_status_port_delete (WcStatusPort *port);
 
 #endif
--- a/src/edge/store_view.c
+++ b/src/edge/store_view.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 
 #include "config_wire.h"
+#include "evacuation_wire.h"
 #include "host_wire.h"
 
 static void apply_config (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us);
@@ -17,14 +18,18 @@
 wc_store_view_apply (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us)
 {
   uint64_t id;
+  uint32_t domain;
 
   assert (forwarder != NULL && change != NULL);
 
+  domain = wc_evacuation_wire_domain (change->key);
   id = wc_host_wire_id_from_key (change->key);
   if (wc_config_wire_is_key (change->key))
     apply_config (forwarder, log, change, now_us);
   else if (id != 0)
     apply_host (forwarder, log, change, id, now_us);
+  else if (domain != 0)
+    wc_forwarder_set_evacuated (forwarder, domain, change->value != NULL, change->version.revision, now_us);
 }
 
 int
--- a/src/edge/store_view.h
+++ b/src/edge/store_view.h
@@ -9,7 +9,8 @@
  * wc_store_view_apply() - decode a change of the store and apply it to the forwarder.
  *
  * A host whose entry cannot be decoded is removed. A configuration that cannot be decoded, or is older than the one in
- * force, is rejected, and the previous one stays in force. Other items are ignored.
+ * force, is rejected, and the previous one stays in force. A domain is evacuated while its key is present. Other items
+ * are ignored.
  */
 void wc_store_view_apply (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us);
 
--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -25,6 +25,8 @@
   X (HOST_GONE, "host_gone", "Hosts that are no longer published.")                                                    \
   X (HOST_SUSPECTED, "host_suspected", "Hosts taken out because they do not answer.")                                  \
   X (HOST_CLEARED, "host_cleared", "Suspected hosts that answered again.")                                             \
+  X (DOMAIN_EVACUATED, "domain_evacuated", "Domains whose hosts no longer receive new flows.")                         \
+  X (DOMAIN_RESTORED, "domain_restored", "Domains whose evacuation ended.")                                            \
   X (LINK_LOSSY, "link_lossy", "Times at which the link of this instance began to lose openings.")                     \
   X (ROUTES_IN_FORCE, "routes_in_force", "Configurations put in force.")
 
@@ -45,15 +47,17 @@
  * @request_id: last request on the flow; 0 when unknown.
  * @host: the host, or NULL.
  * @version: version of the active configuration; 0 for none.
- * @evidence_us: when the first unanswered request was sent, or for a held opening the caller's first transmission; 0
- * for none.
+ * @evidence_us: when the first unanswered request was sent, or for a held opening the caller's first transmission, or
+ * for the end of an evacuation its start; 0 for none.
  * @count: number of unanswered requests, or of flows with an unanswered packet if higher; for an opening, the number of
- * held openings.
+ * held openings; for a domain, the number of its hosts.
  * @witnesses: number of instances with unanswered requests at the host, this one included; 0 when the decision does not
  * depend on them.
  * @forwards_per_s: for an opening that had to wait, rate at which this instance forwards openings of the service; 0
  * when not known.
  * @share_percent: for such an opening, factor of this instance's equal share of the hosts' slots; 0 otherwise.
+ * @domain: quark of the domain that was evacuated or restored; 0 for other decisions.
+ * @domain_revision: store revision of that change.
  */
 typedef struct
 {
@@ -67,6 +71,8 @@
   uint32_t         witnesses;
   uint64_t         forwards_per_s;
   uint32_t         share_percent;
+  uint32_t         domain;
+  uint64_t         domain_revision;
 } WcDecision;
 
 #endif
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -47,6 +47,7 @@
   forwarder->ops = *ops;
   forwarder->user_data = user_data;
   forwarder->hosts = wc_host_table_new (settings->flow_lifetime_us);
+  forwarder->evacuation = wc_evacuation_new ();
   forwarder->flows = wc_flow_table_new (settings->max_flows);
   forwarder->openings = wc_opening_queue_new ();
   if (!forwarder->settings.admission)
@@ -63,6 +64,7 @@
     return;
   wc_route_table_delete (forwarder->routes);
   wc_host_table_delete (forwarder->hosts);
+  wc_evacuation_delete (forwarder->evacuation);
   wc_flow_table_delete (forwarder->flows);
   wc_opening_queue_delete (forwarder->openings);
   wc_admission_queue_delete (forwarder->held);
@@ -91,10 +93,11 @@
 {
   const WcHost *known = wc_host_table_find (forwarder->hosts, record->id);
   WcHostState   before = known ? known->record.state : WC_HOST_GONE;
-  const WcHost *host;
+  WcHost       *host;
 
   forwarder->now_us = now_us;
   host = wc_host_table_put (forwarder->hosts, record, revision, now_us);
+  host->evacuated = wc_evacuation_find (forwarder->evacuation, record->domain) != NULL;
   if (record->state != before)
     wc_forwarder_emit_decision (
         forwarder, record->state == WC_HOST_READY ? WC_DECISION_HOST_READY : WC_DECISION_HOST_DRAINING, NULL, host);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -6,6 +6,7 @@
 
 #include "forward/admission_policy.h"
 #include "forward/decision.h"
+#include "forward/evacuation.h"
 #include "forward/features.h"
 #include "forward/host_report.h"
 #include "forward/host_table.h"
@@ -74,6 +75,13 @@
 /** wc_forwarder_set_host_gone() - mark a host as gone, because it is no longer published or its entry is invalid. */
 void wc_forwarder_set_host_gone (WcForwarder *forwarder, uint64_t id, uint64_t now_us);
 
+/**
+ * wc_forwarder_set_evacuated() - start or end the evacuation of a domain, whose hosts receive no new flows meanwhile.
+ * Held openings without another host are reset; open flows are kept.
+ */
+void wc_forwarder_set_evacuated (WcForwarder *forwarder, uint32_t domain, bool is_evacuated, uint64_t revision,
+                                 uint64_t now_us);
+
 /** wc_forwarder_set_domain_peers() - set the number of other live instances of this domain. */
 void wc_forwarder_set_domain_peers (WcForwarder *forwarder, uint32_t count);
 
@@ -129,7 +137,8 @@
  */
 void wc_forwarder_reject_held (WcForwarder *forwarder, uint64_t now_us);
 
-const WcHostTable *wc_forwarder_get_hosts (const WcForwarder *forwarder);
-size_t             wc_forwarder_get_flow_count (const WcForwarder *forwarder);
+const WcHostTable  *wc_forwarder_get_hosts (const WcForwarder *forwarder);
+const WcEvacuation *wc_forwarder_get_evacuation (const WcForwarder *forwarder);
+size_t              wc_forwarder_get_flow_count (const WcForwarder *forwarder);
 
 #endif
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -34,6 +34,8 @@
 static void    reject_hopeless (WcForwarder *forwarder);
 static bool    keep_unless_hopeless (void *user_data, const WcHeldOpening *held, size_t position);
 static bool    is_hopeless (WcForwarder *forwarder, const WcHeldOpening *held, size_t position);
+static bool    is_unplaceable (WcForwarder *forwarder, const WcHeldOpening *held);
+static bool    keep_unless_unplaceable (void *user_data, const WcHeldOpening *held, size_t position);
 static void    reject_held (WcForwarder *forwarder, WcHeldOpening *held, WcDecisionKind kind);
 static void    reject_opening (WcForwarder *forwarder, const WcHeldOpening *held, WcDecisionKind kind);
 static void    emit_decision (WcForwarder *forwarder, WcDecisionKind kind, const WcHeldOpening *held);
@@ -117,6 +119,13 @@
   forwarder->admit_deadline_us = UINT64_MAX;
 }
 
+void
+wc_forwarder_reject_unplaceable (WcForwarder *forwarder)
+{
+  if (wc_admission_queue_get_count (forwarder->held) > 0)
+    wc_admission_queue_walk (forwarder->held, forwarder->now_us, keep_unless_unplaceable, forwarder);
+}
+
 /* local functions */
 
 /* Return: the host that did not answer the opening, or NULL when it is no longer known. */
@@ -150,7 +159,10 @@
     wc_rate_window_record (&load->arrivals, forwarder->now_us);
   if (wc_admission_queue_get_count (forwarder->held) == 0 && try_to_admit (forwarder, route, &held, false))
     return;
-  hold_opening (forwarder, route, &held);
+  if (is_unplaceable (forwarder, &held))
+    reject_opening (forwarder, &held, WC_DECISION_REJECTED_NO_HOST);
+  else
+    hold_opening (forwarder, route, &held);
 }
 
 /* Queues an opening, or rejects it at once when it has no prospect of being served. */
@@ -231,6 +243,31 @@
   return false;
 }
 
+/*
+ * Whether no host is left for an opening because domains are evacuated. It would otherwise wait behind the openings of
+ * other services, or be rejected as overload.
+ */
+static bool
+is_unplaceable (WcForwarder *forwarder, const WcHeldOpening *held)
+{
+  const WcRoute *route = forwarder->routes ? wc_route_table_find (forwarder->routes, &held->opening.packet.key) : NULL;
+  WcPlacement    placement = placement_of_held (forwarder, held);
+
+  return route && wc_evacuation_get_count (forwarder->evacuation) > 0 && !choose_host (forwarder, route, &placement);
+}
+
+static bool
+keep_unless_unplaceable (void *user_data, const WcHeldOpening *held, size_t position)
+{
+  WcForwarder *forwarder = user_data;
+
+  (void)position;
+  if (!is_unplaceable (forwarder, held))
+    return true;
+  reject_opening (forwarder, held, WC_DECISION_REJECTED_NO_HOST);
+  return false;
+}
+
 static void
 reject_held (WcForwarder *forwarder, WcHeldOpening *held, WcDecisionKind kind)
 {
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -10,8 +10,8 @@
 #include "forward/service_load.h"
 
 /*
- * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows, and
- * forwarder_health.c failure detection of hosts.
+ * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows,
+ * forwarder_health.c failure detection of hosts, and forwarder_evacuation.c evacuated domains.
  */
 
 /**
@@ -34,6 +34,7 @@
   void               *user_data;
   WcRouteTable       *routes;
   WcHostTable        *hosts;
+  WcEvacuation       *evacuation;
   WcFlowTable        *flows;
   WcOpeningQueue     *openings;
   WcAdmissionQueue   *held;
@@ -69,6 +70,9 @@
 /** wc_forwarder_receive_opening() - process the opening packet of a caller. */
 void wc_forwarder_receive_opening (WcForwarder *forwarder, const WcPacket *packet);
 
+/** wc_forwarder_reject_unplaceable() - reset the held openings for which no host is left. */
+void wc_forwarder_reject_unplaceable (WcForwarder *forwarder);
+
 /** wc_forwarder_record_response() - record that a caller received a response of a host. */
 void wc_forwarder_record_response (WcForwarder *forwarder, WcHost *host);
 
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -66,6 +66,7 @@
  * struct WcHost - a host with the local state of this instance.
  * @cookie: identifies the host in the packets of its flows; never 0.
  * @ambiguous: another host with the same cookie owns it, so this host receives no new flows.
+ * @evacuated: the host's domain is evacuated, so it receives no new flows; maintained by the forwarder.
  * @revision: store revision at which the record was written.
  * @flows: number of open flows of this instance.
  * @busy_flows: number of those that are opening or have an unanswered request, without flows that have moved to another
@@ -93,6 +94,7 @@
   WcHostRecord         record;
   uint32_t             cookie;
   bool                 ambiguous;
+  bool                 evacuated;
   uint64_t             revision;
   uint32_t             flows;
   uint32_t             busy_flows;
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -293,7 +293,8 @@
 static bool
 accepts_flows (const WcHost *host, uint64_t now_us)
 {
-  return !host->ambiguous && (host->record.state == WC_HOST_READY || is_in_grace_period (host, now_us));
+  return !host->ambiguous && !host->evacuated &&
+         (host->record.state == WC_HOST_READY || is_in_grace_period (host, now_us));
 }
 
 static bool
@@ -304,7 +305,7 @@
 
 /*
  * If at least as many hosts of a service are in the grace period as are ready, the store has probably lost the entries
- * of hosts that still run. Draining hosts are not counted.
+ * of hosts that still run. Draining and evacuated hosts are not counted.
  */
 static bool
 at_least_half_in_grace_period (const WcHostTable *hosts, uint32_t service, uint64_t now_us)
@@ -321,6 +322,8 @@
   for (size_t cursor = 0; wc_host_table_next_group (hosts, service, &cursor, &group);)
     for (size_t i = 0; i < group.count; i++)
       {
+        if (group.hosts[i]->evacuated)
+          continue;
         in_grace += is_in_grace_period (group.hosts[i], now_us);
         ready += group.hosts[i]->record.state == WC_HOST_READY;
       }
