Add the register rule "evacuated" for failure domains

Cause: on the datagram path operators could take a failure domain out of service only by listing each of its hosts in "leaving", and had to restore the earlier list afterwards.

Change: the rule "evacuated" is a list of domains. The targets of their hosts get no new work, like those of hosts in "leaving"; WcTarget.leaving says so for both, so that dispatch, spill and long polls need no change. Unknown domains and domains that are listed twice are rejected with part, line and key. The rule is exported with the other rules in the part "base", and a later revision without it ends the evacuation.

Ruled out: a member of WcDomain that each consumer of targets would have to check beside leaving.

--- a/include/wigeoncart/register.h
+++ b/include/wigeoncart/register.h
@@ -42,7 +42,7 @@
  * @max_connections: maximum number of connections of one instance to the target.
  * @weight: percentage, 0 to 1000, that scales the share of requests that @slots give the target; 100 is neutral.
  * @cold_start_ms: time over which the share of a new target ramps up.
- * @leaving: the target is being drained and gets no new work.
+ * @leaving: the target gets no new work, because its host is leaving or its domain is evacuated.
  */
 typedef struct
 {
--- a/src/core/register_draft.c
+++ b/src/core/register_draft.c
@@ -50,6 +50,7 @@
 static bool           read_customers (const PartReader *reader, struct json_object *array);
 static bool           read_keys (const PartReader *reader, struct json_object *array);
 static bool           read_rules (const PartReader *reader, struct json_object *rules);
+static bool           read_names (const PartReader *reader, struct json_object *rules, const char *key, GArray *names);
 static bool           read_group (const PartReader *reader, struct json_object *array);
 static bool           check_entry (const PartReader *reader, struct json_object *value, const char *section,
                                    const WcJsonField *fields, size_t count);
@@ -296,10 +297,10 @@
   static const WcJsonField fields[] = {
     { "separate", WC_JSON_ARRAY, false, 0, MAX_GROUPS, NULL },
     { "leaving", WC_JSON_ARRAY, false, 0, MAX_HOSTS, NULL },
+    { "evacuated", WC_JSON_ARRAY, false, 0, MAX_DOMAINS, NULL },
     { "weights", WC_JSON_OBJECT, false, 0, MAX_HOSTS, NULL },
   };
-  static const WcJsonField leaving = { "leaving", WC_JSON_NAME, false, 0, 0, NULL };
-  struct json_object      *section;
+  struct json_object *section;
 
   if (!wc_json_doc_check (reader->doc, rules, fields, G_N_ELEMENTS (fields), reader->error))
     return false;
@@ -307,17 +308,9 @@
     for (size_t i = 0; i < json_object_array_length (section); i++)
       if (!read_group (reader, json_object_array_get_idx (section, i)))
         return false;
-  if (json_object_object_get_ex (rules, "leaving", &section))
-    for (size_t i = 0; i < json_object_array_length (section); i++)
-      {
-        struct json_object *value = json_object_array_get_idx (section, i);
-        WcDraftRule         entry = { .position = get_position (reader, value) };
-
-        if (!wc_json_doc_check_value (reader->doc, value, &leaving, reader->error))
-          return false;
-        entry.name = intern (reader, json_object_get_string (value));
-        g_array_append_val (reader->draft->leaving, entry);
-      }
+  if (!read_names (reader, rules, "leaving", reader->draft->leaving) ||
+      !read_names (reader, rules, "evacuated", reader->draft->evacuated))
+    return false;
   if (json_object_object_get_ex (rules, "weights", &section))
     {
       json_object_object_foreach (section, host, value)
@@ -335,6 +328,28 @@
   return true;
 }
 
+/* Reads a rule that is a list of names. */
+static bool
+read_names (const PartReader *reader, struct json_object *rules, const char *key, GArray *names)
+{
+  const WcJsonField   field = { key, WC_JSON_NAME, false, 0, 0, NULL };
+  struct json_object *section;
+
+  if (!json_object_object_get_ex (rules, key, &section))
+    return true;
+  for (size_t i = 0; i < json_object_array_length (section); i++)
+    {
+      struct json_object *value = json_object_array_get_idx (section, i);
+      WcDraftRule         entry = { .position = get_position (reader, value) };
+
+      if (!wc_json_doc_check_value (reader->doc, value, &field, reader->error))
+        return false;
+      entry.name = intern (reader, json_object_get_string (value));
+      g_array_append_val (names, entry);
+    }
+  return true;
+}
+
 static bool
 read_group (const PartReader *reader, struct json_object *array)
 {
--- a/src/core/register_draft.h
+++ b/src/core/register_draft.h
@@ -21,6 +21,7 @@
 {
   WcDomain       domain;
   WcTextPosition position;
+  bool           evacuated;
 } WcDraftDomain;
 
 typedef struct
@@ -87,6 +88,7 @@
   GArray               *targets;
   GArray               *separate;
   GArray               *leaving;
+  GArray               *evacuated;
   GArray               *weights;
   uint32_t              group_count;
 } WcDraft;
@@ -101,9 +103,10 @@
 /** wc_draft_resolve() - resolve the references between the sections, check them, and fill the register. */
 bool wc_draft_resolve (WcDraft *draft, WcError *error);
 
-/** wc_draft_check_rules() - check the rules, and apply weights and leaving hosts; the targets must be sorted by
- * service. */
-bool wc_draft_check_rules (WcDraft *draft, GHashTable *services, GHashTable *hosts, WcError *error);
+/** wc_draft_check_rules() - check the rules, and apply weights, leaving hosts and evacuated domains, whose hosts are
+ * leaving; the targets must be sorted by service. */
+bool
+wc_draft_check_rules (WcDraft *draft, GHashTable *domains, GHashTable *services, GHashTable *hosts, WcError *error);
 
 /** wc_draft_fail() - set @error to INVALID with the message "part:line: key: reason". Return: false. */
 bool wc_draft_fail (const WcDraft *draft, WcError *error, WcTextPosition position, const char *key, const char *format,
--- a/src/core/register_parse.c
+++ b/src/core/register_parse.c
@@ -80,6 +80,7 @@
   draft->targets = g_array_new (FALSE, FALSE, sizeof (WcDraftTarget));
   draft->separate = g_array_new (FALSE, FALSE, sizeof (WcDraftRule));
   draft->leaving = g_array_new (FALSE, FALSE, sizeof (WcDraftRule));
+  draft->evacuated = g_array_new (FALSE, FALSE, sizeof (WcDraftRule));
   draft->weights = g_array_new (FALSE, FALSE, sizeof (WcDraftRule));
 }
 
@@ -94,6 +95,7 @@
   g_array_unref (draft->targets);
   g_array_unref (draft->separate);
   g_array_unref (draft->leaving);
+  g_array_unref (draft->evacuated);
   g_array_unref (draft->weights);
   wc_register_unref (draft->reg);
 }
--- a/src/core/register_resolve.c
+++ b/src/core/register_resolve.c
@@ -33,8 +33,8 @@
 
   resolved = add_domains (draft, domains, error) && add_services (draft, services, error) &&
              add_customers (draft, error) && add_keys (draft, error) && add_hosts (draft, hosts, domains, error) &&
-             resolve_targets (draft, services, error) && wc_draft_check_rules (draft, services, hosts, error) &&
-             add_targets (draft, error);
+             resolve_targets (draft, services, error) &&
+             wc_draft_check_rules (draft, domains, services, hosts, error) && add_targets (draft, error);
   g_hash_table_destroy (domains);
   g_hash_table_destroy (services);
   g_hash_table_destroy (hosts);
--- a/src/core/register_rules.c
+++ b/src/core/register_rules.c
@@ -7,11 +7,12 @@
 
 static bool check_names (const WcDraft *draft, const GArray *rules, GHashTable *names, const char *key,
                          const char *kind, WcError *error);
+static bool evacuate_domains (WcDraft *draft, GHashTable *domains, WcError *error);
 static bool check_group (const WcDraft *draft, guint first, guint last, WcError *error);
 static bool check_member (const WcDraft *draft, GHashTable *hosts, const char *service, WcError *error);
 
 bool
-wc_draft_check_rules (WcDraft *draft, GHashTable *services, GHashTable *hosts, WcError *error)
+wc_draft_check_rules (WcDraft *draft, GHashTable *domains, GHashTable *services, GHashTable *hosts, WcError *error)
 {
   guint last;
 
@@ -19,6 +20,7 @@
 
   if (!check_names (draft, draft->separate, services, "separate", "service", error) ||
       !check_names (draft, draft->leaving, hosts, "leaving", "host", error) ||
+      !check_names (draft, draft->evacuated, domains, "evacuated", "domain", error) ||
       !check_names (draft, draft->weights, hosts, "weights", "host", error))
     return false;
 
@@ -52,7 +54,7 @@
       host->has_weight = true;
       host->weight = rule->weight;
     }
-  return true;
+  return evacuate_domains (draft, domains, error);
 }
 
 /* local functions */
@@ -71,6 +73,29 @@
   return true;
 }
 
+/* Must run after the check for hosts that are listed twice in "leaving", because it marks further hosts. */
+static bool
+evacuate_domains (WcDraft *draft, GHashTable *domains, WcError *error)
+{
+  for (guint i = 0; i < draft->evacuated->len; i++)
+    {
+      const WcDraftRule *rule = &g_array_index (draft->evacuated, WcDraftRule, i);
+      WcDraftDomain     *domain = g_hash_table_lookup (domains, rule->name);
+
+      if (domain->evacuated)
+        return wc_draft_fail (draft, error, rule->position, "evacuated", "domain '%s' is listed twice", rule->name);
+      domain->evacuated = true;
+    }
+  for (guint i = 0; i < draft->hosts->len; i++)
+    {
+      WcDraftHost         *host = &g_array_index (draft->hosts, WcDraftHost, i);
+      const WcDraftDomain *domain = g_hash_table_lookup (domains, host->domain);
+
+      host->leaving = host->leaving || domain->evacuated;
+    }
+  return true;
+}
+
 /* Services of one group must not have targets on the same host. That all targets have different addresses was checked
  * before. */
 static bool
--- a/tests/test_register.c
+++ b/tests/test_register.c
@@ -110,6 +110,10 @@
   { HEAD
     "\"hosts\": [{\"name\": \"h\", \"domain\": \"d1\", \"targets\": []}], \"rules\": {\"leaving\": [\"h\",\n\"h\"]}}",
     WC_STATUS_INVALID, "r:4: leaving: host 'h' is listed twice" },
+  { HEAD "\"rules\": {\"evacuated\": [\"d1\",\n\"d3\"]}}", WC_STATUS_INVALID, "r:4: evacuated: unknown domain 'd3'" },
+  { HEAD "\"rules\": {\"evacuated\": [\"d1\",\n\"d1\"]}}", WC_STATUS_INVALID,
+    "r:4: evacuated: domain 'd1' is listed twice" },
+  { HEAD "\"rules\": {\"evacuated\": \"d1\"}}", WC_STATUS_INVALID, "r:3: evacuated: must be an array" },
   { HEAD "\"rules\": {\"weights\": {\n\"h\": 5}}}", WC_STATUS_INVALID, "r:4: weights: unknown host 'h'" },
   { HEAD "\"rules\": {\"weights\": {\n\"h\": 1001}}}", WC_STATUS_INVALID, "r:4: h: must be 0 to 1000, is 1001" },
   { HEAD "\"hosts\": [{\"name\": \"h\", \"domain\": \"d1\", \"targets\": [\n" TARGET ("a", "1") ",\n" TARGET (
@@ -278,6 +282,55 @@
 }
 END_TEST
 
+/*
+ * Guards against targets of an evacuated domain that get new work, whether their host is leaving as well or not, and
+ * against an evacuation that outlasts the revision with the rule.
+ */
+START_TEST (test_evacuated_domains)
+{
+  static const struct
+  {
+    const char *rules;
+    bool        leaving[3];
+  } cases[] = {
+    { "{\"leaving\": [\"h1\"]}", { true, false, false } },
+    { "{\"leaving\": [\"h1\"], \"evacuated\": [\"d1\"]}", { true, true, false } },
+    { "{\"evacuated\": [\"d2\", \"d1\"]}", { true, true, true } },
+    { "{\"evacuated\": []}", { false, false, false } },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text =
+          g_strdup_printf (
+              HEAD "\"hosts\": [{\"name\": \"h1\", \"domain\": \"d1\", \"targets\": [" TARGET (
+                  "a",
+                  "1") "]}, {\"name\": \"h2\", \"domain\": \"d1\", \"targets\": [" TARGET ("a",
+                                                                                           "2") "]}, {\"name\": "
+                                                                                                "\"h3\", \"domain\": "
+                                                                                                "\"d2\", \"targets\": "
+                                                                                                "[" TARGET ("a",
+                                                                                                            "3") "]}], "
+                                                                                                                 "\"rul"
+                                                                                                                 "es\":"
+                                                                                                                 " %s}",
+              cases[i].rules);
+      WcError         error;
+      WcRegister     *reg = wc_register_parse ("r", text, strlen (text), &error);
+      size_t          count;
+      const WcTarget *targets;
+
+      ck_assert_msg (reg != NULL, "%s", error.message);
+      targets = wc_register_get_targets (reg, &count);
+      ck_assert_uint_eq (count, 3);
+      for (size_t t = 0; t < count; t++)
+        ck_assert (targets[t].leaving == cases[i].leaving[targets[t].address.port - 1]);
+      wc_register_unref (reg);
+      g_free (text);
+    }
+}
+END_TEST
+
 /* Guards against limits that are checked in each part but not over all parts. */
 START_TEST (test_too_many_over_parts)
 {
@@ -437,6 +490,7 @@
   tcase_add_test (cases, test_truncated);
   tcase_add_test (cases, test_corrupted);
   tcase_add_test (cases, test_parts);
+  tcase_add_test (cases, test_evacuated_domains);
   tcase_add_test (cases, test_too_many_over_parts);
   tcase_add_test (cases, test_too_large);
   tcase_add_test (cases, test_collision);
--- a/tests/test_register_split.c
+++ b/tests/test_register_split.c
@@ -51,6 +51,28 @@
 }
 END_TEST
 
+/* Guards against an evacuated domain that is lost, or begins to count as evacuated, when the register is exported. */
+START_TEST (test_evacuated_domain)
+{
+  static const char text[] = "{\"revision\": 2, \"domains\": [\"d1\", \"d2\"], \"services\": [{\"name\": \"a\"}], "
+                             "\"keys\": [{\"epoch\": 1, \"secret\": \"" SECRET "\"}], \"hosts\": ["
+                             "{\"name\": \"h1\", \"domain\": \"d1\", \"targets\": [{\"service\": \"a\", "
+                             "\"address\": \"127.0.0.1:1\"}]}, "
+                             "{\"name\": \"h2\", \"domain\": \"d2\", \"targets\": [{\"service\": \"a\", "
+                             "\"address\": \"127.0.0.1:2\"}]}], \"rules\": {\"evacuated\": [\"d2\"]}}";
+  WcRegisterSplit  *split = split_text (text);
+  WcRegister       *joined = join (split);
+  size_t            count;
+  const WcTarget   *targets = wc_register_get_targets (joined, &count);
+
+  ck_assert_uint_eq (count, 2);
+  for (size_t i = 0; i < count; i++)
+    ck_assert (targets[i].leaving == (targets[i].address.port == 2));
+  wc_register_unref (joined);
+  wc_register_split_delete (split);
+}
+END_TEST
+
 /* Guards against control traffic that is proportional to the register: an edit of one host must change one small
  * part. */
 START_TEST (test_one_edit)
@@ -132,6 +154,7 @@
   TCase *cases = tcase_create ("register_split");
 
   tcase_add_loop_test (cases, test_samples, 0, 2);
+  tcase_add_test (cases, test_evacuated_domain);
   tcase_add_test (cases, test_one_edit);
   tcase_add_test (cases, test_large_register);
   tcase_add_test (cases, test_host_order);
