Avoid hosts that fail part of their requests

Cause: a host that answers some requests and never the rest keeps its share of new flows, because any answer clears the suspicion.

Change: each instance counts answered and failed requests of a host in a window of 2 s. A failed request is reported at once to the peers that join the counts on that host, which reply with their estimate for the domain; gossip carries reports on such hosts first and relays estimates. A host whose rate is far above that of the others is ejected for 4 to 16 s and then gets 8 flows of the whole domain as a trial. At most a third of a group is ejected, none while most fail or while the others are full. Active with features.host_failures; a report that was sent because a request failed does not count as load.

--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -2446,7 +2446,7 @@
   (ProtobufCMessageInit) wc__peer_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__host_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wc__host_report__field_descriptors[14] =
 {
   {
     "host",
@@ -2532,20 +2532,112 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answered",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "joined_answered",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, joined_answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "joined_failed",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, joined_failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "joined_age_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, joined_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "joined_by",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, joined_by),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures_only",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wc__HostReport, failures_only),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__host_report__field_indices_by_name[] = {
+  7,   /* field[7] = answered */
   1,   /* field[1] = busy */
+  8,   /* field[8] = failed */
+  13,   /* field[13] = failures_only */
   0,   /* field[0] = host */
+  11,   /* field[11] = joined_age_ms */
+  9,   /* field[9] = joined_answered */
+  12,   /* field[12] = joined_by */
+  10,   /* field[10] = joined_failed */
   3,   /* field[3] = life_age_ms */
   5,   /* field[5] = repeating_requests */
   2,   /* field[2] = reporter */
   6,   /* field[6] = silence_age_ms */
   4,   /* field[4] = silent_requests */
 };
-static const ProtobufCIntRange wc__host_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange wc__host_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 10, 7 },
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wc__host_report__descriptor =
 {
@@ -2555,10 +2647,10 @@
   "Wc__HostReport",
   "wc",
   sizeof(Wc__HostReport),
-  7,
+  14,
   wc__host_report__field_descriptors,
   wc__host_report__field_indices_by_name,
-  1,  wc__host_report__number_ranges,
+  2,  wc__host_report__number_ranges,
   (ProtobufCMessageInit) wc__host_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -332,10 +332,17 @@
   uint32_t silent_requests;
   uint32_t repeating_requests;
   uint32_t silence_age_ms;
+  uint32_t answered;
+  uint32_t failed;
+  uint32_t joined_answered;
+  uint32_t joined_failed;
+  uint32_t joined_age_ms;
+  uint64_t joined_by;
+  protobuf_c_boolean failures_only;
 };
 #define WC__HOST_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__host_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/edge/decision_log.c
+++ b/src/edge/decision_log.c
@@ -34,6 +34,8 @@
     wc_event_line_add_uint (line, "evidence_count", decision->count);
   if (decision->witnesses > 0)
     wc_event_line_add_uint (line, "witnesses", decision->witnesses);
+  if (decision->answered > 0)
+    wc_event_line_add_uint (line, "answered", decision->answered);
   if (decision->forwards_per_s > 0)
     wc_event_line_add_uint (line, "forwards_per_s", decision->forwards_per_s);
   if (decision->share_percent > 0)
--- a/src/edge/forward_metrics.c
+++ b/src/edge/forward_metrics.c
@@ -97,10 +97,17 @@
 add_hosts (GString *text, const WcHostTable *hosts)
 {
   uint32_t counts[WC_HOST_STATE_COUNT] = { 0 };
+  uint32_t failing = 0;
 
   for (size_t i = 0; i < wc_host_table_get_count (hosts); i++)
-    counts[wc_host_table_get (hosts, i)->record.state]++;
+    {
+      const WcHost *host = wc_host_table_get (hosts, i);
+
+      counts[host->record.state]++;
+      failing += wc_host_failures_is_ejected (&host->failures);
+    }
   g_string_append (text, "# HELP wigeoncart_hosts Hosts by state.\n# TYPE wigeoncart_hosts gauge\n");
   for (int state = 0; state < WC_HOST_STATE_COUNT; state++)
     g_string_append_printf (text, "wigeoncart_hosts{state=\"%s\"} %u\n", WC_HOST_STATE_STRINGS[state], counts[state]);
+  add_gauge (text, "hosts_failing", "Hosts avoided because they fail more requests than others.", failing);
 }
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -51,6 +51,13 @@
    * likely cause is a failed link of this instance.
    */
   QUERIED_HOSTS_PER_TICK = 4,
+  /* The same for hosts with a failed request; a report of 90 bytes goes to four peers, which reply. */
+  FAILING_HOSTS_PER_TICK = 2,
+  /*
+   * Reports on hosts with recent failures in a gossip datagram. With 12 of 16, the load of the other hosts became known
+   * too late, and hosts refused more requests under overload.
+   */
+  FAILURE_REPORTS_MAX = 8,
   /* An instance that has received data neither from the store nor from a peer for this long counts as isolated. */
   ISOLATION_TIMEOUT_US = 3000 * 1000
 };
@@ -119,6 +126,7 @@
 static void     detect_delay (WcForwardServer *server);
 static void     run_gossip_round (WcForwardServer *server);
 static void     query_peers_about_hosts (WcForwardServer *server);
+static void     report_failures (WcForwardServer *server);
 static void     signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
 static void     stop_when_idle (WcForwardServer *server);
 static void     log_state (WcForwardServer *server, const char *event);
@@ -438,7 +446,10 @@
   gossip->stopping = server->stop_start_us > 0;
 }
 
-/* Reports hosts in round-robin order, because one datagram may not hold all of them. */
+/*
+ * Reports hosts with recent failures first, then all in round-robin order, because one datagram may not hold all of
+ * them.
+ */
 static void
 add_next_host_reports (void *user_data, WcGossip *gossip)
 {
@@ -447,11 +458,14 @@
   size_t             count = wc_host_table_get_count (hosts);
   uint64_t           now_us = wc_clock_monotonic_us ();
 
+  gossip->host_count +=
+      wc_forwarder_add_failure_reports (server->forwarder, gossip->hosts, FAILURE_REPORTS_MAX, now_us);
   for (size_t i = 0; i < count && gossip->host_count < WC_GOSSIP_MAX_HOSTS; i++)
     {
       const WcHost *host = wc_host_table_get (hosts, server->next_reported_host++ % count);
 
-      if (host->record.state != WC_HOST_GONE && host->flows > 0)
+      if (host->record.state != WC_HOST_GONE && host->flows > 0 &&
+          !wc_forwarder_has_failure_news (server->forwarder, host, now_us))
         gossip->hosts[gossip->host_count++] = wc_forwarder_get_report (server->forwarder, host, now_us);
     }
 }
@@ -507,6 +521,7 @@
   if (server->now_us >= server->gossip_deadline_us)
     run_gossip_round (server);
   query_peers_about_hosts (server);
+  report_failures (server);
   wc_packet_socket_flush (server->packet_socket);
   if (server->stop_start_us > 0)
     stop_when_idle (server);
@@ -555,6 +570,20 @@
     }
 }
 
+/* Sends the reports on hosts with new failures to the peers that join them, and requests theirs. */
+static void
+report_failures (WcForwardServer *server)
+{
+  for (int i = 0; i < FAILING_HOSTS_PER_TICK; i++)
+    {
+      const WcHost *host = wc_forwarder_next_failure (server->forwarder, server->now_us);
+
+      if (!host)
+        return;
+      wc_peer_endpoint_report_failures (server->peer_endpoint, host->record.id, server->now_us);
+    }
+}
+
 /* The first SIGTERM or SIGINT begins a planned stop, the second one ends the instance immediately. */
 static void
 signal_received (struct ev_loop *loop, ev_signal *watcher, int events)
--- a/src/edge/peer_endpoint.c
+++ b/src/edge/peer_endpoint.c
@@ -57,6 +57,8 @@
 static void     datagrams_readable (struct ev_loop *loop, ev_io *watcher, int events);
 static void     receive_gossip (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes);
 static void     send_gossip (WcPeerEndpoint *endpoint, const WcAddress *destination, uint64_t now_us);
+static void     query_peers (WcPeerEndpoint *endpoint, uint64_t host, bool failures_only, uint64_t now_us);
+static void     add_host_reports (WcPeerEndpoint *endpoint, uint64_t host, bool failures_only, WcGossip *gossip);
 static void     reply_to_query (WcPeerEndpoint *endpoint, const WcGossip *query);
 static void     send_datagram (WcPeerEndpoint *endpoint, WcGossip *gossip, const WcAddress *destination);
 static void     request_received (void *user_data, WcHttpExchange *exchange);
@@ -126,15 +128,13 @@
 void
 wc_peer_endpoint_query_peers (WcPeerEndpoint *endpoint, uint64_t host, uint64_t now_us)
 {
-  WcGossip  gossip = { .asks = true };
-  WcAddress destinations[WC_HOST_WITNESSES];
-  size_t    count = wc_peer_table_pick_witnesses (endpoint->peers, host, now_us, destinations);
+  query_peers (endpoint, host, false, now_us);
+}
 
-  wc_peer_table_fill_sender (endpoint->peers, &gossip);
-  endpoint->ops.add_host_reports (endpoint->user_data, host, &gossip);
-  for (size_t i = 0; i < count; i++)
-    send_datagram (endpoint, &gossip, &destinations[i]);
-  wc_udp_batch_flush (endpoint->udp_batch);
+void
+wc_peer_endpoint_report_failures (WcPeerEndpoint *endpoint, uint64_t host, uint64_t now_us)
+{
+  query_peers (endpoint, host, true, now_us);
 }
 
 uint64_t
@@ -211,6 +211,30 @@
   send_datagram (endpoint, &gossip, destination);
 }
 
+static void
+query_peers (WcPeerEndpoint *endpoint, uint64_t host, bool failures_only, uint64_t now_us)
+{
+  WcGossip  gossip = { .asks = true };
+  WcAddress destinations[WC_HOST_WITNESSES];
+  size_t    count = wc_peer_table_pick_witnesses (endpoint->peers, host, now_us, destinations);
+
+  wc_peer_table_fill_sender (endpoint->peers, &gossip);
+  add_host_reports (endpoint, host, failures_only, &gossip);
+  for (size_t i = 0; i < count; i++)
+    send_datagram (endpoint, &gossip, &destinations[i]);
+  wc_udp_batch_flush (endpoint->udp_batch);
+}
+
+static void
+add_host_reports (WcPeerEndpoint *endpoint, uint64_t host, bool failures_only, WcGossip *gossip)
+{
+  size_t first = gossip->host_count;
+
+  endpoint->ops.add_host_reports (endpoint->user_data, host, gossip);
+  for (size_t i = first; i < gossip->host_count; i++)
+    gossip->hosts[i].failures_only = failures_only;
+}
+
 /*
  * Responds for each host that the query contains. A query holds the sender's own report on each host (reporter 0)
  * followed by relayed reports, so the own reports identify the hosts.
@@ -223,7 +247,7 @@
   wc_peer_table_fill_sender (endpoint->peers, &gossip);
   for (size_t i = 0; i < query->host_count; i++)
     if (query->hosts[i].reporter == 0)
-      endpoint->ops.add_host_reports (endpoint->user_data, query->hosts[i].host, &gossip);
+      add_host_reports (endpoint, query->hosts[i].host, query->hosts[i].failures_only, &gossip);
   send_datagram (endpoint, &gossip, &query->sender.address);
 }
 
--- a/src/edge/peer_endpoint.h
+++ b/src/edge/peer_endpoint.h
@@ -50,6 +50,12 @@
  */
 void wc_peer_endpoint_query_peers (WcPeerEndpoint *endpoint, uint64_t host, uint64_t now_us);
 
+/**
+ * wc_peer_endpoint_report_failures() - the same for a host that failed a request. The reports are marked as
+ * @failures_only in both directions.
+ */
+void wc_peer_endpoint_report_failures (WcPeerEndpoint *endpoint, uint64_t host, uint64_t now_us);
+
 /** wc_peer_endpoint_get_malformed() - number of received datagrams that could not be decoded. */
 uint64_t wc_peer_endpoint_get_malformed (const WcPeerEndpoint *endpoint);
 
--- a/src/emulator/flow_experiment.c
+++ b/src/emulator/flow_experiment.c
@@ -97,6 +97,7 @@
       WcFlowHost *host = &experiment->hosts[i];
 
       host->slowdown = entered->fault == WC_FLOW_FAULT_SLOW_HOSTS && i % 2 == 0 ? entered->factor : 1;
+      host->unanswered_share = entered->fault == WC_FLOW_FAULT_FAILING_HOSTS && i % 5 == 0 ? entered->factor : 0;
       host->is_lost = entered->fault == WC_FLOW_FAULT_LOST_DOMAIN && host->domain == 0;
     }
   if (entered->fault == WC_FLOW_FAULT_OUTAGE)
--- a/src/emulator/flow_experiment.h
+++ b/src/emulator/flow_experiment.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "forward/admission_policy.h"
+#include "forward/features.h"
 
 /*
  * Experiment in virtual time with instances that forward packets: callers open flows through a fabric, several
@@ -43,7 +44,9 @@
   /* No instance runs; all start again, without state, at the end of the phase. */
   WC_FLOW_FAULT_OUTAGE,
   /* The hosts of the first domain do not answer. */
-  WC_FLOW_FAULT_LOST_DOMAIN
+  WC_FLOW_FAULT_LOST_DOMAIN,
+  /* A fifth of the hosts accept every flow and leave part of the requests unanswered, by the factor of the phase. */
+  WC_FLOW_FAULT_FAILING_HOSTS
 } WcFlowFault;
 
 /** WC_FLOW_FAULT_STRINGS - name of each fault for reports, indexed by WcFlowFault. */
@@ -103,12 +106,14 @@
 /**
  * struct WcFlowExperimentPolicy - a compared policy.
  * @admission: admission policy of the forwarders; NULL unless @dispatch is WC_FLOW_DISPATCH_INSTANCES.
+ * @features: optional decisions of the forwarders.
  */
 typedef struct
 {
   const char              *name;
   WcFlowDispatch           dispatch;
   const WcAdmissionPolicy *admission;
+  WcForwardFeatures        features;
 } WcFlowExperimentPolicy;
 
 /**
@@ -144,6 +149,7 @@
  * @phases: one entry per phase.
  * @classes: one entry per request class, of the requests of the judged phase.
  * @rejections, @refusals: openings reset by instances; requests refused by hosts.
+ * @left_unanswered: requests that failing hosts left unanswered.
  * @rejected_p95_us: 95th percentile of the time from an opening's first transmission to its rejection.
  * @recovery_us: time from the end of the judged phase until 95% of the requests that begin within 250 ms are answered
  * within the latency target, and stay so; UINT64_MAX for never.
@@ -154,6 +160,7 @@
   WcFlowExperimentCounts classes[WC_FLOW_EXPERIMENT_MAX_CLASSES];
   uint32_t               rejections;
   uint32_t               refusals;
+  uint32_t               left_unanswered;
   uint64_t               rejected_p95_us;
   uint64_t               recovery_us;
 } WcFlowExperimentResult;
--- a/src/emulator/flow_experiment_callers.c
+++ b/src/emulator/flow_experiment_callers.c
@@ -230,10 +230,12 @@
 expired (WcFlowExperiment *experiment, uint32_t index)
 {
   WcFlowRequest *request = wc_flow_experiment_request (experiment, index);
+  bool           is_unanswered = request->unanswered_attempt == request->attempt;
 
   request->end_us = experiment->now_us;
   request->is_expired = true;
   if (request->host != UINT32_MAX)
     wc_flow_experiment_schedule (experiment, experiment->scenario->caller_delay_us, WC_FLOW_EVENT_ACKNOWLEDGED, index,
-                                 request->attempt, 0, 1);
+                                 request->attempt, 0,
+                                 is_unanswered ? WC_FLOW_EXPERIMENT_ABANDON : WC_FLOW_EXPERIMENT_CLOSE);
 }
--- a/src/emulator/flow_experiment_dispatch.c
+++ b/src/emulator/flow_experiment_dispatch.c
@@ -67,7 +67,7 @@
     {
       const WcFlowHost *host = &experiment->hosts[i];
 
-      if (!host->is_lost && host->running < experiment->scenario->slots &&
+      if (!host->is_lost && host->unanswered_share <= 0 && host->running < experiment->scenario->slots &&
           (best == UINT32_MAX || host->slowdown < experiment->hosts[best].slowdown))
         best = i;
     }
--- a/src/emulator/flow_experiment_fleet.c
+++ b/src/emulator/flow_experiment_fleet.c
@@ -10,6 +10,9 @@
   /* Time after the start of an instance until it knows its peers. */
   PEERS_KNOWN_US = 300 * 1000,
   REPORTS_MAX = 16,
+  /* As in the server. */
+  FAILURE_REPORTS_MAX = 8,
+  FAILING_HOSTS_PER_TICK = 2,
   MAX_FLOWS = 16384,
   FLOW_LIFETIME_US = 60 * 1000 * 1000,
   REVISION = 1,
@@ -25,13 +28,15 @@
 static WcFlowInstance *choose_instance (WcFlowExperiment *experiment, const WcFlowKey *key, uint32_t domain);
 static void            schedule_timers (WcFlowInstance *instance);
 static void            send_reports (WcFlowInstance *instance);
-static WcFlowKey       key_of (const WcFlowExperiment *experiment, uint32_t request);
-static uint32_t        request_of (const WcFlowExperiment *experiment, const WcFlowKey *key);
-static void            send_to_host (WcFlowExperiment *experiment, uint32_t index, uint32_t host, uint64_t delay_us);
-static void            forward (void *user_data, const WcPacket *packet, const WcHost *host);
-static void            reset (void *user_data, const WcFlowKey *key, uint32_t sequence);
-static void            decided (void *user_data, const WcDecision *decision);
-static void            ignore_duration (void *user_data, uint64_t duration_us);
+static void send_report (const WcFlowInstance *instance, const WcHost *host, bool failures_only, WcFlowInstance *peer);
+static void report_failures (WcFlowInstance *instance);
+static WcFlowKey key_of (const WcFlowExperiment *experiment, uint32_t request);
+static uint32_t  request_of (const WcFlowExperiment *experiment, const WcFlowKey *key);
+static void      send_to_host (WcFlowExperiment *experiment, uint32_t index, uint32_t host, uint64_t delay_us);
+static void      forward (void *user_data, const WcPacket *packet, const WcHost *host);
+static void      reset (void *user_data, const WcFlowKey *key, uint32_t sequence);
+static void      decided (void *user_data, const WcDecision *decision);
+static void      ignore_duration (void *user_data, uint64_t duration_us);
 
 static const WcForwarderOps FORWARDER_OPS = { forward, reset, decided, ignore_duration, ignore_duration };
 
@@ -99,6 +104,7 @@
   else if (event->kind == WC_FLOW_EVENT_TICK)
     {
       wc_forwarder_tick (instance->forwarder, experiment->now_us);
+      report_failures (instance);
       if (experiment->now_us - instance->started_us >= PEERS_KNOWN_US)
         wc_forwarder_set_domain_peers (instance->forwarder,
                                        experiment->instance_count / experiment->scenario->domains - 1);
@@ -150,7 +156,8 @@
   if (kind == WC_FLOW_EVENT_ACKNOWLEDGED)
     {
       packet.sequence += WC_FLOW_EXPERIMENT_REQUEST_BYTES;
-      packet.acknowledged += WC_FLOW_EXPERIMENT_ANSWER_BYTES;
+      if (argument != WC_FLOW_EXPERIMENT_ABANDON)
+        packet.acknowledged += WC_FLOW_EXPERIMENT_ANSWER_BYTES;
       if (argument)
         packet.flags |= WC_PACKET_FIN;
     }
@@ -172,6 +179,7 @@
           .incarnation = 1 + instance->index,
           .max_flows = MAX_FLOWS,
           .flow_lifetime_us = FLOW_LIFETIME_US,
+          .features = experiment->config->policy->features,
           .admission = experiment->config->policy->admission,
   };
   WcRouteTable *routes = wc_route_table_new (1);
@@ -262,24 +270,72 @@
   uint32_t           offset = per_domain > 1 ? 1 + round % (per_domain - 1) : 0;
   WcFlowInstance    *peer =
       &experiment->instances[instance->domain * per_domain + (instance->index + offset) % per_domain];
+  WcHostReport failures[FAILURE_REPORTS_MAX];
+  size_t       sent;
 
   if (peer == instance || !peer->forwarder)
     return;
-  for (size_t i = 0, sent = 0; i < count && sent < REPORTS_MAX; i++)
+  sent = wc_forwarder_add_failure_reports (instance->forwarder, failures, FAILURE_REPORTS_MAX, experiment->now_us);
+  for (size_t i = 0; i < sent; i++)
+    wc_forwarder_apply_report (peer->forwarder, 1 + instance->index, true, &failures[i],
+                               experiment->now_us + GOSSIP_DELAY_US);
+  for (size_t i = 0; i < count && sent < REPORTS_MAX; i++)
     {
       const WcHost *host = wc_host_table_get (hosts, instance->next_reported_host++ % count);
 
-      if (host->flows == 0)
+      if (host->flows == 0 || wc_forwarder_has_failure_news (instance->forwarder, host, experiment->now_us))
         continue;
-      WcHostReport report = wc_forwarder_get_report (instance->forwarder, host, experiment->now_us);
-
-      wc_forwarder_apply_report (peer->forwarder, 1 + instance->index, true, &report,
-                                 experiment->now_us + GOSSIP_DELAY_US);
+      send_report (instance, host, false, peer);
       sent++;
     }
   schedule_timers (peer);
 }
 
+static void
+send_report (const WcFlowInstance *instance, const WcHost *host, bool failures_only, WcFlowInstance *peer)
+{
+  uint64_t     now_us = instance->experiment->now_us;
+  WcHostReport report = wc_forwarder_get_report (instance->forwarder, host, now_us);
+
+  report.failures_only = failures_only;
+  wc_forwarder_apply_report (peer->forwarder, 1 + instance->index, true, &report, now_us + GOSSIP_DELAY_US);
+}
+
+/*
+ * Sends the reports on hosts with new failures to the peers that join them, which reply with theirs. The peers follow
+ * one another from an index that depends on the host, as if in the order of their ranks.
+ */
+static void
+report_failures (WcFlowInstance *instance)
+{
+  WcFlowExperiment *experiment = instance->experiment;
+  uint32_t          per_domain = experiment->instance_count / experiment->scenario->domains;
+
+  for (int i = 0; i < FAILING_HOSTS_PER_TICK; i++)
+    {
+      const WcHost *host = wc_forwarder_next_failure (instance->forwarder, experiment->now_us);
+      uint32_t      first;
+
+      if (!host)
+        return;
+      first = (uint32_t)(wc_mix64 (host->record.id) % per_domain);
+      for (uint32_t offset = 0, sent = 0; offset < per_domain && sent < WC_HOST_WITNESSES; offset++)
+        {
+          WcFlowInstance *peer = &experiment->instances[instance->domain * per_domain + (first + offset) % per_domain];
+          const WcHost   *copy = peer->forwarder && peer != instance
+                                     ? wc_host_table_find (wc_forwarder_get_hosts (peer->forwarder), host->record.id)
+                                     : NULL;
+
+          if (!copy)
+            continue;
+          send_report (instance, host, true, peer);
+          send_report (peer, copy, true, instance);
+          schedule_timers (peer);
+          sent++;
+        }
+    }
+}
+
 static WcFlowKey
 key_of (const WcFlowExperiment *experiment, uint32_t request)
 {
--- a/src/emulator/flow_experiment_hosts.c
+++ b/src/emulator/flow_experiment_hosts.c
@@ -3,6 +3,7 @@
 /* A request at a host: index and attempt in one pointer, so that a GQueue holds it without allocation. */
 static gpointer pack_entry (uint32_t request, uint32_t attempt);
 static void     start_work (WcFlowExperiment *experiment, uint32_t index, uint32_t request, uint32_t attempt);
+static bool     leaves_unanswered (WcFlowExperiment *experiment, const WcFlowHost *host);
 static uint64_t get_caller_delay_us (const WcFlowExperiment *experiment, uint32_t host, uint32_t request);
 
 enum
@@ -53,7 +54,12 @@
     return;
   if (event->kind == WC_FLOW_EVENT_AT_HOST)
     {
-      if (host->running < experiment->scenario->slots)
+      if (leaves_unanswered (experiment, host))
+        {
+          wc_flow_experiment_request (experiment, event->request)->unanswered_attempt = event->epoch;
+          experiment->left_unanswered++;
+        }
+      else if (host->running < experiment->scenario->slots)
         start_work (experiment, event->entity, event->request, event->epoch);
       else if (g_queue_get_length (&host->waiting) < experiment->scenario->queue)
         g_queue_push_tail (&host->waiting, pack_entry (event->request, event->epoch));
@@ -93,6 +99,12 @@
   wc_flow_experiment_schedule (experiment, (uint64_t)work_us, WC_FLOW_EVENT_FINISHED, request, attempt, index, 0);
 }
 
+static bool
+leaves_unanswered (WcFlowExperiment *experiment, const WcFlowHost *host)
+{
+  return host->unanswered_share > 0 && gsl_rng_uniform (experiment->work_random) < host->unanswered_share;
+}
+
 static uint64_t
 get_caller_delay_us (const WcFlowExperiment *experiment, uint32_t host, uint32_t request)
 {
--- a/src/emulator/flow_experiment_private.h
+++ b/src/emulator/flow_experiment_private.h
@@ -22,7 +22,11 @@
   WC_FLOW_EXPERIMENT_CALLER_SEQUENCE = 1000,
   WC_FLOW_EXPERIMENT_HOST_SEQUENCE = 5000,
   WC_FLOW_EXPERIMENT_REQUEST_BYTES = 200,
-  WC_FLOW_EXPERIMENT_ANSWER_BYTES = 2000
+  WC_FLOW_EXPERIMENT_ANSWER_BYTES = 2000,
+  /* Values of WC_FLOW_EVENT_ACKNOWLEDGED: with 0 the flow stays open, with the others the caller closes it. */
+  WC_FLOW_EXPERIMENT_CLOSE = 1,
+  /* The caller has no answer. */
+  WC_FLOW_EXPERIMENT_ABANDON = 2
 };
 
 /** enum WcFlowEventKind - kinds of events; they concern a request and an attempt unless stated otherwise. */
@@ -47,7 +51,7 @@
   WC_FLOW_EVENT_ANSWERED,
   /* The caller learns that the attempt has failed without running. */
   WC_FLOW_EVENT_REJECTED,
-  /* The caller's acknowledgement of an answer or refusal reaches the fabric. */
+  /* The caller's acknowledgement of an answer or refusal, or the end of its flow, reaches the fabric. */
   WC_FLOW_EVENT_ACKNOWLEDGED,
   WC_FLOW_EVENT_TIME_LIMIT,
   /* An instance, the entity, starts. */
@@ -70,6 +74,7 @@
  * @sent, @received: bytes that the flow has carried before this request.
  * @is_queued: the omniscient dispatcher has received it.
  * @flow_left: further requests that the caller sends on the flow.
+ * @unanswered_attempt: the latest attempt whose request a host left unanswered; 0 for none.
  * @running_attempt: the attempt whose request has reached a host; 0 for none.
  */
 typedef struct
@@ -87,6 +92,7 @@
   uint32_t sent;
   uint32_t received;
   uint32_t flow_left;
+  uint32_t unanswered_attempt;
   uint32_t running_attempt;
   bool     is_queued;
   bool     is_answered;
@@ -96,6 +102,7 @@
 /**
  * struct WcFlowHost - a host.
  * @slowdown: factor of the run times.
+ * @unanswered_share: probability that a request is never answered; it occupies no slot.
  * @waiting: queued requests, each an index and an attempt.
  */
 typedef struct
@@ -103,6 +110,7 @@
   uint32_t domain;
   uint32_t running;
   double   slowdown;
+  double   unanswered_share;
   bool     is_lost;
   GQueue   waiting;
 } WcFlowHost;
@@ -150,6 +158,7 @@
   GQueue   backlog;
   uint32_t rejections;
   uint32_t refusals;
+  uint32_t left_unanswered;
   GArray  *rejection_times_us;
 };
 
--- a/src/emulator/flow_experiment_scenarios.c
+++ b/src/emulator/flow_experiment_scenarios.c
@@ -18,6 +18,10 @@
 #define SHORT_FLOWS .requests_per_flow = 1
 #define LONG_FLOWS .requests_per_flow = 8, .pause_us = 1500 * 1000
 
+/* A few hosts and instances of a large deployment; its queues are short. */
+#define FLEET                                                                                                          \
+  .domains = 3, .hosts = 15, .instances = 9, .slots = 2, .queue = 8, .caller_delay_us = 2000, .domain_delay_us = 3900
+
 #define SECONDS(n) ((uint64_t)((n)*1000 * 1000))
 
 static const WcFlowExperimentScenario SCENARIOS[] = {
@@ -101,6 +105,39 @@
       .phase_count = 3,
       .judged_phase = 1,
   },
+  {
+      .name = "failing-hosts",
+      FLEET,
+      SHORT_FLOWS,
+      FLEET_CLASSES,
+      .phases = { { SECONDS (4), 0.45, WC_FLOW_FAULT_NONE, 0 },
+                  { SECONDS (12), 0.45, WC_FLOW_FAULT_FAILING_HOSTS, 0.5 },
+                  { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0 } },
+      .phase_count = 3,
+      .judged_phase = 1,
+  },
+  {
+      .name = "failing-hosts-busy",
+      FLEET,
+      SHORT_FLOWS,
+      FLEET_CLASSES,
+      .phases = { { SECONDS (4), 0.45, WC_FLOW_FAULT_NONE, 0 },
+                  { SECONDS (12), 0.85, WC_FLOW_FAULT_FAILING_HOSTS, 0.5 },
+                  { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0 } },
+      .phase_count = 3,
+      .judged_phase = 1,
+  },
+  {
+      .name = "failing-hosts-long",
+      FLEET,
+      LONG_FLOWS,
+      FLEET_CLASSES,
+      .phases = { { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0 },
+                  { SECONDS (16), 0.45, WC_FLOW_FAULT_FAILING_HOSTS, 0.5 },
+                  { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0 } },
+      .phase_count = 3,
+      .judged_phase = 1,
+  },
   {
       .name = "normal",
       DESK,
@@ -113,13 +150,14 @@
 };
 
 static const WcFlowExperimentPolicy POLICIES[] = {
-  { "omniscient", WC_FLOW_DISPATCH_OMNISCIENT, NULL },
-  { "deadline", WC_FLOW_DISPATCH_INSTANCES, &WC_ADMISSION_DEADLINE },
-  { "newest-first", WC_FLOW_DISPATCH_INSTANCES, &WC_ADMISSION_NEWEST_FIRST },
-  { "hash", WC_FLOW_DISPATCH_HASH, NULL },
+  { "omniscient", WC_FLOW_DISPATCH_OMNISCIENT, NULL, { 0 } },
+  { "deadline", WC_FLOW_DISPATCH_INSTANCES, &WC_ADMISSION_DEADLINE, { 0 } },
+  { "host-failures", WC_FLOW_DISPATCH_INSTANCES, &WC_ADMISSION_DEADLINE, { .host_failures = true } },
+  { "newest-first", WC_FLOW_DISPATCH_INSTANCES, &WC_ADMISSION_NEWEST_FIRST, { 0 } },
+  { "hash", WC_FLOW_DISPATCH_HASH, NULL, { 0 } },
 };
 
-const char *const WC_FLOW_FAULT_STRINGS[] = { "none", "slow hosts", "outage", "lost domain" };
+const char *const WC_FLOW_FAULT_STRINGS[] = { "none", "slow hosts", "outage", "lost domain", "failing hosts" };
 
 const WcFlowExperimentScenario *
 wc_flow_experiment_get_scenario (size_t index)
--- a/src/emulator/flow_experiment_stats.c
+++ b/src/emulator/flow_experiment_stats.c
@@ -18,7 +18,9 @@
 void
 wc_flow_experiment_compute_result (const WcFlowExperiment *experiment, WcFlowExperimentResult *result)
 {
-  *result = (WcFlowExperimentResult){ .rejections = experiment->rejections, .refusals = experiment->refusals };
+  *result = (WcFlowExperimentResult){ .rejections = experiment->rejections,
+                                      .refusals = experiment->refusals,
+                                      .left_unanswered = experiment->left_unanswered };
   for (guint i = 0; i < experiment->requests->len; i++)
     {
       const WcFlowRequest *request = &g_array_index (experiment->requests, WcFlowRequest, i);
--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -25,6 +25,8 @@
   X (HOST_GONE, "host_gone", "Hosts that are no longer published.")                                                    \
   X (HOST_SUSPECTED, "host_suspected", "Hosts taken out because they do not answer.")                                  \
   X (HOST_CLEARED, "host_cleared", "Suspected hosts that answered again.")                                             \
+  X (HOST_FAILING, "host_failing", "Hosts avoided because they fail more requests than others.")                       \
+  X (HOST_RECOVERED, "host_recovered", "Avoided hosts that are used again.")                                           \
   X (LINK_LOSSY, "link_lossy", "Times at which the link of this instance began to lose openings.")                     \
   X (ROUTES_IN_FORCE, "routes_in_force", "Configurations put in force.")
 
@@ -47,10 +49,12 @@
  * @version: version of the active configuration; 0 for none.
  * @evidence_us: when the first unanswered request was sent, or for a held opening the caller's first transmission; 0
  * for none.
+ * @answered: number of answered requests of the domain beside the failed ones; 0 when the decision does not depend on
+ * them.
  * @count: number of unanswered requests, or of flows with an unanswered packet if higher; for an opening, the number of
- * held openings.
- * @witnesses: number of instances with unanswered requests at the host, this one included; 0 when the decision does not
- * depend on them.
+ * held openings; for a failing or recovered host, failed requests of the domain.
+ * @witnesses: number of instances with unanswered or failed requests at the host, this one included; 0 when the
+ * decision does not depend on them.
  * @forwards_per_s: for an opening that had to wait, rate at which this instance forwards openings of the service; 0
  * when not known.
  * @share_percent: for such an opening, factor of this instance's equal share of the hosts' slots; 0 otherwise.
@@ -65,6 +69,7 @@
   uint64_t         evidence_us;
   uint32_t         count;
   uint32_t         witnesses;
+  uint32_t         answered;
   uint64_t         forwards_per_s;
   uint32_t         share_percent;
 } WcDecision;
--- a/src/forward/flow_table.h
+++ b/src/forward/flow_table.h
@@ -29,6 +29,9 @@
  * @moved: a request is unanswered, and no packet has arrived for so long that another instance must be receiving the
  * flow; or the opening was not answered in time.
  * @second_host: the opening was forwarded to a second host because the first did not answer.
+ * @failed: the pending request was counted as failed.
+ * @unanswered_cookie: identifies the host that left the opening unanswered before it was forwarded to another one; 0
+ * for none.
  * @request_id: identifier of the last request; 0 when unknown.
  * @opened_us: when the opening was last placed, or when the first packet of an open flow arrived.
  * @last_packet_us: when the latest packet arrived or the opening was last placed.
@@ -48,6 +51,8 @@
   uint8_t   busy : 1;
   uint8_t   moved : 1;
   uint8_t   second_host : 1;
+  uint8_t   failed : 1;
+  uint32_t  unanswered_cookie;
   uint64_t  request_id;
   uint64_t  opened_us;
   uint64_t  last_packet_us;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -146,6 +146,7 @@
       if (host->unanswered.requests > 0)
         wc_forwarder_evaluate_host (forwarder, host);
     }
+  wc_forwarder_evaluate_failures (forwarder);
   wc_host_table_evict (forwarder->hosts, now_us);
 }
 
@@ -307,6 +308,7 @@
   if (progress.answered && request_us > 0 &&
       wc_link_quality_record_answered (&forwarder->link, flow->unanswered_us > request_us, forwarder->now_us))
     wc_forwarder_emit_decision (forwarder, WC_DECISION_LINK_LOSSY, &flow->key, host);
+  wc_forwarder_record_outcome (forwarder, route, flow, host, &progress, request_us);
   if (progress.opened)
     record_handshake (forwarder, forwarder->now_us - flow->opened_us);
   if (progress.answered)
@@ -378,6 +380,8 @@
 
   if (wc_flow_detect_move (flow, forwarder->now_us) && host)
     update_counts (flow, host, forwarder->now_us);
+  if (forwarder->settings.features.host_failures && host && flow->request_us > 0 && forwarder->routes)
+    wc_forwarder_check_overdue (forwarder, wc_route_table_find (forwarder->routes, &flow->key), flow, host);
   if (!wc_flow_is_expired (flow, idle_ms * 1000, forwarder->settings.flow_lifetime_us, forwarder->now_us))
     return true;
   wc_forwarder_uncount_flow (forwarder, flow);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -99,6 +99,24 @@
  */
 const WcHost *wc_forwarder_next_query (WcForwarder *forwarder, uint64_t now_us);
 
+/**
+ * wc_forwarder_next_failure() - next host with a new failed request that is to be reported to other instances now.
+ *
+ * Return: the host, at most once per interval; NULL when there is none.
+ */
+const WcHost *wc_forwarder_next_failure (WcForwarder *forwarder, uint64_t now_us);
+
+/** wc_forwarder_has_failure_news() - whether the report on a host belongs to wc_forwarder_add_failure_reports(). */
+bool wc_forwarder_has_failure_news (const WcForwarder *forwarder, const WcHost *host, uint64_t now_us);
+
+/**
+ * wc_forwarder_add_failure_reports() - write the reports on hosts with recent failures, which are sent before others.
+ * @max: at most this many; the next call continues with the following hosts.
+ *
+ * Return: number of reports written.
+ */
+size_t wc_forwarder_add_failure_reports (WcForwarder *forwarder, WcHostReport *reports, size_t max, uint64_t now_us);
+
 /** wc_forwarder_receive() - process a packet of a caller. */
 void wc_forwarder_receive (WcForwarder *forwarder, const WcPacket *packet, uint64_t now_us);
 
--- a/src/forward/forwarder_health.c
+++ b/src/forward/forwarder_health.c
@@ -24,13 +24,15 @@
   forwarder->now_us = now_us;
   if (!host || reporter == forwarder->settings.incarnation)
     return;
-  if (report->reporter == 0)
+  if (report->reporter == 0 && !report->failures_only)
     wc_host_load_add_report (&host->load, sender, report->busy, now_us);
   if (!is_own_domain)
     return;
   if (wc_host_health_apply_report (host, reporter, report, now_us))
     wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_CLEARED, NULL, host);
   wc_forwarder_evaluate_host (forwarder, host);
+  if (report->reporter == 0)
+    wc_forwarder_apply_failures (forwarder, sender, host, report);
 }
 
 WcHostReport
@@ -40,6 +42,7 @@
 
   if (wc_link_quality_is_lossy (&forwarder->link, now_us))
     report.silent_requests = report.repeating_requests = report.silence_age_ms = 0;
+  wc_forwarder_add_failures (forwarder, host, now_us, &report);
   return report;
 }
 
@@ -62,7 +65,13 @@
 wc_forwarder_discard_evidence (WcForwarder *forwarder, uint64_t now_us)
 {
   for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
-    wc_host_health_reset (wc_host_table_get (forwarder->hosts, i), now_us);
+    {
+      WcHost *host = wc_host_table_get (forwarder->hosts, i);
+
+      wc_host_health_reset (host, now_us);
+      wc_host_failures_discard_own (&host->failures);
+    }
+  forwarder->failures_start_us = now_us;
   wc_opening_queue_clear (forwarder->openings);
 }
 
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -314,6 +314,7 @@
     {
       wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
       wc_forwarder_set_flow_host (forwarder, flow, host);
+      wc_host_failures_record_flow (&host->failures);
       wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_TIMEOUT_US);
     }
   forwarder->ops.forward (forwarder->user_data, packet, host);
@@ -336,6 +337,11 @@
       return;
     }
   wc_forwarder_emit_decision (forwarder, WC_DECISION_PLACED_AGAIN, &packet->key, host);
+  if (flow->state != WC_FLOW_OPENING)
+    flow->unanswered_cookie = 0;
+  else if (flow->cookie != host->cookie && !is_starting (forwarder))
+    flow->unanswered_cookie = flow->cookie;
+  wc_host_failures_record_flow (&host->failures);
   flow->second_host = flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
   wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
   wc_forwarder_set_flow_host (forwarder, flow, host);
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -2,6 +2,7 @@
 #define WC_FORWARD_FORWARDER_PRIVATE_H
 
 #include "forward/admission_queue.h"
+#include "forward/flow_progress.h"
 #include "forward/flow_table.h"
 #include "forward/forwarder.h"
 #include "forward/link_quality.h"
@@ -10,8 +11,8 @@
 #include "forward/service_load.h"
 
 /*
- * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows, and
- * forwarder_health.c failure detection of hosts.
+ * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows,
+ * forwarder_health.c failure detection of hosts, and forwarder_failures.c hosts that fail part of their requests.
  */
 
 /**
@@ -25,6 +26,8 @@
  * @rejected: callers whose openings were rejected recently, to recognise their retries from another port.
  * @domain_peers: other live instances of this domain.
  * @started_us: time of the first packet; 0 before it.
+ * @failures_start_us: requests sent before this time are no evidence of failing hosts.
+ * @next_failing_host: index of the host whose failures are reported next.
  * @now_us: time of the current call.
  */
 struct WcForwarder
@@ -45,6 +48,8 @@
   WcLinkQuality       link;
   uint32_t            domain_peers;
   uint64_t            started_us;
+  uint64_t            failures_start_us;
+  size_t              next_failing_host;
   uint64_t            now_us;
 };
 
@@ -82,4 +87,25 @@
  */
 void wc_forwarder_evaluate_host (WcForwarder *forwarder, WcHost *host);
 
+/**
+ * wc_forwarder_record_outcome() - count a request as answered or failed after a packet of its flow.
+ * @host: the host of the flow.
+ * @request_us: when the pending request was sent before the packet; 0 for none.
+ */
+void wc_forwarder_record_outcome (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, WcHost *host,
+                                  const WcFlowProgress *progress, uint64_t request_us);
+
+/** wc_forwarder_check_overdue() - count the pending request of a flow as failed if it has been unanswered for long. */
+void wc_forwarder_check_overdue (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, WcHost *host);
+
+/** wc_forwarder_apply_failures() - process the counts in the report of @sender, an instance of this domain. */
+void wc_forwarder_apply_failures (WcForwarder *forwarder, uint64_t sender, WcHost *host, const WcHostReport *report);
+
+/** wc_forwarder_add_failures() - add the counts on a host to the report of this instance. */
+void
+wc_forwarder_add_failures (const WcForwarder *forwarder, const WcHost *host, uint64_t now_us, WcHostReport *report);
+
+/** wc_forwarder_evaluate_failures() - eject failing hosts, and take recovered ones into use. */
+void wc_forwarder_evaluate_failures (WcForwarder *forwarder);
+
 #endif
--- a/src/forward/gossip.c
+++ b/src/forward/gossip.c
@@ -195,6 +195,13 @@
   message->silent_requests = report->silent_requests;
   message->repeating_requests = report->repeating_requests;
   message->silence_age_ms = report->silence_age_ms;
+  message->answered = report->answered;
+  message->failed = report->failed;
+  message->joined_answered = report->joined_answered;
+  message->joined_failed = report->joined_failed;
+  message->joined_age_ms = report->joined_age_ms;
+  message->joined_by = report->joined_by;
+  message->failures_only = report->failures_only;
 }
 
 static void
@@ -208,6 +215,13 @@
     .silent_requests = message->silent_requests,
     .repeating_requests = message->repeating_requests,
     .silence_age_ms = message->silence_age_ms,
+    .answered = message->answered,
+    .failed = message->failed,
+    .joined_answered = message->joined_answered,
+    .joined_failed = message->joined_failed,
+    .joined_age_ms = message->joined_age_ms,
+    .joined_by = message->joined_by,
+    .failures_only = message->failures_only,
   };
 }
 
--- a/src/forward/host_report.h
+++ b/src/forward/host_report.h
@@ -1,6 +1,7 @@
 #ifndef WC_FORWARD_HOST_REPORT_H
 #define WC_FORWARD_HOST_REPORT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -14,6 +15,12 @@
  * @silent_requests: number of unanswered requests that were retransmitted.
  * @repeating_requests: number of those that were retransmitted more than once.
  * @silence_age_ms: time since the first unanswered request was sent.
+ * @answered, @failed: requests of the reporting instance in the window of host_failures.h.
+ * @joined_answered, @joined_failed: an instance's estimate of the same for the whole domain; 0 for none.
+ * @joined_age_ms: time since the estimate was made.
+ * @joined_by: incarnation of the estimating instance; 0 for the sender.
+ * @failures_only: sent because a request failed; @busy is not used, since reports sent at such moments show more load
+ * than the mean.
  */
 typedef struct
 {
@@ -24,6 +31,13 @@
   uint32_t silent_requests;
   uint32_t repeating_requests;
   uint32_t silence_age_ms;
+  uint32_t answered;
+  uint32_t failed;
+  uint32_t joined_answered;
+  uint32_t joined_failed;
+  uint32_t joined_age_ms;
+  uint64_t joined_by;
+  bool     failures_only;
 } WcHostReport;
 
 /** wc_host_report_from_host() - create this instance's report on a host. */
--- a/src/forward/host_table.c
+++ b/src/forward/host_table.c
@@ -38,6 +38,7 @@
 static void     free_group (gpointer data);
 static void     claim_cookie (WcHostTable *table, WcHost *host);
 static void     reset_health (WcHost *host);
+static void     free_host (gpointer data);
 
 int
 wc_host_record_compare (const WcHostRecord *a, const WcHostRecord *b)
@@ -55,7 +56,7 @@
   WcHostTable *table = g_new0 (WcHostTable, 1);
 
   table->gone_retention_us = gone_retention_us;
-  table->hosts = g_ptr_array_new_with_free_func (g_free);
+  table->hosts = g_ptr_array_new_with_free_func (free_host);
   table->groups = g_array_new (FALSE, FALSE, sizeof (Group));
   g_array_set_clear_func (table->groups, free_group);
   table->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -170,10 +171,10 @@
     {
       const Group *found = &g_array_index (table->groups, Group, (*cursor)++);
 
-      if (found->service != service)
+      if (service != 0 && found->service != service)
         continue;
       *group = (WcHostGroup){
-        .service = service,
+        .service = found->service,
         .domain = found->domain,
         .gone = found->gone,
         .count = found->hosts->len,
@@ -285,4 +286,14 @@
   host->query_deadline_us = 0;
   host->suspect_deadline_us = 0;
   host->suspect_count = 0;
+  wc_host_failures_finish (&host->failures);
+}
+
+static void
+free_host (gpointer data)
+{
+  WcHost *host = data;
+
+  wc_host_failures_finish (&host->failures);
+  g_free (host);
 }
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -7,6 +7,7 @@
 
 #include <wigeoncart/address.h>
 
+#include "forward/host_failures.h"
 #include "forward/host_load.h"
 #include "forward/host_witness.h"
 
@@ -87,6 +88,7 @@
  * @suspect_deadline_us: until then the host is suspected to be unresponsive and receives new flows only when no other
  * host is usable.
  * @suspect_count: number of successive suspicions without a response in between.
+ * @failures: requests that the host has not answered, and whether it is ejected for them.
  */
 typedef struct
 {
@@ -110,6 +112,7 @@
   uint64_t             query_deadline_us;
   uint64_t             suspect_deadline_us;
   uint32_t             suspect_count;
+  WcHostFailures       failures;
 } WcHost;
 
 /** struct WcHostTable - hosts indexed by identifier and by cookie; hosts that are gone stay until they are evicted. */
@@ -152,8 +155,13 @@
   WcHost *const *hosts;
 } WcHostGroup;
 
-/** wc_host_table_next_group() - the next group of a service. @cursor: 0 before the first call. Return: false at the
- * end. */
+/**
+ * wc_host_table_next_group() - the next group of a service.
+ * @service: 0 for the groups of all services.
+ * @cursor: 0 before the first call.
+ *
+ * Return: false at the end.
+ */
 bool wc_host_table_next_group (const WcHostTable *table, uint32_t service, size_t *cursor, WcHostGroup *group);
 
 /* Access by index, in no particular order. An eviction frees hosts and changes the indices of others. */
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -56,6 +56,7 @@
 {
   CLASS_USABLE = 0,
   CLASS_SLOW,
+  CLASS_FAILING,
   CLASS_SUSPECTED,
   CLASS_IN_GRACE,
   CLASS_AVOIDED,
@@ -220,7 +221,7 @@
       const WcHost *host = group->hosts[i];
 
       if (!accepts_flows (host, now_us) || !is_answering (host, now_us) || now_us < host->suspect_deadline_us ||
-          is_too_slow (host, service_max_us, now_us))
+          is_too_slow (host, service_max_us, now_us) || !wc_host_failures_is_in_use (&host->failures))
         continue;
       capacity->busy += estimate_busy (host, placement, now_us);
       capacity->own_busy += host->busy_flows;
@@ -340,5 +341,7 @@
     return CLASS_SUSPECTED;
   if (choice->now_us < host->suspect_deadline_us)
     return CLASS_SUSPECTED;
+  if (!wc_host_failures_allows_flow (&host->failures))
+    return CLASS_FAILING;
   return is_too_slow (host, choice->service_max_us, choice->now_us) ? CLASS_SLOW : CLASS_USABLE;
 }
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -26,7 +26,18 @@
       gossip.known[i].address.ip[3] = (uint8_t)(10 + i);
     }
   for (size_t i = 0; i < WC_GOSSIP_MAX_HOSTS; i++)
-    gossip.hosts[i] = (WcHostReport){ .host = UINT64_MAX - i, .busy = (uint32_t)i, .life_age_ms = UINT32_MAX };
+    gossip.hosts[i] = (WcHostReport){
+      .host = UINT64_MAX - i,
+      .busy = (uint32_t)i,
+      .life_age_ms = UINT32_MAX,
+      .answered = 100,
+      .failed = 50,
+      .joined_answered = 10000,
+      .joined_failed = 5000,
+      .joined_age_ms = 1999,
+      .joined_by = UINT64_MAX,
+      .failures_only = true,
+    };
   return gossip;
 }
 
@@ -65,7 +76,8 @@
   gossip.asks = true;
   gossip.known_count = 0;
   for (size_t i = 0; i < WC_GOSSIP_MAX_HOSTS; i++)
-    gossip.hosts[i] = (WcHostReport){ UINT64_MAX, UINT64_MAX - i, 9, 1500, 7, 3, 420 };
+    gossip.hosts[i] =
+        (WcHostReport){ UINT64_MAX, UINT64_MAX - i, 9, 1500, 7, 3, 420, 100, 50, 10000, 5000, 1999, 8, true };
   size_bytes = wc_gossip_pack (&gossip, data);
   ck_assert_uint_gt (size_bytes, 0);
   ck_assert_int_eq (wc_gossip_unpack (data, size_bytes, &copy), WC_STATUS_OK);
