Keep flows that a host accepted before its domain was evacuated

Cause: an opening that its host has not answered as far as this instance knows is forwarded again after 40 ms. When all domains were evacuated meanwhile, no host was left and the flow was reset, although its caller may have continued through another instance. A retransmitted opening that arrived late reset an open flow in the same way.

Change: without another host, the timer keeps a flow at its evacuated host; the caller's next retransmission is reset at once. A retransmission within 1.5 s after the opening of a flow that this instance knows as open is dropped.

Ruled out: no reset for retransmissions either, which would let callers wait for 1.4 s. An instance that does not know that the flow was opened elsewhere still resets a retransmission that it reads late.

--- a/src/forward/forwarder_evacuation.c
+++ b/src/forward/forwarder_evacuation.c
@@ -2,6 +2,15 @@
 
 #include <assert.h>
 
+enum
+{
+  /*
+   * A caller retransmits an opening for 1.4 s. One that arrives later after the flow was opened is a new flow from a
+   * reused port.
+   */
+  RETRANSMITTED_OPENING_MAX_US = 1500 * 1000
+};
+
 static uint32_t mark_hosts (WcForwarder *forwarder, uint32_t domain, bool is_evacuated);
 
 void
@@ -33,6 +42,24 @@
   return forwarder->evacuation;
 }
 
+/*
+ * An opening that was forwarded before the evacuation may have been answered, and its caller may continue through
+ * another instance. It is reset only when the caller retransmits it, unless that retransmission was delayed.
+ */
+bool
+wc_forwarder_stays_at_host (const WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet,
+                            bool is_retransmitted)
+{
+  const WcHost *host = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+
+  if (!host || !host->evacuated)
+    return false;
+  if (!is_retransmitted)
+    return true;
+  return flow->state == WC_FLOW_OPEN && packet->acknowledged > 0 &&
+         forwarder->now_us - flow->opened_us < RETRANSMITTED_OPENING_MAX_US;
+}
+
 /* local functions */
 
 /* Return: number of known hosts of the domain, those that are gone included. */
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -41,7 +41,8 @@
 static void    emit_decision (WcForwarder *forwarder, WcDecisionKind kind, const WcHeldOpening *held);
 static bool    try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial);
 static void    open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host);
-static void    place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow);
+static void
+place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, bool is_retransmitted);
 static WcPlacement placement_of_held (const WcForwarder *forwarder, const WcHeldOpening *held);
 static WcPlacement placement_of (const WcForwarder *forwarder, const WcFlowKey *key, uint32_t service, uint32_t avoid);
 static WcServiceLoad  *get_own_load (WcForwarder *forwarder, uint32_t service);
@@ -76,7 +77,7 @@
       if (flow->second_host && wc_link_quality_record_unanswered (&forwarder->link, forwarder->now_us))
         wc_forwarder_emit_decision (forwarder, WC_DECISION_LINK_LOSSY, &packet->key, host);
     }
-  place_again (forwarder, route, packet, flow);
+  place_again (forwarder, route, packet, flow, true);
 }
 
 void
@@ -98,7 +99,7 @@
       /* Refused, lost, or continued through another instance: it is no load as far as this instance knows. */
       flow->moved = 1;
       if (!superseded)
-        place_again (forwarder, route, &packet, flow);
+        place_again (forwarder, route, &packet, flow, false);
       else
         wc_forwarder_uncount_busy (forwarder, flow);
     }
@@ -359,9 +360,10 @@
 /*
  * Forwards an opening again; if a host did not answer it, to another host if there is one. Several hosts may answer an
  * opening; the caller continues with one of them, and the others keep no state that could run a request.
+ * @is_retransmitted: the caller has sent the opening again.
  */
 static void
-place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow)
+place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, bool is_retransmitted)
 {
   WcPlacement placement = placement_of (forwarder, &packet->key, pick_service (route, &packet->key),
                                         flow->state == WC_FLOW_OPENING ? flow->cookie : 0);
@@ -369,7 +371,10 @@
 
   if (!host)
     {
-      wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
+      if (!wc_forwarder_stays_at_host (forwarder, flow, packet, is_retransmitted))
+        wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
+      else if (flow->moved)
+        wc_forwarder_uncount_busy (forwarder, flow);
       return;
     }
   wc_forwarder_emit_decision (forwarder, WC_DECISION_PLACED_AGAIN, &packet->key, host);
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -73,6 +73,15 @@
 /** wc_forwarder_reject_unplaceable() - reset the held openings for which no host is left. */
 void wc_forwarder_reject_unplaceable (WcForwarder *forwarder);
 
+/**
+ * wc_forwarder_stays_at_host() - whether a flow for whose opening no other host is left is kept, because its host
+ * accepted it before the domain was evacuated.
+ * @packet: the opening.
+ * @is_retransmitted: the caller has sent the opening again, so that it had no answer then.
+ */
+bool wc_forwarder_stays_at_host (const WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet,
+                                 bool is_retransmitted);
+
 /** wc_forwarder_record_response() - record that a caller received a response of a host. */
 void wc_forwarder_record_response (WcForwarder *forwarder, WcHost *host);
 
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -180,6 +180,57 @@
 }
 END_TEST
 
+/*
+ * All domains are evacuated after an opening was forwarded. Guards against a reset of a flow that its host may have
+ * accepted meanwhile, and against a caller that retransmits until it gives up.
+ */
+START_TEST (forwarded_opening_is_reset_on_retransmission)
+{
+  static ForwardFixture fixture;
+
+  fixture_init (&fixture);
+  fixture_put_host (&fixture, 1, "a", WC_HOST_READY);
+  fixture_put_host (&fixture, 2, "b", WC_HOST_READY);
+  ck_assert_uint_eq (open_flow (&fixture, 100), 1);
+  set_evacuated (&fixture, "a", true);
+  set_evacuated (&fixture, "b", true);
+  fixture_advance (&fixture, 60 * MS);
+  ck_assert_uint_eq (fixture.reset_count, 0);
+  ck_assert_uint_eq (fixture_find_host (&fixture, 1)->busy_flows, 0);
+  fixture_advance (&fixture, 140 * MS);
+  fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 1);
+  ck_assert_uint_eq (fixture.reset_count, 1);
+  ck_assert_uint_eq (fixture.forward_count, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/*
+ * A retransmitted opening arrives late, after the flow was opened and all domains were evacuated. Guards against a
+ * reset of the open flow, and against a later opening from the same port that is taken for such a retransmission.
+ */
+START_TEST (late_retransmission_keeps_open_flow)
+{
+  static ForwardFixture fixture;
+
+  fixture_init (&fixture);
+  fixture_put_host (&fixture, 1, "a", WC_HOST_READY);
+  ck_assert_uint_eq (open_flow (&fixture, 100), 1);
+  fixture_request (&fixture, 100, FIXTURE_ROUTE_PORT, 0, 0, 1);
+  set_evacuated (&fixture, "a", true);
+  fixture.now_us += 300 * MS;
+  fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 1);
+  ck_assert_uint_eq (fixture.reset_count, 0);
+  fixture_request (&fixture, 100, FIXTURE_ROUTE_PORT, 200, 100, 1);
+  ck_assert_uint_eq (fixture.forward_count, 3);
+  ck_assert_uint_eq (fixture_find_host (&fixture, 1)->flows, 1);
+  fixture.now_us += 2000 * MS;
+  fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 1);
+  ck_assert_uint_eq (fixture.reset_count, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /*
  * Idle hosts appear in both domains. Guards against held openings that are forwarded to a host of their own domain
  * after that was evacuated.
@@ -280,6 +331,8 @@
   tcase_add_test (tests, evacuated_host_is_no_fallback);
   tcase_add_test (tests, evacuated_hosts_do_not_count_as_lost_entries);
   tcase_add_test (tests, opening_is_sent_again_elsewhere);
+  tcase_add_test (tests, forwarded_opening_is_reset_on_retransmission);
+  tcase_add_test (tests, late_retransmission_keeps_open_flow);
   tcase_add_test (tests, held_opening_goes_elsewhere);
   tcase_add_test (tests, openings_without_host_are_reset);
   tcase_add_test (tests, opening_without_host_is_not_queued);
