Evacuate domains in the soak test

Cause: the soak test did not check that new flows stop going to the hosts of an evacuated domain, alone and under other faults.

Change: the faults include evacuations of one or both domains, which are repeated at once when the domain is evacuated already, last 1 to 10 s and are written again after a restore of the store. One goes on during the recovery phase. An instance that was stable when the bound of 5 s had passed may send no new flow to a host of the domain until the evacuation ends or the process does, whatever other faults follow. The check for rejected openings leaves out services that had no host in a domain in use within the bound.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -35,6 +35,8 @@
    * the configuration is in force after SOAK_APPLY_US, and a draining host gets no new flows after SOAK_DRAIN_US. */
   SOAK_STABLE_US = 4000 * 1000,
   SOAK_APPLY_US = 3000 * 1000,
+  /* An evacuation is in force on all instances. */
+  SOAK_EVACUATE_US = 5000 * 1000,
   /* An instance that has shown the effect of a configuration does not go back to an older one after this time. */
   SOAK_ROLLBACK_US = 250 * 1000,
   /* A host whose entry was removed may still be used while it could register again. */
@@ -70,6 +72,7 @@
  * @blocked_domain, @blocked_deadline_us: domain whose hosts the instance cannot reach, and until when; -1 for none.
  * @relay_deadline_us: end of the fault on the instance's store connections; 0 for none.
  * @shown_version, @shown_us: newest configuration whose effect a host has seen since the process started, and when.
+ * @shows_evacuation: the process has had to observe the current evacuation of a domain, and does so under any fault.
  */
 typedef struct
 {
@@ -92,6 +95,7 @@
   uint64_t          relay_deadline_us;
   uint64_t          shown_version;
   uint64_t          shown_us;
+  bool              shows_evacuation[SOAK_DOMAINS];
 } SoakInstance;
 
 /** enum SoakHostState - state of an emulated host; SOAK_HOST_UNRESPONSIVE drops all packets. */
@@ -144,6 +148,14 @@
   uint64_t changed_version;
 } SoakRoute;
 
+/** struct SoakEvacuation - evacuation of a domain; @since_us, @deadline_us: when it was published, and when it ends. */
+typedef struct
+{
+  bool     is_active;
+  uint64_t since_us;
+  uint64_t deadline_us;
+} SoakEvacuation;
+
 /** enum SoakRestoreState - progress of a restore of the store from a copy. */
 typedef enum
 {
@@ -179,6 +191,8 @@
   uint64_t checked_drains;
   uint64_t checked_resets;
   uint64_t checked_rollbacks;
+  uint64_t checked_evacuations;
+  uint64_t evacuations;
   uint64_t restores;
   uint64_t wrong_host;
   uint64_t faults;
@@ -193,6 +207,7 @@
  * @net: second byte of the loopback addresses of this run.
  * @recovery_start_us: when the faults were ended, to check the recovery; 0 before.
  * @global_faults_end_us: end of the last fault that affects all instances.
+ * @without_host_us: when each service last had no host that may receive new flows; 0 for never.
  * @departed: when each host that left was removed, by identifier.
  * @runs: how often each request was run by a host, by request ID.
  */
@@ -222,6 +237,8 @@
   SoakHost         hosts[SOAK_HOSTS];
   SoakRoute        routes[SOAK_ROUTES];
   GPtrArray       *callers;
+  SoakEvacuation   evacuations[SOAK_DOMAINS];
+  uint64_t         without_host_us[SOAK_SERVICES];
   SoakRestore      restore;
   GHashTable      *departed;
   GHashTable      *runs;
@@ -272,6 +289,18 @@
 void soak_callers_tick (Soak *soak);
 void soak_callers_stop (Soak *soak);
 
+/* Evacuations of domains. */
+void soak_evacuation_begin (Soak *soak);
+void soak_evacuation_tick (Soak *soak);
+/** soak_evacuation_recover() - end all evacuations but one, which lasts until the end of the run. */
+void soak_evacuation_recover (Soak *soak);
+/** soak_evacuation_publish_again() - write the keys again after the store was restored, or remove them. */
+void soak_evacuation_publish_again (Soak *soak);
+/** soak_evacuation_check_opening() - check that @instance may send a new flow to @host. */
+void soak_evacuation_check_opening (const SoakHost *host, const SoakInstance *instance);
+/** soak_evacuation_may_reject() - whether a service had no host that may receive new flows shortly before. */
+bool soak_evacuation_may_reject (const Soak *soak, int service);
+
 /* Restore of the store from a copy. */
 void soak_restore_begin (Soak *soak);
 void soak_restore_tick (Soak *soak);
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -217,7 +217,8 @@
     soak_report_violation (soak, "open flows", "instance %d reset a flow to host %d, which is serving",
                            instance->number, user->host->number);
   if (!is_open && user->state == USER_OPENING && user->route->exists && soak_instance_is_stable (instance) &&
-      soak_is_stable (soak) && soak->now_us > user->route->changed_us + SOAK_APPLY_US)
+      soak_is_stable (soak) && soak->now_us > user->route->changed_us + SOAK_APPLY_US &&
+      !soak_evacuation_may_reject (soak, user->route->service))
     soak_report_violation (soak, "configuration",
                            "instance %d rejects an opening packet of route %u, which was added %.1f s ago",
                            instance->number, user->route->port, (double)(soak->now_us - user->route->changed_us) / 1e6);
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -61,6 +61,8 @@
   { "settings change", change_settings },
   { "instance cannot reach the hosts of a domain", block_hosts },
   { "packets are lost", drop_packets },
+  { "domain is evacuated", soak_evacuation_begin },
+  { "domain is evacuated", soak_evacuation_begin },
 };
 
 static double        random_range (Soak *soak, double low, double high);
@@ -86,6 +88,7 @@
       soak->entries_expired = false;
     }
   soak_restore_tick (soak);
+  soak_evacuation_tick (soak);
   if (soak->loss_deadline_us > 0 && soak->now_us >= soak->loss_deadline_us)
     {
       soak->loss = 0.002;
@@ -119,6 +122,7 @@
   soak->recovery_start_us = soak->now_us;
   soak->store_deadline_us = MIN (soak->store_deadline_us, soak->now_us);
   soak->restore.deadline_us = MIN (soak->restore.deadline_us, soak->now_us);
+  soak_evacuation_recover (soak);
   soak->loss = 0.0;
   for (int i = 0; i < SOAK_INSTANCES; i++)
     {
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -306,6 +306,7 @@
   Soak *soak = host->soak;
   bool  is_stable = soak_instance_is_stable (instance) && soak_is_stable (soak);
 
+  soak_evacuation_check_opening (host, instance);
   soak->counts.checked_openings += is_stable;
   soak->counts.checked_drains += is_stable && host->state == SOAK_HOST_DRAINING;
   for (int i = 0; i < SOAK_ROUTES; i++)
--- a/tests/soak/soak_instances.c
+++ b/tests/soak/soak_instances.c
@@ -94,6 +94,7 @@
   instance->restart_deadline_us = 0;
   instance->stop_deadline_us = 0;
   instance->shown_version = 0;
+  memset (instance->shows_evacuation, 0, sizeof instance->shows_evacuation);
   instance->faults_end_us = MAX (instance->faults_end_us, soak->now_us);
   instance->pid = fork ();
   if (instance->pid == 0)
--- a/tests/soak/soak_restore.c
+++ b/tests/soak/soak_restore.c
@@ -91,6 +91,7 @@
 write_again (Soak *soak)
 {
   soak_config_publish_again (soak);
+  soak_evacuation_publish_again (soak);
   for (int i = 0; i < SOAK_HOSTS; i++)
     if (soak->hosts[i].state != SOAK_HOST_UNRESPONSIVE)
       soak_host_publish_again (&soak->hosts[i]);
