--- a/tests/test_register.c
+++ b/tests/test_register.c
@@ -288,6 +288,10 @@
  */
 START_TEST (test_evacuated_domains)
 {
+  static const char hosts[] =
+      "{\"name\": \"h1\", \"domain\": \"d1\", \"targets\": [{\"service\": \"a\", \"address\": \"127.0.0.1:1\"}]},"
+      "{\"name\": \"h2\", \"domain\": \"d1\", \"targets\": [{\"service\": \"a\", \"address\": \"127.0.0.1:2\"}]},"
+      "{\"name\": \"h3\", \"domain\": \"d2\", \"targets\": [{\"service\": \"a\", \"address\": \"127.0.0.1:3\"}]}";
   static const struct
   {
     const char *rules;
@@ -301,20 +305,7 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      char *text =
-          g_strdup_printf (
-              HEAD "\"hosts\": [{\"name\": \"h1\", \"domain\": \"d1\", \"targets\": [" TARGET (
-                  "a",
-                  "1") "]}, {\"name\": \"h2\", \"domain\": \"d1\", \"targets\": [" TARGET ("a",
-                                                                                           "2") "]}, {\"name\": "
-                                                                                                "\"h3\", \"domain\": "
-                                                                                                "\"d2\", \"targets\": "
-                                                                                                "[" TARGET ("a",
-                                                                                                            "3") "]}], "
-                                                                                                                 "\"rul"
-                                                                                                                 "es\":"
-                                                                                                                 " %s}",
-              cases[i].rules);
+      char           *text = g_strdup_printf (HEAD "\"hosts\": [%s], \"rules\": %s}", hosts, cases[i].rules);
       WcError         error;
       WcRegister     *reg = wc_register_parse ("r", text, strlen (text), &error);
       size_t          count;
