Check the register rule "evacuated" with real processes

Change: the scenario evacuated_domain of tests/process/prove.sh evacuates a domain of three under load and ends the evacuation: no target of the domain may get new work 5 s after the rule was published, no order may end as unknown, and the targets must get work again.

--- a/tests/process/prove.sh
+++ b/tests/process/prove.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Checks the guarantees with real processes on loopback under failures: rolling replacement, leaving host, killed and
-# paused instance, network partition, platform outage and conflicting edits of operators. Each scenario runs sessions,
-# orders, downloads and streams over a fabric that drops, duplicates and reorders packets. The last line of output is
-# JSON; the exit status is 1 if a guarantee was violated.
+# Checks the guarantees with real processes on loopback under failures: rolling replacement, leaving host, evacuated
+# domain, killed and paused instance, network partition, platform outage and conflicting edits of operators. Each
+# scenario runs sessions, orders, downloads and streams over a fabric that drops, duplicates and reorders packets. The
+# last line of output is JSON; the exit status is 1 if a guarantee was violated.
 set -u
 cd "$(dirname "$0")/../.."
 . tools/lab.sh
@@ -127,6 +127,37 @@
   lab_send POST "$targets" /control/target '{"host": "bell-5", "action": "undrain"}' >/dev/null
 }
 
+# A domain is evacuated and used again.
+evacuated_domain () {
+  local hosts host before
+  hosts=$(jq -r '.hosts[] | select (.domain == "serra-2") | .name' "$directory/register.json")
+  start_load 18
+  edit_ms=$(now_ms)
+  edit_register '.rules.evacuated = ["serra-2"]'
+  for host in $hosts; do
+    lab_send POST "$targets" /control/target "{\"host\": \"$host\", \"action\": \"leave\"}" >/dev/null
+  done
+  wait_in_force $(seq 1 $instances)
+  sleep 7
+  lab_get "$targets" /control/stats | jq -e '[.targets[].last_work_after_leaving_s] | max <= 5' >/dev/null ||
+    problem "a target of an evacuated domain received new work after 5 s"
+  for host in $hosts; do
+    lab_send POST "$targets" /control/target "{\"host\": \"$host\", \"action\": \"undrain\"}" >/dev/null
+  done
+  before=$(count_work "$hosts")
+  edit_ms=$(now_ms)
+  edit_register 'del (.rules.evacuated)'
+  wait_in_force $(seq 1 $instances)
+  end_load evacuated_domain '.orders_unknown == 0'
+  [ "$(count_work "$hosts")" -gt "$before" ] || problem "a domain received no work after its evacuation had ended"
+}
+
+# count_work HOSTS: requests that the targets of the hosts have received.
+count_work () {
+  lab_get "$targets" /control/stats |
+    jq --arg hosts "$1" '[.targets[] | select (.host as $host | $hosts | split ("\n") | index ($host)) | .requests] | add'
+}
+
 killed_instance () {
   start_load 14
   kill_instance 2
@@ -220,8 +251,8 @@
 
 lab_start_fleet "$directory" "$base" sinos samples/register-sinos.json "$instances"
 revision=$(jq .revision "$directory/register.json")
-for scenario in ${PROVE_SCENARIOS:-rolling_replacement leaving_host killed_instance paused_instance partition \
-  platform_outage racing_operators}; do
+for scenario in ${PROVE_SCENARIOS:-rolling_replacement leaving_host evacuated_domain killed_instance paused_instance \
+  partition platform_outage racing_operators}; do
   "$scenario"
 done
 for index in $(seq 1 $instances); do
