Open a flow of the soak at the host that the caller acknowledges

Cause: a host of the soak took the data of a flow also when its first packet acknowledged the sequence number of another host that had accepted the same opening.

--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -263,6 +263,9 @@
       send_packet (host, &unknown, WC_PACKET_RST, packet->acknowledged, 0);
       return;
     }
+  /* A flow opens at the host whose sequence number the caller acknowledges first, and at no other that accepted it. */
+  if (!flow->is_open && packet->acknowledged != flow->sequence)
+    return;
   flow->cookie = packet->cookie;
   flow->is_open = true;
   if (packet->data_bytes > 0 && packet->sequence == flow->expected && flow->due_us == 0)
