--- a/src/forward/host_failures.c
+++ b/src/forward/host_failures.c
@@ -25,7 +25,12 @@
    */
   GROUP_RATIO = 2,
   /* Own requests from which the rate of the whole group is used. */
-  GROUP_REQUESTS_MIN = 20,
+  GROUP_REQUESTS_MIN = 10,
+  /*
+   * Time for which a host must have been an outlier. When a link fails, the evidence on the hosts arrives one after the
+   * other, and the first ones would be ejected.
+   */
+  CONFIRM_US = 300 * 1000,
   /* Maximum share of a group that is ejected. */
   EJECTED_DIVISOR = 3,
   /* Duration of an ejection; not shorter than the window, and doubled with each successive one up to the maximum. */
@@ -43,11 +48,15 @@
   REPORT_INTERVAL_US = 500 * 1000
 };
 
-/* @rate_milli: failure rate; 0 when there are too few requests. */
+/*
+ * @rate_milli: failure rate; 0 when there are too few requests.
+ * @most_fail: most hosts of the group fail.
+ */
 typedef struct
 {
   WcFailureSum sum;
   uint32_t     rate_milli;
+  bool         most_fail;
 } Measure;
 
 static void advance (WcHostFailures *failures, uint64_t now_us);
@@ -59,10 +68,15 @@
 static uint32_t
 get_limit_milli (const WcHostFailuresMember *members, const Measure *measures, size_t count, uint64_t now_us);
 static bool most_fail_here (const WcHostFailuresMember *members, size_t count, uint64_t now_us, uint32_t *rate_milli);
-static int  compare_rates (const void *a, const void *b);
-static bool fails_again (const WcHostFailures *failures, const WcFailureSum *sum, uint64_t now_us);
-static void eject (const WcHostFailuresMember *member, uint64_t now_us);
-static void start_trial (const WcHostFailuresMember *member, const WcHostFailuresView *view, uint64_t now_us);
+static void
+find_outliers (const WcHostFailuresMember *members, size_t count, uint32_t peers, uint64_t now_us, Measure *measures);
+static size_t find_worst (const WcHostFailuresMember *members, const Measure *measures, size_t count, uint64_t now_us);
+static void   end_ejection (const WcHostFailuresMember *member, const WcHostFailuresView *view, const Measure *measured,
+                            uint64_t now_us, size_t index, WcHostFailuresChanged changed, void *user_data);
+static int    compare_rates (const void *a, const void *b);
+static bool   fails_again (const WcHostFailures *failures, const WcFailureSum *sum, uint64_t now_us);
+static void   eject (const WcHostFailuresMember *member, uint64_t now_us);
+static void   start_trial (const WcHostFailuresMember *member, const WcHostFailuresView *view, uint64_t now_us);
 static uint64_t get_eject_span_us (const WcHostFailures *failures);
 
 void
@@ -215,59 +229,33 @@
                            uint64_t now_us, WcHostFailuresChanged changed, void *user_data)
 {
   Measure *measures;
-  uint32_t limit_milli;
   size_t   ejected = 0;
   bool     any = false;
 
   assert (members != NULL && view != NULL && changed != NULL);
 
   for (size_t i = 0; i < count; i++)
-    {
-      any = any || !is_idle (members[i].failures, now_us);
-      ejected += wc_host_failures_is_ejected (members[i].failures);
-    }
+    any = any || !is_idle (members[i].failures, now_us);
   if (!any)
     return;
   measures = g_new0 (Measure, count);
   measure (members, count, view->domain_peers, now_us, measures);
-  limit_milli = get_limit_milli (members, measures, count, now_us);
-
+  find_outliers (members, count, view->domain_peers, now_us, measures);
   for (size_t i = 0; i < count; i++)
     {
       WcHostFailures *failures = members[i].failures;
-      bool            fails = fails_again (failures, &measures[i].sum, now_us);
 
-      if (!wc_host_failures_is_ejected (failures) || now_us < failures->eject_deadline_us)
-        continue;
-      if (fails && limit_milli < UINT32_MAX)
-        {
-          eject (&members[i], now_us);
-          changed (user_data, i, WC_HOST_FAILURES_EJECTED, &measures[i].sum);
-        }
-      else if (failures->trial_deadline_us == 0)
-        start_trial (&members[i], view, now_us);
-      else if (now_us >= failures->trial_deadline_us)
-        {
-          failures->eject_deadline_us = failures->trial_deadline_us = 0;
-          failures->trial_flows = 0;
-          failures->recovered_us = now_us;
-          ejected--;
-          changed (user_data, i, WC_HOST_FAILURES_RECOVERED, &measures[i].sum);
-        }
+      if (wc_host_failures_is_ejected (failures) && now_us >= failures->eject_deadline_us)
+        end_ejection (&members[i], view, &measures[i], now_us, i, changed, user_data);
+      ejected += wc_host_failures_is_ejected (failures);
     }
-  while (ejected < count / EJECTED_DIVISOR && !view->is_full)
+  for (; ejected < count / EJECTED_DIVISOR && !view->is_full; ejected++)
     {
-      size_t worst = count;
+      size_t worst = find_worst (members, measures, count, now_us);
 
-      for (size_t i = 0; i < count; i++)
-        if (!wc_host_failures_is_ejected (members[i].failures) && members[i].failures->recovered_us != now_us &&
-            measures[i].rate_milli >= limit_milli && is_significant (&measures[i].sum, view->domain_peers) &&
-            (worst == count || measures[i].rate_milli > measures[worst].rate_milli))
-          worst = i;
       if (worst == count)
         break;
       eject (&members[worst], now_us);
-      ejected++;
       changed (user_data, worst, WC_HOST_FAILURES_EJECTED, &measures[worst].sum);
     }
   for (size_t i = 0; i < count; i++)
@@ -367,6 +355,68 @@
   return MAX (RATE_MIN_MILLI, MAX (median_milli * MEDIAN_RATIO, group_milli * GROUP_RATIO));
 }
 
+static void
+find_outliers (const WcHostFailuresMember *members, size_t count, uint32_t peers, uint64_t now_us, Measure *measures)
+{
+  uint32_t limit_milli = get_limit_milli (members, measures, count, now_us);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      WcHostFailures *failures = members[i].failures;
+
+      measures[i].most_fail = limit_milli == UINT32_MAX;
+      if (measures[i].rate_milli < limit_milli || !is_significant (&measures[i].sum, peers))
+        failures->outlier_since_us = 0;
+      else if (failures->outlier_since_us == 0)
+        failures->outlier_since_us = now_us;
+    }
+}
+
+/* Return: index of the host in use that fails most, @count when no outlier is confirmed. */
+static size_t
+find_worst (const WcHostFailuresMember *members, const Measure *measures, size_t count, uint64_t now_us)
+{
+  size_t worst = count;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const WcHostFailures *failures = members[i].failures;
+
+      if (!wc_host_failures_is_ejected (failures) && failures->outlier_since_us > 0 &&
+          now_us - failures->outlier_since_us >= CONFIRM_US &&
+          (worst == count || measures[i].rate_milli > measures[worst].rate_milli))
+        worst = i;
+    }
+  return worst;
+}
+
+/* Ejects the host again, starts its trial, or takes it into use after the trial. */
+static void
+end_ejection (const WcHostFailuresMember *member, const WcHostFailuresView *view, const Measure *measured,
+              uint64_t now_us, size_t index, WcHostFailuresChanged changed, void *user_data)
+{
+  WcHostFailures *failures = member->failures;
+
+  if (!measured->most_fail && fails_again (failures, &measured->sum, now_us))
+    {
+      eject (member, now_us);
+      changed (user_data, index, WC_HOST_FAILURES_EJECTED, &measured->sum);
+      return;
+    }
+  if (failures->trial_deadline_us == 0)
+    {
+      start_trial (member, view, now_us);
+      return;
+    }
+  if (now_us < failures->trial_deadline_us)
+    return;
+  failures->eject_deadline_us = failures->trial_deadline_us = 0;
+  failures->trial_flows = 0;
+  failures->outlier_since_us = 0;
+  failures->recovered_us = now_us;
+  changed (user_data, index, WC_HOST_FAILURES_RECOVERED, &measured->sum);
+}
+
 /*
  * Compares the hosts by the requests of this instance alone, because the counts of other instances arrive for the hosts
  * with failures first.
@@ -417,6 +467,7 @@
   if (failures->recovered_us > 0 && failures->eject_deadline_us == 0 && now_us - failures->recovered_us >= FORGET_US)
     failures->eject_count = 0;
   failures->eject_deadline_us = now_us + get_eject_span_us (failures);
+  failures->outlier_since_us = 0;
   failures->eject_count++;
   failures->trial_deadline_us = 0;
   failures->trial_flows = 0;
--- a/src/forward/host_failures.h
+++ b/src/forward/host_failures.h
@@ -27,6 +27,7 @@
  * @interval: number of the latest interval with an event, counted from time 0.
  * @evidence: what other instances reported; NULL until a report contains a failed request.
  * @sum: counts of the domain without the estimates of others, at the last evaluation.
+ * @outlier_since_us: since when the host has been an outlier without interruption; 0 when it is none.
  * @eject_deadline_us: end of the current ejection; 0 when the host is in use.
  * @trial_deadline_us: end of the trial that follows the ejection; 0 before the trial.
  * @trial_flows: flows that this instance may still place on the host during the trial.
@@ -43,6 +44,7 @@
   uint64_t           interval;
   WcFailureEvidence *evidence;
   WcFailureSum       sum;
+  uint64_t           outlier_since_us;
   uint64_t           eject_deadline_us;
   uint64_t           trial_deadline_us;
   uint32_t           trial_flows;
--- a/tests/test_flow_experiment.c
+++ b/tests/test_flow_experiment.c
@@ -122,6 +122,37 @@
 }
 END_TEST
 
+/* Guards against hosts that keep their share of requests although they leave half of them unanswered. */
+START_TEST (failing_hosts_are_avoided)
+{
+  const WcFlowExperimentCounts before = run ("failing-hosts", "deadline").phases[0];
+  const WcFlowExperimentCounts after = run ("failing-hosts", "host-failures").phases[0];
+
+  ck_assert_uint_gt (before.requests, before.in_time);
+  ck_assert_uint_lt ((after.requests - after.in_time) * 4, (before.requests - before.in_time) * 3);
+}
+END_TEST
+
+/* Guards against ejections that cost more than they save because the other hosts are full: within 0.01. */
+START_TEST (failing_hosts_are_used_when_needed)
+{
+  const WcFlowExperimentCounts before = run ("failing-hosts-busy", "deadline").phases[0];
+  const WcFlowExperimentCounts after = run ("failing-hosts-busy", "host-failures").phases[0];
+
+  ck_assert_uint_ge (after.in_time + after.requests / 100, before.in_time);
+}
+END_TEST
+
+/* Guards against a healthy host that is avoided: without failures no decision differs. */
+START_TEST (healthy_hosts_are_not_ejected)
+{
+  const WcFlowExperimentResult before = run ("normal", "deadline");
+  const WcFlowExperimentResult after = run ("normal", "host-failures");
+
+  ck_assert_int_eq (memcmp (&before, &after, sizeof before), 0);
+}
+END_TEST
+
 /* Guards against an overload that sustains itself after its cause is gone. */
 START_TEST (load_is_normal_again_after_its_cause)
 {
@@ -175,6 +206,9 @@
   tcase_add_test (tests, return_after_outage_is_answered_in_time);
   tcase_add_test (tests, more_are_in_time_than_before);
   tcase_add_test (tests, normal_load_is_not_rejected);
+  tcase_add_test (tests, failing_hosts_are_avoided);
+  tcase_add_test (tests, failing_hosts_are_used_when_needed);
+  tcase_add_test (tests, healthy_hosts_are_not_ejected);
   tcase_add_test (tests, load_is_normal_again_after_its_cause);
   tcase_add_test (tests, every_request_has_one_outcome);
   tcase_add_test (tests, runs_with_one_seed_are_equal);
