Limit how often openings are forwarded to another host

Cause: an opening that a host has not answered goes to another host after 40 ms and at each retransmission of its caller. Hosts that answer late because of overload receive several times the load for it. Beyond it the timer forwards nothing, and a retransmission goes to the host that has the opening. A host that is no longer published is replaced without the budget. Tests: forward_fixture.h gets fixture_init_features; no existing check is changed.

--- a/src/edge/forward_metrics.c
+++ b/src/edge/forward_metrics.c
@@ -6,6 +6,7 @@
 static void add_counter (GString *text, const char *name, const char *help, uint64_t value);
 static void add_gauge (GString *text, const char *name, const char *help, double value);
 static void add_decisions (GString *text, const WcForwardMetrics *metrics);
+static void add_openings (GString *text, const WcOpeningCounters *counters);
 static void add_hosts (GString *text, const WcHostTable *hosts);
 
 void
@@ -58,6 +59,7 @@
              gauges->view_age_us == UINT64_MAX ? -1 : (double)gauges->view_age_us / 1e6);
   add_gauge (text, "peers", "Other instances that are live.", gauges->peers);
   add_gauge (text, "flows", "Flows remembered.", (double)wc_forwarder_get_flow_count (gauges->forwarder));
+  add_openings (text, wc_forwarder_get_opening_counters (gauges->forwarder));
   add_hosts (text, wc_forwarder_get_hosts (gauges->forwarder));
   wc_latency_histogram_print (metrics->opening, "opening_seconds",
                               "From an opening packet to the first packet of the open flow.", text);
@@ -93,6 +95,21 @@
                             wc_decision_get_name ((WcDecisionKind)kind), metrics->decisions[kind]);
 }
 
+static void
+add_openings (GString *text, const WcOpeningCounters *counters)
+{
+  add_counter (text, "openings_first_total", "Openings forwarded to a first host.", counters->first);
+  g_string_append (text, "# HELP wigeoncart_openings_second_total Openings forwarded to another host, by cause.\n"
+                         "# TYPE wigeoncart_openings_second_total counter\n");
+  for (int cause = 0; cause < WC_OPENING_CAUSE_COUNT; cause++)
+    g_string_append_printf (text, "wigeoncart_openings_second_total{cause=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                            WC_OPENING_CAUSE_STRINGS[cause], counters->second[cause]);
+  add_counter (text, "openings_second_refused_total", "Openings not forwarded to another host because of the budget.",
+               counters->refused);
+  add_counter (text, "openings_abandoned_total", "Flows abandoned by their callers before a host answered.",
+               counters->abandoned);
+}
+
 static void
 add_hosts (GString *text, const WcHostTable *hosts)
 {
--- a/src/emulator/flow_experiment.h
+++ b/src/emulator/flow_experiment.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "forward/admission_policy.h"
+#include "forward/features.h"
 
 /*
  * Experiment in virtual time with instances that forward packets: callers open flows through a fabric, several
@@ -103,12 +104,14 @@
 /**
  * struct WcFlowExperimentPolicy - a compared policy.
  * @admission: admission policy of the forwarders; NULL unless @dispatch is WC_FLOW_DISPATCH_INSTANCES.
+ * @features: decisions of the forwarders that are switched on.
  */
 typedef struct
 {
   const char              *name;
   WcFlowDispatch           dispatch;
   const WcAdmissionPolicy *admission;
+  WcForwardFeatures        features;
 } WcFlowExperimentPolicy;
 
 /**
--- a/src/emulator/flow_experiment_fleet.c
+++ b/src/emulator/flow_experiment_fleet.c
@@ -172,6 +172,7 @@
           .incarnation = 1 + instance->index,
           .max_flows = MAX_FLOWS,
           .flow_lifetime_us = FLOW_LIFETIME_US,
+          .features = experiment->config->policy->features,
           .admission = experiment->config->policy->admission,
   };
   WcRouteTable *routes = wc_route_table_new (1);
--- a/src/emulator/flow_experiment_scenarios.c
+++ b/src/emulator/flow_experiment_scenarios.c
@@ -113,10 +113,11 @@
 };
 
 static const WcFlowExperimentPolicy POLICIES[] = {
-  { "omniscient", WC_FLOW_DISPATCH_OMNISCIENT, NULL },
-  { "deadline", WC_FLOW_DISPATCH_INSTANCES, &WC_ADMISSION_DEADLINE },
-  { "newest-first", WC_FLOW_DISPATCH_INSTANCES, &WC_ADMISSION_NEWEST_FIRST },
-  { "hash", WC_FLOW_DISPATCH_HASH, NULL },
+  { .name = "omniscient", .dispatch = WC_FLOW_DISPATCH_OMNISCIENT },
+  { .name = "deadline", .admission = &WC_ADMISSION_DEADLINE },
+  { .name = "deadline-budget", .admission = &WC_ADMISSION_DEADLINE, .features = { .attempt_budget = true } },
+  { .name = "newest-first", .admission = &WC_ADMISSION_NEWEST_FIRST },
+  { .name = "hash", .dispatch = WC_FLOW_DISPATCH_HASH },
 };
 
 const char *const WC_FLOW_FAULT_STRINGS[] = { "none", "slow hosts", "outage", "lost domain" };
--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -10,6 +10,7 @@
 #define WC_DECISION_LIST(X)                                                                                            \
   X (PLACED, "placed", "New flows given to a host.")                                                                   \
   X (PLACED_AGAIN, "placed_again", "Flows given to another host because the first did not answer.")                    \
+  X (SECOND_REFUSED, "second_refused", "Openings not given to another host because the budget is used up.")            \
   X (HELD, "held", "New flows held until a host can take them.")                                                       \
   X (FORWARDED, "forwarded", "Requests forwarded to the host of their flow.")                                          \
   X (REJECTED_NO_ROUTE, "rejected_no_route", "New flows rejected because no route exists.")                            \
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -49,6 +49,7 @@
   forwarder->hosts = wc_host_table_new (settings->flow_lifetime_us);
   forwarder->flows = wc_flow_table_new (settings->max_flows);
   forwarder->openings = wc_opening_queue_new ();
+  wc_opening_budget_init (&forwarder->budget, settings->features.attempt_budget);
   if (!forwarder->settings.admission)
     forwarder->settings.admission = &WC_ADMISSION_DEADLINE;
   forwarder->held = wc_admission_queue_new (forwarder->settings.admission->is_before);
@@ -167,6 +168,12 @@
   return wc_flow_table_get_count (forwarder->flows);
 }
 
+const WcOpeningCounters *
+wc_forwarder_get_opening_counters (const WcForwarder *forwarder)
+{
+  return &forwarder->budget.counters;
+}
+
 void
 wc_forwarder_emit_decision (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host)
 {
@@ -380,6 +387,8 @@
     update_counts (flow, host, forwarder->now_us);
   if (!wc_flow_is_expired (flow, idle_ms * 1000, forwarder->settings.flow_lifetime_us, forwarder->now_us))
     return true;
+  if (flow->state == WC_FLOW_OPENING)
+    wc_opening_budget_record_abandoned (&forwarder->budget);
   wc_forwarder_uncount_flow (forwarder, flow);
   return false;
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -9,6 +9,7 @@
 #include "forward/features.h"
 #include "forward/host_report.h"
 #include "forward/host_table.h"
+#include "forward/opening_budget.h"
 #include "forward/packet.h"
 #include "forward/route_table.h"
 
@@ -132,4 +133,7 @@
 const WcHostTable *wc_forwarder_get_hosts (const WcForwarder *forwarder);
 size_t             wc_forwarder_get_flow_count (const WcForwarder *forwarder);
 
+/** wc_forwarder_get_opening_counters() - forwardings of openings to first and to other hosts. */
+const WcOpeningCounters *wc_forwarder_get_opening_counters (const WcForwarder *forwarder);
+
 #endif
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -39,7 +39,8 @@
 static void    emit_decision (WcForwarder *forwarder, WcDecisionKind kind, const WcHeldOpening *held);
 static bool    try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial);
 static void    open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host);
-static void    place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow);
+static void
+place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, WcOpeningCause cause);
 static WcPlacement placement_of_held (const WcForwarder *forwarder, const WcHeldOpening *held);
 static WcPlacement placement_of (const WcForwarder *forwarder, const WcFlowKey *key, uint32_t service, uint32_t avoid);
 static WcServiceLoad  *get_own_load (WcForwarder *forwarder, uint32_t service);
@@ -74,7 +75,7 @@
       if (flow->second_host && wc_link_quality_record_unanswered (&forwarder->link, forwarder->now_us))
         wc_forwarder_emit_decision (forwarder, WC_DECISION_LINK_LOSSY, &packet->key, host);
     }
-  place_again (forwarder, route, packet, flow);
+  place_again (forwarder, route, packet, flow, WC_OPENING_CAUSE_RETRANSMISSION);
 }
 
 void
@@ -96,7 +97,7 @@
       /* Refused, lost, or continued through another instance: it is no load as far as this instance knows. */
       flow->moved = 1;
       if (!superseded)
-        place_again (forwarder, route, &packet, flow);
+        place_again (forwarder, route, &packet, flow, WC_OPENING_CAUSE_TIMER);
       else
         wc_forwarder_uncount_busy (forwarder, flow);
     }
@@ -309,6 +310,7 @@
 {
   WcFlow *flow = wc_flow_table_add (forwarder->flows, &packet->key);
 
+  wc_opening_budget_record_first (&forwarder->budget, host->record.service, forwarder->now_us);
   wc_forwarder_emit_decision (forwarder, WC_DECISION_PLACED, &packet->key, host);
   if (flow)
     {
@@ -321,20 +323,35 @@
 
 /*
  * Forwards an opening again; if a host did not answer it, to another host if there is one. Several hosts may answer an
- * opening; the caller continues with one of them, and the others keep no state that could run a request.
+ * opening; the caller continues with one of them, and the others keep no state that could run a request. Beyond the
+ * budget for other hosts an opening waits for its caller's retransmission, which goes to the host that has it already.
  */
 static void
-place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow)
+place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, WcOpeningCause cause)
 {
   WcPlacement placement = placement_of (forwarder, &packet->key, pick_service (route, &packet->key),
                                         flow->state == WC_FLOW_OPENING ? flow->cookie : 0);
   WcHost     *host = choose_host (forwarder, route, &placement);
+  WcHost     *first = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
 
   if (!host)
     {
       wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
       return;
     }
+  if (flow->state == WC_FLOW_OPENING && flow->cookie != host->cookie &&
+      !wc_opening_budget_take (&forwarder->budget, host->record.service,
+                               first && first->record.state != WC_HOST_GONE ? cause : WC_OPENING_CAUSE_HOST_GONE,
+                               forwarder->now_us))
+    {
+      wc_forwarder_emit_decision (forwarder, WC_DECISION_SECOND_REFUSED, &packet->key, first);
+      if (cause == WC_OPENING_CAUSE_TIMER)
+        {
+          wc_forwarder_uncount_busy (forwarder, flow);
+          return;
+        }
+      host = first;
+    }
   wc_forwarder_emit_decision (forwarder, WC_DECISION_PLACED_AGAIN, &packet->key, host);
   flow->second_host = flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
   wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -5,6 +5,7 @@
 #include "forward/flow_table.h"
 #include "forward/forwarder.h"
 #include "forward/link_quality.h"
+#include "forward/opening_budget.h"
 #include "forward/opening_queue.h"
 #include "forward/retry_cache.h"
 #include "forward/service_load.h"
@@ -17,6 +18,7 @@
 /**
  * struct WcForwarder - see forwarder.h.
  * @openings: forwarded openings, each until its answer timeout.
+ * @budget: limits and counts forwardings of openings to another host.
  * @held: openings that wait for a host with capacity.
  * @admit_deadline_us: time at which held openings are examined next; UINT64_MAX when there are none.
  * @trial_deadline_us: earliest time at which an opening is forwarded regardless of the hosts' load.
@@ -36,6 +38,7 @@
   WcHostTable        *hosts;
   WcFlowTable        *flows;
   WcOpeningQueue     *openings;
+  WcOpeningBudget     budget;
   WcAdmissionQueue   *held;
   uint64_t            admit_deadline_us;
   uint64_t            trial_deadline_us;
--- a/tests/forward_fixture.h
+++ b/tests/forward_fixture.h
@@ -111,7 +111,7 @@
 }
 
 static inline void
-fixture_init (ForwardFixture *fixture)
+fixture_init_features (ForwardFixture *fixture, WcForwardFeatures features)
 {
   static const WcForwarderOps ops = { fixture_forward, fixture_reset, fixture_decided, fixture_opened,
                                       fixture_answered };
@@ -120,6 +120,7 @@
       .incarnation = FIXTURE_INCARNATION,
       .max_flows = 4096,
       .flow_lifetime_us = 60 * 1000 * 1000,
+      .features = features,
   };
 
   memset (fixture, 0, sizeof *fixture);
@@ -128,6 +129,12 @@
   wc_forwarder_set_routes (fixture->forwarder, fixture_routes (1), fixture->now_us);
 }
 
+static inline void
+fixture_init (ForwardFixture *fixture)
+{
+  fixture_init_features (fixture, (WcForwardFeatures){ 0 });
+}
+
 static inline void
 fixture_finish (ForwardFixture *fixture)
 {
