--- a/tests/test_admission_weighted.c
+++ b/tests/test_admission_weighted.c
@@ -218,6 +218,7 @@
 }
 END_TEST
 
+/* Guards against a guaranteed part that waits behind urgent openings, which an overload never lacks. */
 START_TEST (guaranteed_openings_precede_urgent_ones)
 {
   Fixture       fixture;
