--- a/src/emulator/flow_experiment.h
+++ b/src/emulator/flow_experiment.h
@@ -106,7 +106,7 @@
 /**
  * struct WcFlowExperimentPolicy - a compared policy.
  * @admission: admission policy of the forwarders; NULL unless @dispatch is WC_FLOW_DISPATCH_INSTANCES.
- * @features: optional decisions of the forwarders.
+ * @features: decisions of the forwarders that are switched on.
  */
 typedef struct
 {
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -50,8 +50,11 @@
   forwarder->evacuation = wc_evacuation_new ();
   forwarder->flows = wc_flow_table_new (settings->max_flows);
   forwarder->openings = wc_opening_queue_new ();
+  wc_opening_budget_init (&forwarder->budget, settings->features.attempt_budget);
   if (!forwarder->settings.admission)
-    forwarder->settings.admission = &WC_ADMISSION_DEADLINE;
+    forwarder->settings.admission = settings->features.urgency ? &WC_ADMISSION_WEIGHTED : &WC_ADMISSION_DEADLINE;
+  if (forwarder->settings.admission->uses_shares)
+    forwarder->shares = wc_admission_shares_new ();
   forwarder->held = wc_admission_queue_new (forwarder->settings.admission->is_before);
   forwarder->admit_deadline_us = UINT64_MAX;
   return forwarder;
@@ -68,6 +71,7 @@
   wc_flow_table_delete (forwarder->flows);
   wc_opening_queue_delete (forwarder->openings);
   wc_admission_queue_delete (forwarder->held);
+  wc_admission_shares_delete (forwarder->shares);
   g_free (forwarder);
 }
 
@@ -171,6 +175,12 @@
   return wc_flow_table_get_count (forwarder->flows);
 }
 
+const WcOpeningCounters *
+wc_forwarder_get_opening_counters (const WcForwarder *forwarder)
+{
+  return &forwarder->budget.counters;
+}
+
 void
 wc_forwarder_emit_decision (WcForwarder *forwarder, WcDecisionKind kind, const WcFlowKey *key, const WcHost *host)
 {
@@ -314,6 +324,10 @@
   wc_forwarder_record_outcome (forwarder, route, flow, host, &progress, request_us);
   if (progress.opened)
     record_handshake (forwarder, forwarder->now_us - flow->opened_us);
+  if (host->record.domain == forwarder->settings.domain)
+    wc_admission_shares_record_progress (forwarder->shares, host->record.service, route->priority,
+                                         flow->request_us == forwarder->now_us && request_us != forwarder->now_us,
+                                         progress.answer_time_us > 0, forwarder->now_us);
   if (progress.answered)
     {
       record_answer_time (forwarder, route, host, progress.answer_time_us);
@@ -387,6 +401,8 @@
     wc_forwarder_check_overdue (forwarder, wc_route_table_find (forwarder->routes, &flow->key), flow, host);
   if (!wc_flow_is_expired (flow, idle_ms * 1000, forwarder->settings.flow_lifetime_us, forwarder->now_us))
     return true;
+  if (flow->state == WC_FLOW_OPENING)
+    wc_opening_budget_record_abandoned (&forwarder->budget);
   wc_forwarder_uncount_flow (forwarder, flow);
   return false;
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -10,6 +10,7 @@
 #include "forward/features.h"
 #include "forward/host_report.h"
 #include "forward/host_table.h"
+#include "forward/opening_budget.h"
 #include "forward/packet.h"
 #include "forward/route_table.h"
 
@@ -20,7 +21,7 @@
  * @max_flows: maximum number of tracked flows.
  * @flow_lifetime_us: maximum lifetime of a flow; also the minimum time for which a host that is gone is kept.
  * @features: decisions that the deployment asks for.
- * @admission: admission policy; NULL for the default.
+ * @admission: admission policy; NULL for the one that @features ask for.
  */
 typedef struct
 {
@@ -159,4 +160,7 @@
 const WcEvacuation *wc_forwarder_get_evacuation (const WcForwarder *forwarder);
 size_t              wc_forwarder_get_flow_count (const WcForwarder *forwarder);
 
+/** wc_forwarder_get_opening_counters() - forwardings of openings to first and to other hosts. */
+const WcOpeningCounters *wc_forwarder_get_opening_counters (const WcForwarder *forwarder);
+
 #endif
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -121,6 +121,14 @@
   return NULL;
 }
 
+bool
+wc_placement_allows (const WcHost *host, const WcPlacement *placement, uint64_t now_us)
+{
+  assert (host != NULL && placement != NULL);
+
+  return accepts_flows (host, now_us);
+}
+
 uint64_t
 wc_placement_estimate_us (const WcHost *host, const WcPlacement *placement, uint64_t now_us)
 {
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -55,6 +55,9 @@
  */
 WcHost *wc_placement_choose (const WcHostTable *hosts, const WcPlacement *placement, uint64_t now_us);
 
+/** wc_placement_allows() - whether @host may receive a new flow at all, regardless of its load. */
+bool wc_placement_allows (const WcHost *host, const WcPlacement *placement, uint64_t now_us);
+
 /**
  * wc_placement_estimate_us() - expected time until the first request of a new flow is answered by a host, plus the cost
  * of another domain.
--- a/tests/forward_fixture.h
+++ b/tests/forward_fixture.h
@@ -111,7 +111,7 @@
 }
 
 static inline void
-fixture_init_features (ForwardFixture *fixture, const WcForwardFeatures *features)
+fixture_init_features (ForwardFixture *fixture, WcForwardFeatures features)
 {
   static const WcForwarderOps ops = { fixture_forward, fixture_reset, fixture_decided, fixture_opened,
                                       fixture_answered };
@@ -120,7 +120,7 @@
       .incarnation = FIXTURE_INCARNATION,
       .max_flows = 4096,
       .flow_lifetime_us = 60 * 1000 * 1000,
-      .features = *features,
+      .features = features,
   };
 
   memset (fixture, 0, sizeof *fixture);
@@ -132,9 +132,7 @@
 static inline void
 fixture_init (ForwardFixture *fixture)
 {
-  const WcForwardFeatures features = { 0 };
-
-  fixture_init_features (fixture, &features);
+  fixture_init_features (fixture, (WcForwardFeatures){ 0 });
 }
 
 static inline void
--- a/tests/test_forwarder_failures.c
+++ b/tests/test_forwarder_failures.c
@@ -16,7 +16,7 @@
 {
   const WcForwardFeatures features = { .host_failures = is_enabled };
 
-  fixture_init_features (fixture, &features);
+  fixture_init_features (fixture, features);
   for (uint64_t id = 1; id <= HOSTS; id++)
     fixture_put_host (fixture, id, "a", WC_HOST_READY);
   wc_forwarder_set_domain_peers (fixture->forwarder, PEERS);
