Limit new flows to cold hosts over the whole fleet

Cause: a host that has just started, or returns from an evacuation, sustains a few requests per second, and it is the host with the fewest requests, so that all instances choose it at once.

Change: where the contract "places" and an overrun are configured, a service with warmup-per-s has a limit for its cold hosts. Only the instance of the host's domain that holds the host's lease sends to it (forward/host_lease), at most half of the limit in any sliding second (forward/warm_up, forward/second_window), so that two holders with different views together stay within it. First and second forwardings and copies of openings count. Gossip carries echo_heartbeat, echo_incarnation and domain_instances. Decision host_warming, metrics flows_diverted_total, hosts_warming and hosts_warming_leased.

Ruled out: fixed times of 8 s and 2 s. The observation time therefore grows with the domain, 750 ms per instance.

--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -2562,7 +2562,7 @@
   (ProtobufCMessageInit) wc__host_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__peer_news__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wc__peer_news__field_descriptors[11] =
 {
   {
     "sender",
@@ -2660,9 +2660,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "echo_heartbeat",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerNews, echo_heartbeat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_incarnation",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerNews, echo_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain_instances",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__PeerNews, domain_instances),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__peer_news__field_indices_by_name[] = {
   7,   /* field[7] = asks */
+  10,   /* field[10] = domain_instances */
+  8,   /* field[8] = echo_heartbeat */
+  9,   /* field[9] = echo_incarnation */
   5,   /* field[5] = hosts */
   4,   /* field[4] = known */
   6,   /* field[6] = logical */
@@ -2671,10 +2710,11 @@
   3,   /* field[3] = stopping */
   2,   /* field[2] = view_age_ms */
 };
-static const ProtobufCIntRange wc__peer_news__number_ranges[1 + 1] =
+static const ProtobufCIntRange wc__peer_news__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 10, 8 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wc__peer_news__descriptor =
 {
@@ -2684,10 +2724,10 @@
   "Wc__PeerNews",
   "wc",
   sizeof(Wc__PeerNews),
-  8,
+  11,
   wc__peer_news__field_descriptors,
   wc__peer_news__field_indices_by_name,
-  1,  wc__peer_news__number_ranges,
+  2,  wc__peer_news__number_ranges,
   (ProtobufCMessageInit) wc__peer_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -358,10 +358,20 @@
    * The receiver is to reply at once with its reports on these hosts. 
    */
   protobuf_c_boolean asks;
+  /*
+   * Latest heartbeat of the receiver that the sender knows, and the low 32 bits of the incarnation that it belongs to;
+   *0 when the sender does not know the receiver. 
+   */
+  uint64_t echo_heartbeat;
+  uint32_t echo_incarnation;
+  /*
+   * Instances of the receiver's domain that the sender remembers; 0 when it does not know the receiver. 
+   */
+  uint32_t domain_instances;
 };
 #define WC__PEER_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__peer_news__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/edge/forward_metrics.c
+++ b/src/edge/forward_metrics.c
@@ -6,6 +6,7 @@
 static void add_counter (GString *text, const char *name, const char *help, uint64_t value);
 static void add_gauge (GString *text, const char *name, const char *help, double value);
 static void add_decisions (GString *text, const WcForwardMetrics *metrics);
+static void add_warm_up (GString *text, const WcForwarder *forwarder);
 static void add_hosts (GString *text, const WcHostTable *hosts);
 
 void
@@ -58,6 +59,7 @@
              gauges->view_age_us == UINT64_MAX ? -1 : (double)gauges->view_age_us / 1e6);
   add_gauge (text, "peers", "Other instances that are live.", gauges->peers);
   add_gauge (text, "flows", "Flows remembered.", (double)wc_forwarder_get_flow_count (gauges->forwarder));
+  add_warm_up (text, gauges->forwarder);
   add_hosts (text, wc_forwarder_get_hosts (gauges->forwarder));
   wc_latency_histogram_print (metrics->opening, "opening_seconds",
                               "From an opening packet to the first packet of the open flow.", text);
@@ -93,6 +95,17 @@
                             wc_decision_get_name ((WcDecisionKind)kind), metrics->decisions[kind]);
 }
 
+static void
+add_warm_up (GString *text, const WcForwarder *forwarder)
+{
+  const WcForwarderWarmUp warm_up = wc_forwarder_get_warm_up (forwarder);
+
+  add_counter (text, "flows_diverted_total", "New flows placed elsewhere because a cold host could not take them.",
+               warm_up.flows_diverted);
+  add_gauge (text, "hosts_warming", "Cold hosts to which new flows are limited.", warm_up.limited_hosts);
+  add_gauge (text, "hosts_warming_leased", "Those of them to which this instance may send new flows.", warm_up.leases);
+}
+
 static void
 add_hosts (GString *text, const WcHostTable *hosts)
 {
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -155,6 +155,8 @@
     .max_flows = MAX_FLOWS,
     .flow_lifetime_us = (uint64_t)settings->flow_lifetime_ms * 1000,
     .features = settings->features,
+    .warm_up_overrun_milli = (uint64_t)(settings->warm_up_overrun * 1000),
+    .warm_up_slack = settings->warm_up_slack,
   };
   const WcPeerEntry self = {
     .address = settings->peers,
@@ -479,6 +481,7 @@
 
   server->now_us = now_us;
   wc_forwarder_set_domain_peers (server->forwarder, wc_peer_table_count_domain (server->peers, now_us));
+  wc_forwarder_update_leases (server->forwarder, server->peers, now_us);
   for (size_t i = 0; i < gossip->host_count; i++)
     wc_forwarder_apply_report (server->forwarder, gossip->sender.incarnation, is_own_domain, &gossip->hosts[i], now_us);
   wc_packet_socket_flush (server->packet_socket);
@@ -501,6 +504,7 @@
   (void)events;
   server->now_us = wc_clock_monotonic_us ();
   detect_delay (server);
+  wc_forwarder_update_leases (server->forwarder, server->peers, server->now_us);
   wc_forwarder_tick (server->forwarder, server->now_us);
   wc_peer_endpoint_tick (server->peer_endpoint, server->now_us);
   wc_settings_watch_tick (server->settings_watch, server->now_us);
@@ -573,6 +577,7 @@
       return;
     }
   server->stop_start_us = wc_clock_monotonic_us ();
+  wc_forwarder_release_leases (server->forwarder, server->stop_start_us);
   log_state (server, "stopping");
 }
 
--- a/src/edge/peer_endpoint.c
+++ b/src/edge/peer_endpoint.c
@@ -234,6 +234,7 @@
   size_t  size_bytes;
 
   gossip->logical = wc_event_log_get_logical_clock (endpoint->log);
+  wc_peer_table_fill_echo (endpoint->peers, destination, gossip);
   endpoint->ops.fill_own_state (endpoint->user_data, gossip);
   size_bytes = wc_gossip_pack (gossip, data);
   if (size_bytes > 0)
--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -25,6 +25,7 @@
   X (HOST_GONE, "host_gone", "Hosts that are no longer published.")                                                    \
   X (HOST_SUSPECTED, "host_suspected", "Hosts taken out because they do not answer.")                                  \
   X (HOST_CLEARED, "host_cleared", "Suspected hosts that answered again.")                                             \
+  X (HOST_WARMING, "host_warming", "Cold hosts to which new flows began to be limited.")                               \
   X (LINK_LOSSY, "link_lossy", "Times at which the link of this instance began to lose openings.")                     \
   X (ROUTES_IN_FORCE, "routes_in_force", "Configurations put in force.")
 
@@ -52,7 +53,7 @@
  * @witnesses: number of instances with unanswered requests at the host, this one included; 0 when the decision does not
  * depend on them.
  * @forwards_per_s: for an opening that had to wait, rate at which this instance forwards openings of the service; 0
- * when not known.
+ * when not known. For a cold host, new flows that the holder of its lease may send to it in any second.
  * @share_percent: for such an opening, factor of this instance's equal share of the hosts' slots; 0 otherwise.
  */
 typedef struct
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -53,6 +53,10 @@
     forwarder->settings.admission = &WC_ADMISSION_DEADLINE;
   forwarder->held = wc_admission_queue_new (forwarder->settings.admission->is_before);
   forwarder->admit_deadline_us = UINT64_MAX;
+  if (settings->features.warm_up_limit && settings->warm_up_overrun_milli > 0)
+    forwarder->warm_up = wc_warm_up_new (&(WcWarmUpSettings){ .domain = settings->domain,
+                                                              .overrun_milli = settings->warm_up_overrun_milli,
+                                                              .slack = settings->warm_up_slack });
   return forwarder;
 }
 
@@ -61,6 +65,7 @@
 {
   if (!forwarder)
     return;
+  wc_warm_up_delete (forwarder->warm_up);
   wc_route_table_delete (forwarder->routes);
   wc_host_table_delete (forwarder->hosts);
   wc_flow_table_delete (forwarder->flows);
@@ -77,6 +82,8 @@
   forwarder->now_us = now_us;
   wc_route_table_delete (forwarder->routes);
   forwarder->routes = routes;
+  if (forwarder->warm_up)
+    wc_warm_up_set_routes (forwarder->warm_up, routes);
   wc_forwarder_emit_decision (forwarder, WC_DECISION_ROUTES_IN_FORCE, NULL, NULL);
 }
 
@@ -91,13 +98,14 @@
 {
   const WcHost *known = wc_host_table_find (forwarder->hosts, record->id);
   WcHostState   before = known ? known->record.state : WC_HOST_GONE;
-  const WcHost *host;
+  WcHost       *host;
 
   forwarder->now_us = now_us;
   host = wc_host_table_put (forwarder->hosts, record, revision, now_us);
   if (record->state != before)
     wc_forwarder_emit_decision (
         forwarder, record->state == WC_HOST_READY ? WC_DECISION_HOST_READY : WC_DECISION_HOST_DRAINING, NULL, host);
+  wc_forwarder_evaluate_warm_up (forwarder, host);
 }
 
 void
@@ -145,6 +153,7 @@
 
       if (host->unanswered.requests > 0)
         wc_forwarder_evaluate_host (forwarder, host);
+      wc_forwarder_evaluate_warm_up (forwarder, host);
     }
   wc_host_table_evict (forwarder->hosts, now_us);
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -10,6 +10,7 @@
 #include "forward/host_report.h"
 #include "forward/host_table.h"
 #include "forward/packet.h"
+#include "forward/peer_table.h"
 #include "forward/route_table.h"
 
 /**
@@ -19,6 +20,7 @@
  * @max_flows: maximum number of tracked flows.
  * @flow_lifetime_us: maximum lifetime of a flow; also the minimum time for which a host that is gone is kept.
  * @features: decisions that the deployment asks for.
+ * @warm_up_overrun_milli, @warm_up_slack: limit of flows to cold hosts, see warm_up.h.
  * @admission: admission policy; NULL for the default.
  */
 typedef struct
@@ -29,6 +31,8 @@
   uint64_t flow_lifetime_us;
 
   WcForwardFeatures        features;
+  uint64_t                 warm_up_overrun_milli;
+  uint64_t                 warm_up_slack;
   const WcAdmissionPolicy *admission;
 } WcForwarderSettings;
 
@@ -77,6 +81,35 @@
 /** wc_forwarder_set_domain_peers() - set the number of other live instances of this domain. */
 void wc_forwarder_set_domain_peers (WcForwarder *forwarder, uint32_t count);
 
+/**
+ * wc_forwarder_update_leases() - update the leases of cold hosts from the peer table; to be called several times a
+ * second and after each datagram of a peer. A gap of more than a second ends all leases.
+ */
+void wc_forwarder_update_leases (WcForwarder *forwarder, WcPeerTable *peers, uint64_t now_us);
+
+/** wc_forwarder_release_leases() - end all leases of cold hosts for good, because this instance stops. */
+void wc_forwarder_release_leases (WcForwarder *forwarder, uint64_t now_us);
+
+/**
+ * wc_forwarder_assume_cold() - count all known hosts of a domain as cold for 1.5 s, because the evacuation of the
+ * domain has ended and entries of its hosts may be out of date.
+ */
+void wc_forwarder_assume_cold (WcForwarder *forwarder, uint32_t domain, uint64_t now_us);
+
+/** struct WcForwarderWarmUp - state of the limit of new flows to cold hosts; all 0 when it is not in force. */
+typedef struct
+{
+  uint64_t flows_diverted;
+  uint32_t limited_hosts;
+  uint32_t leases;
+} WcForwarderWarmUp;
+
+/**
+ * wc_forwarder_get_warm_up() - number of flows that were placed on another host because a cold host could not take
+ * them, of hosts that are limited now, and of those whose lease this instance holds.
+ */
+WcForwarderWarmUp wc_forwarder_get_warm_up (const WcForwarder *forwarder);
+
 /**
  * wc_forwarder_apply_report() - process another instance's report on a host.
  * @sender: incarnation of the sending instance.
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -38,8 +38,12 @@
 static void    reject_opening (WcForwarder *forwarder, const WcHeldOpening *held, WcDecisionKind kind);
 static void    emit_decision (WcForwarder *forwarder, WcDecisionKind kind, const WcHeldOpening *held);
 static bool    try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial);
-static void    open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host);
-static void    place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow);
+static void
+open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host, bool is_diverted);
+static void
+place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, bool is_timer);
+static void        forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, bool is_diverted);
+static bool        has_limited_host (const WcForwarder *forwarder, const WcRoute *route);
 static WcPlacement placement_of_held (const WcForwarder *forwarder, const WcHeldOpening *held);
 static WcPlacement placement_of (const WcForwarder *forwarder, const WcFlowKey *key, uint32_t service, uint32_t avoid);
 static WcServiceLoad  *get_own_load (WcForwarder *forwarder, uint32_t service);
@@ -47,9 +51,9 @@
 static bool            is_trial_due (const WcForwarder *forwarder);
 static bool            is_starting (const WcForwarder *forwarder);
 static uint64_t        get_handshake_us (const WcForwarder *forwarder);
-static WcHost         *choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement);
-static uint32_t        pick_service (const WcRoute *route, const WcFlowKey *key);
-static uint32_t        find_refusing_host (WcForwarder *forwarder, const WcFlowKey *key);
+static WcHost  *choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, bool *is_diverted);
+static uint32_t pick_service (const WcRoute *route, const WcFlowKey *key);
+static uint32_t find_refusing_host (WcForwarder *forwarder, const WcFlowKey *key);
 
 void
 wc_forwarder_receive_opening (WcForwarder *forwarder, const WcPacket *packet)
@@ -74,7 +78,7 @@
       if (flow->second_host && wc_link_quality_record_unanswered (&forwarder->link, forwarder->now_us))
         wc_forwarder_emit_decision (forwarder, WC_DECISION_LINK_LOSSY, &packet->key, host);
     }
-  place_again (forwarder, route, packet, flow);
+  place_again (forwarder, route, packet, flow, false);
 }
 
 void
@@ -96,7 +100,7 @@
       /* Refused, lost, or continued through another instance: it is no load as far as this instance knows. */
       flow->moved = 1;
       if (!superseded)
-        place_again (forwarder, route, &packet, flow);
+        place_again (forwarder, route, &packet, flow, true);
       else
         wc_forwarder_uncount_busy (forwarder, flow);
     }
@@ -275,7 +279,8 @@
 {
   const WcPacket        packet = wc_opening_get_packet (&held->opening);
   WcPlacement           placement = placement_of_held (forwarder, held);
-  WcHost               *best = choose_host (forwarder, route, &placement);
+  bool                  is_diverted = false;
+  WcHost               *best = choose_host (forwarder, route, &placement, &is_diverted);
   const WcAdmissionView view = view_of (forwarder, &placement);
   WcHost               *host = best;
 
@@ -300,12 +305,12 @@
   if (host->record.domain == forwarder->settings.domain)
     wc_rate_window_record (&get_own_load (forwarder, placement.service)->forwards, forwarder->now_us);
   forwarder->trial_deadline_us = forwarder->now_us + forwarder->settings.admission->trial_interval_us;
-  open_flow (forwarder, route, &packet, host);
+  open_flow (forwarder, route, &packet, host, is_diverted);
   return true;
 }
 
 static void
-open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host)
+open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host, bool is_diverted)
 {
   WcFlow *flow = wc_flow_table_add (forwarder->flows, &packet->key);
 
@@ -316,7 +321,7 @@
       wc_forwarder_set_flow_host (forwarder, flow, host);
       wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_TIMEOUT_US);
     }
-  forwarder->ops.forward (forwarder->user_data, packet, host);
+  forward_opening (forwarder, packet, host, is_diverted);
 }
 
 /*
@@ -324,12 +329,20 @@
  * opening; the caller continues with one of them, and the others keep no state that could run a request.
  */
 static void
-place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow)
+place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, bool is_timer)
 {
-  WcPlacement placement = placement_of (forwarder, &packet->key, pick_service (route, &packet->key),
-                                        flow->state == WC_FLOW_OPENING ? flow->cookie : 0);
-  WcHost     *host = choose_host (forwarder, route, &placement);
+  bool        is_opening = flow->state == WC_FLOW_OPENING;
+  WcPlacement placement =
+      placement_of (forwarder, &packet->key, pick_service (route, &packet->key), is_opening ? flow->cookie : 0);
+  bool    is_diverted = false;
+  WcHost *host = choose_host (forwarder, route, &placement, &is_diverted);
 
+  /*
+   * A limit is no reason to reset an open flow because of a late copy of its opening, or an opening that its host may
+   * still answer; in the latter case the caller's retransmission is reset if there is no other host by then.
+   */
+  if (!host && (is_timer || !is_opening) && has_limited_host (forwarder, route))
+    return;
   if (!host)
     {
       wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
@@ -339,9 +352,32 @@
   flow->second_host = flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
   wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
   wc_forwarder_set_flow_host (forwarder, flow, host);
+  forward_opening (forwarder, packet, host, is_diverted);
+}
+
+static void
+forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, bool is_diverted)
+{
+  if (forwarder->warm_up)
+    wc_warm_up_record (forwarder->warm_up, host, forwarder->now_us);
+  forwarder->flows_diverted += is_diverted;
   forwarder->ops.forward (forwarder->user_data, packet, host);
 }
 
+/* Return: whether a host of the route would take flows if it were not cold. */
+static bool
+has_limited_host (const WcForwarder *forwarder, const WcRoute *route)
+{
+  for (size_t i = 0; forwarder->warm_up && i < route->service_count; i++)
+    {
+      const WcPlacement placement = { .service = route->services[i].service, .domain = forwarder->settings.domain };
+
+      if (wc_placement_choose (forwarder->hosts, &placement, forwarder->now_us))
+        return true;
+    }
+  return false;
+}
+
 /* The load of a service at the hosts of the own domain. */
 static WcServiceLoad *
 get_own_load (WcForwarder *forwarder, uint32_t service)
@@ -404,18 +440,22 @@
     .domain = forwarder->settings.domain,
     .domain_peers = forwarder->domain_peers,
     .tie_breaker = wc_flow_key_hash (key),
+    .warm_up = forwarder->warm_up,
     .avoid = avoid != 0 ? wc_host_table_find_cookie (forwarder->hosts, avoid) : NULL,
   };
 }
 
 /*
  * Return: a host of the given service, or else of another service of the route, which @placement names then; NULL when
- * there is none.
+ * there is none. @is_diverted must stay valid while @placement is used.
  */
 static WcHost *
-choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement)
+choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, bool *is_diverted)
 {
-  WcHost *host = wc_placement_choose (forwarder->hosts, placement, forwarder->now_us);
+  WcHost *host;
+
+  placement->is_diverted = is_diverted;
+  host = wc_placement_choose (forwarder->hosts, placement, forwarder->now_us);
 
   for (size_t i = 0; !host && i < route->service_count; i++)
     {
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -8,10 +8,11 @@
 #include "forward/opening_queue.h"
 #include "forward/retry_cache.h"
 #include "forward/service_load.h"
+#include "forward/warm_up.h"
 
 /*
- * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows, and
- * forwarder_health.c failure detection of hosts.
+ * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows,
+ * forwarder_health.c failure detection of hosts, and forwarder_warm_up.c cold hosts.
  */
 
 /**
@@ -24,6 +25,8 @@
  * @handshake_us: mean time from forwarding an opening until its request arrives; 0 before the first.
  * @rejected: callers whose openings were rejected recently, to recognise their retries from another port.
  * @domain_peers: other live instances of this domain.
+ * @warm_up: limit of new flows to cold hosts; NULL when the deployment does not ask for it.
+ * @flows_diverted: flows placed on another host because of that limit.
  * @started_us: time of the first packet; 0 before it.
  * @now_us: time of the current call.
  */
@@ -44,6 +47,8 @@
   WcRetryCache        rejected;
   WcLinkQuality       link;
   uint32_t            domain_peers;
+  WcWarmUp           *warm_up;
+  uint64_t            flows_diverted;
   uint64_t            started_us;
   uint64_t            now_us;
 };
@@ -82,4 +87,7 @@
  */
 void wc_forwarder_evaluate_host (WcForwarder *forwarder, WcHost *host);
 
+/** wc_forwarder_evaluate_warm_up() - evaluate the lease of a host; emits a decision when it begins to be limited. */
+void wc_forwarder_evaluate_warm_up (WcForwarder *forwarder, WcHost *host);
+
 #endif
--- a/src/forward/gossip.c
+++ b/src/forward/gossip.c
@@ -54,6 +54,9 @@
   message.stopping = gossip->stopping;
   message.logical = gossip->logical;
   message.asks = gossip->asks;
+  message.echo_heartbeat = gossip->echo_heartbeat;
+  message.echo_incarnation = gossip->echo_incarnation;
+  message.domain_instances = gossip->domain_instances;
   message.n_known = gossip->known_count;
   message.known = entry_list;
   message.n_hosts = gossip->host_count;
@@ -87,6 +90,9 @@
   gossip->stopping = message->stopping;
   gossip->logical = message->logical;
   gossip->asks = message->asks;
+  gossip->echo_heartbeat = message->echo_heartbeat;
+  gossip->echo_incarnation = message->echo_incarnation;
+  gossip->domain_instances = message->domain_instances;
   wc__peer_news__free_unpacked (message, NULL);
   return status;
 }
--- a/src/forward/gossip.h
+++ b/src/forward/gossip.h
@@ -43,6 +43,10 @@
  * @stopping: the sender is in a planned shutdown.
  * @logical: logical clock of the sender.
  * @asks: the receiver is to reply at once with its reports on @hosts.
+ * @echo_heartbeat: latest heartbeat of the receiver that the sender knows; 0 for none.
+ * @echo_incarnation: low 32 bits of the incarnation that it belongs to.
+ * @domain_instances: instances of the receiver's domain that the sender remembers; 0 when it does not know the
+ * receiver.
  * @known: other instances that the sender knows.
  * @hosts: reports on hosts.
  */
@@ -54,6 +58,9 @@
   bool         stopping;
   uint64_t     logical;
   bool         asks;
+  uint64_t     echo_heartbeat;
+  uint32_t     echo_incarnation;
+  uint32_t     domain_instances;
   size_t       known_count;
   WcPeerEntry  known[WC_GOSSIP_MAX_PEERS];
   size_t       host_count;
--- a/src/forward/host_table.c
+++ b/src/forward/host_table.c
@@ -49,6 +49,12 @@
   return (a->sequence > b->sequence) - (a->sequence < b->sequence);
 }
 
+bool
+wc_host_is_cold (const WcHost *host, uint64_t now_us)
+{
+  return now_us < host->warm_up_deadline_us || now_us < host->assumed_cold_deadline_us;
+}
+
 WcHostTable *
 wc_host_table_new (uint64_t gone_retention_us)
 {
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -9,6 +9,7 @@
 
 #include "forward/host_load.h"
 #include "forward/host_witness.h"
+#include "forward/second_window.h"
 
 enum
 {
@@ -62,6 +63,19 @@
  */
 int wc_host_record_compare (const WcHostRecord *a, const WcHostRecord *b);
 
+/**
+ * struct WcHostWarmUp - new flows to a cold host; see warm_up.h.
+ * @flows: openings that this instance forwarded to the host while it was cold.
+ * @is_limited: at the latest evaluation, the host was cold and its service has a limit.
+ * @has_lease: at the latest evaluation, this instance held the host's lease.
+ */
+typedef struct
+{
+  WcSecondWindow flows;
+  bool           is_limited;
+  bool           has_lease;
+} WcHostWarmUp;
+
 /**
  * struct WcHost - a host with the local state of this instance.
  * @cookie: identifies the host in the packets of its flows; never 0.
@@ -72,7 +86,9 @@
  * instance.
  * @busy_since_us: since when @busy_flows has been above 0.
  * @load: load reported by other instances, and service time.
- * @warm_up_deadline_us: end of the warm-up.
+ * @warm_up_deadline_us: end of the warm-up according to the published entry.
+ * @assumed_cold_deadline_us: until then the host counts as cold, whatever its entry says.
+ * @warm_up: limit of new flows while the host is cold.
  * @grace_deadline_us: until then a host that was ready when its entry disappeared still receives new flows, with
  * lower preference.
  * @gone_us: time at which the host was unpublished; 0 while it is published.
@@ -99,6 +115,8 @@
   uint64_t             busy_since_us;
   WcHostLoad           load;
   uint64_t             warm_up_deadline_us;
+  uint64_t             assumed_cold_deadline_us;
+  WcHostWarmUp         warm_up;
   uint64_t             grace_deadline_us;
   uint64_t             gone_us;
   uint64_t             evict_deadline_us;
@@ -112,6 +130,9 @@
   uint32_t             suspect_count;
 } WcHost;
 
+/** wc_host_is_cold() - whether the host has not warmed up since its start, or is assumed not to have. */
+bool wc_host_is_cold (const WcHost *host, uint64_t now_us);
+
 /** struct WcHostTable - hosts indexed by identifier and by cookie; hosts that are gone stay until they are evicted. */
 typedef struct WcHostTable WcHostTable;
 
--- a/src/forward/peer_table.c
+++ b/src/forward/peer_table.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "core/mix.h"
+#include "forward/heartbeat_log.h"
 
 enum
 {
@@ -44,9 +45,13 @@
   size_t      seed_count;
   uint64_t    rounds;
   uint64_t    random_state;
+
+  WcHeartbeatLog heartbeats;
+  uint32_t       domain_instances;
 };
 
 static WcPeer *add_peer (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
+static void    record_echo (WcPeerTable *table, WcPeer *peer, const WcGossip *gossip);
 static void    merge_entry (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
 static void    add_lowest_ranks (const WcPeerTable *table, WcGossip *gossip, uint64_t now_us);
 static void add_random_peers (WcPeerTable *table, WcGossip *gossip, bool own_domain, size_t max_count, uint64_t now_us);
@@ -89,6 +94,12 @@
       table->seeds[table->seed_count++] = seeds[i];
 }
 
+bool
+wc_peer_table_has_seeds (const WcPeerTable *table)
+{
+  return table->seed_count > 0;
+}
+
 bool
 wc_peer_table_receive (WcPeerTable *table, const WcGossip *gossip, uint64_t now_us)
 {
@@ -113,6 +124,8 @@
                       ? 0
                       : now_us - (uint64_t)gossip->view_age_ms * 1000;
   peer->stopping = gossip->stopping;
+  peer->domain_instances = gossip->domain_instances;
+  record_echo (table, peer, gossip);
   for (size_t i = 0; i < gossip->known_count; i++)
     merge_entry (table, &gossip->known[i], now_us);
   return is_new;
@@ -138,6 +151,7 @@
   assert (table != NULL && gossip != NULL);
 
   wc_peer_table_fill_sender (table, gossip);
+  wc_heartbeat_log_record (&table->heartbeats, table->self.heartbeat, now_us);
   gossip->known_count = 0;
   if (table->peers->len == 0)
     return;
@@ -146,6 +160,28 @@
   add_random_peers (table, gossip, false, WC_GOSSIP_MAX_PEERS, now_us);
 }
 
+void
+wc_peer_table_set_domain_instances (WcPeerTable *table, uint32_t count)
+{
+  table->domain_instances = count;
+}
+
+void
+wc_peer_table_fill_echo (const WcPeerTable *table, const WcAddress *destination, WcGossip *gossip)
+{
+  const WcPeer *receiver = wc_peer_table_find (table, destination);
+  uint32_t      count = 0;
+
+  if (!receiver)
+    return;
+  gossip->echo_heartbeat = receiver->entry.heartbeat;
+  gossip->echo_incarnation = (uint32_t)receiver->entry.incarnation;
+  for (guint i = 0; i < table->peers->len; i++)
+    count += ((const WcPeer *)table->peers->pdata[i])->entry.domain == receiver->entry.domain;
+  gossip->domain_instances =
+      receiver->entry.domain == table->self.domain ? MAX (count + 1, table->domain_instances) : count;
+}
+
 size_t
 wc_peer_table_pick_targets (WcPeerTable *table, uint64_t now_us, WcAddress targets[WC_GOSSIP_FANOUT])
 {
@@ -324,6 +360,19 @@
   return peer;
 }
 
+/* A heartbeat of an earlier instance at the same address shows nothing about this one. */
+static void
+record_echo (WcPeerTable *table, WcPeer *peer, const WcGossip *gossip)
+{
+  uint64_t sent_us;
+
+  if (gossip->echo_incarnation != (uint32_t)table->self.incarnation || gossip->echo_heartbeat == 0 ||
+      gossip->echo_heartbeat > table->self.heartbeat)
+    return;
+  sent_us = wc_heartbeat_log_get_sent_us (&table->heartbeats, gossip->echo_heartbeat);
+  peer->echoed_us = MAX (peer->echoed_us, sent_us);
+}
+
 static void
 merge_entry (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us)
 {
--- a/src/forward/peer_table.h
+++ b/src/forward/peer_table.h
@@ -18,7 +18,9 @@
  * @last_heartbeat_us: when its heartbeat last increased, as received from the peer itself or through others.
  * @last_received_us: when a datagram of the peer itself was last received; 0 for never.
  * @last_sent_us: when a datagram was last sent to it; 0 for never.
+ * @echoed_us: latest time at which this instance sent a heartbeat that the peer has echoed to it; 0 for never.
  * @revision, @view_us: revision of its view, and when the store confirmed that view, as stated by the peer.
+ * @domain_instances: instances of this domain that it remembers, as stated by the peer; 0 when not stated.
  * @stopping: it is in a planned shutdown.
  * @avoid_deadline_us: until then the view is not read from it, because a read failed.
  */
@@ -28,8 +30,10 @@
   uint64_t    last_heartbeat_us;
   uint64_t    last_received_us;
   uint64_t    last_sent_us;
+  uint64_t    echoed_us;
   uint64_t    revision;
   uint64_t    view_us;
+  uint32_t    domain_instances;
   bool        stopping;
   uint64_t    avoid_deadline_us;
 } WcPeer;
@@ -49,6 +53,9 @@
 /** wc_peer_table_set_seeds() - set the addresses that are contacted for discovery; they replace earlier ones. */
 void wc_peer_table_set_seeds (WcPeerTable *table, const WcAddress *seeds, size_t count);
 
+/** wc_peer_table_has_seeds() - whether there are seeds other than this instance. */
+bool wc_peer_table_has_seeds (const WcPeerTable *table);
+
 /**
  * wc_peer_table_receive() - process a gossip datagram. Return: true when the sender is new and is to receive a reply at
  * once.
@@ -61,6 +68,12 @@
 /** wc_peer_table_fill_gossip() - fill in the sender and some known instances; increments the own heartbeat. */
 void wc_peer_table_fill_gossip (WcPeerTable *table, WcGossip *gossip, uint64_t now_us);
 
+/** wc_peer_table_set_domain_instances() - set the number of instances of this domain that this one remembers. */
+void wc_peer_table_set_domain_instances (WcPeerTable *table, uint32_t count);
+
+/** wc_peer_table_fill_echo() - fill in what is known of the instance that will receive @gossip, and of its domain. */
+void wc_peer_table_fill_echo (const WcPeerTable *table, const WcAddress *destination, WcGossip *gossip);
+
 /**
  * wc_peer_table_pick_targets() - choose the destinations of this gossip round.
  *
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -76,6 +76,9 @@
   uint64_t           service_max_us;
   uint64_t           now_us;
   Candidate          best[CLASS_COUNT];
+  /* Class and expected time of the best cold host that must not get the flow. */
+  HostClass limited_class;
+  uint64_t  limited_us;
 } Choice;
 
 static bool      is_answering (const WcHost *host, uint64_t now_us);
@@ -89,6 +92,8 @@
 static bool      is_in_grace_period (const WcHost *host, uint64_t now_us);
 static bool      at_least_half_in_grace_period (const WcHostTable *hosts, uint32_t service, uint64_t now_us);
 static HostClass classify (const WcHost *host, const Choice *choice);
+static void      consider_limited (Choice *choice, const WcHost *host);
+static bool      is_diverted (const Choice *choice, int host_class);
 static void      consider_group (Choice *choice, const WcHostGroup *group);
 static void      add_capacity (const WcHostGroup *group, const WcPlacement *placement, uint64_t service_max_us,
                                uint64_t now_us, WcPlacementCapacity *capacity);
@@ -96,7 +101,7 @@
 WcHost *
 wc_placement_choose (const WcHostTable *hosts, const WcPlacement *placement, uint64_t now_us)
 {
-  Choice      choice = { .placement = placement, .now_us = now_us };
+  Choice      choice = { .placement = placement, .now_us = now_us, .limited_class = CLASS_COUNT };
   WcHostGroup group;
   size_t      cursor;
 
@@ -116,7 +121,11 @@
         consider_group (&choice, &group);
   for (int host_class = 0; host_class < CLASS_COUNT; host_class++)
     if (choice.best[host_class].host)
-      return choice.best[host_class].host;
+      {
+        if (placement->is_diverted)
+          *placement->is_diverted = is_diverted (&choice, host_class);
+        return choice.best[host_class].host;
+      }
   return NULL;
 }
 
@@ -131,7 +140,7 @@
   uint64_t waiting = load + MILLI > slots * MILLI ? load + MILLI - slots * MILLI : 0;
   uint64_t estimate_us = service_us + service_us * (load / IDLE_LOAD_DIVISOR + waiting) / (slots * MILLI);
 
-  if (now_us < host->warm_up_deadline_us)
+  if (wc_host_is_cold (host, now_us))
     estimate_us = estimate_us * WARM_UP_NUMERATOR / WARM_UP_DENOMINATOR;
   return is_own_domain (host, placement) ? estimate_us : estimate_us + OTHER_DOMAIN_COST_US;
 }
@@ -201,6 +210,11 @@
 
       if (!accepts_flows (host, choice->now_us))
         continue;
+      if (!wc_warm_up_allows (choice->placement->warm_up, host, choice->now_us))
+        {
+          consider_limited (choice, host);
+          continue;
+        }
       candidate = &choice->best[classify (host, choice)];
       estimate_us = wc_placement_estimate_us (host, choice->placement, choice->now_us);
       if (candidate->host && estimate_us > candidate->estimate_us)
@@ -211,6 +225,25 @@
     }
 }
 
+static void
+consider_limited (Choice *choice, const WcHost *host)
+{
+  HostClass host_class = classify (host, choice);
+  uint64_t  estimate_us = wc_placement_estimate_us (host, choice->placement, choice->now_us);
+
+  if (host_class > choice->limited_class || (host_class == choice->limited_class && estimate_us >= choice->limited_us))
+    return;
+  choice->limited_class = host_class;
+  choice->limited_us = estimate_us;
+}
+
+static bool
+is_diverted (const Choice *choice, int host_class)
+{
+  return (int)choice->limited_class < host_class ||
+         ((int)choice->limited_class == host_class && choice->limited_us < choice->best[host_class].estimate_us);
+}
+
 static void
 add_capacity (const WcHostGroup *group, const WcPlacement *placement, uint64_t service_max_us, uint64_t now_us,
               WcPlacementCapacity *capacity)
@@ -220,7 +253,7 @@
       const WcHost *host = group->hosts[i];
 
       if (!accepts_flows (host, now_us) || !is_answering (host, now_us) || now_us < host->suspect_deadline_us ||
-          is_too_slow (host, service_max_us, now_us))
+          is_too_slow (host, service_max_us, now_us) || !wc_warm_up_allows (placement->warm_up, host, now_us))
         continue;
       capacity->busy += estimate_busy (host, placement, now_us);
       capacity->own_busy += host->busy_flows;
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "forward/host_table.h"
+#include "forward/warm_up.h"
 
 /*
  * Load pattern: after an outage of all instances the requests of a second or more arrive at once; and a domain that has
@@ -35,6 +36,8 @@
  * @service_max_us: a host whose requests take longer is too slow if they also take much longer than those of the
  * service's fastest host; it is chosen only when no other host is left. 0 for no limit.
  * @scope: hosts that are considered.
+ * @warm_up: limit of new flows to cold hosts; NULL for none.
+ * @is_diverted: set to whether the flow would have been placed on a cold host without that limit; may be NULL.
  */
 typedef struct
 {
@@ -46,6 +49,8 @@
   uint64_t      service_max_us;
 
   WcPlacementScope scope;
+  const WcWarmUp  *warm_up;
+  bool            *is_diverted;
 } WcPlacement;
 
 /**
--- a/src/forward/route_table.c
+++ b/src/forward/route_table.c
@@ -11,6 +11,7 @@
   uint64_t    version;
   uint32_t    idle_timeout_ms;
   GHashTable *routes;
+  GHashTable *warm_up_rates;
 };
 
 static gint64 hash_key (uint32_t ip, uint16_t port);
@@ -22,6 +23,7 @@
 
   table->version = version;
   table->routes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  table->warm_up_rates = g_hash_table_new (NULL, NULL);
   return table;
 }
 
@@ -31,6 +33,7 @@
   if (!table)
     return;
   g_hash_table_destroy (table->routes);
+  g_hash_table_destroy (table->warm_up_rates);
   g_free (table);
 }
 
@@ -70,6 +73,20 @@
   return g_hash_table_size (table->routes);
 }
 
+void
+wc_route_table_set_warm_up_per_s_milli (WcRouteTable *table, uint32_t service, uint32_t per_s_milli)
+{
+  assert (table != NULL && service != 0);
+
+  g_hash_table_insert (table->warm_up_rates, GUINT_TO_POINTER (service), GUINT_TO_POINTER (per_s_milli));
+}
+
+uint32_t
+wc_route_table_get_warm_up_per_s_milli (const WcRouteTable *table, uint32_t service)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (table->warm_up_rates, GUINT_TO_POINTER (service)));
+}
+
 const WcRoute *
 wc_route_table_find (const WcRouteTable *table, const WcFlowKey *flow)
 {
--- a/src/forward/route_table.h
+++ b/src/forward/route_table.h
@@ -69,6 +69,15 @@
 uint64_t wc_route_table_get_version (const WcRouteTable *table);
 size_t   wc_route_table_get_count (const WcRouteTable *table);
 
+/** wc_route_table_set_warm_up_per_s_milli() - set the published rate of a service; 0 for no limit. */
+void wc_route_table_set_warm_up_per_s_milli (WcRouteTable *table, uint32_t service, uint32_t per_s_milli);
+
+/**
+ * wc_route_table_get_warm_up_per_s_milli() - requests per second that a cold host of a service sustains, in
+ * thousandths; 0 when not published.
+ */
+uint32_t wc_route_table_get_warm_up_per_s_milli (const WcRouteTable *table, uint32_t service);
+
 /** wc_route_table_find() - look up the route of a flow. Return: the route, or NULL. */
 const WcRoute *wc_route_table_find (const WcRouteTable *table, const WcFlowKey *key);
 
