Cover openings that the timer leaves to a cold host, and mend what the linter found

Cause: the timer's second placement must not reset an opening that its host may still answer, and no test failed without that; cppcheck reported pointers that were used before their assertion.

--- a/src/forward/heartbeat_log.c
+++ b/src/forward/heartbeat_log.c
@@ -14,10 +14,11 @@
 void
 wc_heartbeat_log_record (WcHeartbeatLog *log, uint64_t heartbeat, uint64_t now_us)
 {
-  size_t latest = (log->count + WC_HEARTBEAT_LOG_ENTRIES - 1) % WC_HEARTBEAT_LOG_ENTRIES;
+  size_t latest;
 
   assert (log != NULL);
 
+  latest = (log->count + WC_HEARTBEAT_LOG_ENTRIES - 1) % WC_HEARTBEAT_LOG_ENTRIES;
   if (log->count > 0 && now_us - log->sent_us[latest] < INTERVAL_MIN_US)
     return;
   log->heartbeats[log->count % WC_HEARTBEAT_LOG_ENTRIES] = heartbeat;
@@ -29,10 +30,11 @@
 uint64_t
 wc_heartbeat_log_get_sent_us (const WcHeartbeatLog *log, uint64_t heartbeat)
 {
-  uint64_t known = MIN (log->count, WC_HEARTBEAT_LOG_ENTRIES);
+  uint64_t known;
 
   assert (log != NULL);
 
+  known = MIN (log->count, WC_HEARTBEAT_LOG_ENTRIES);
   for (uint64_t i = 1; i <= known; i++)
     {
       size_t index = (log->count - i) % WC_HEARTBEAT_LOG_ENTRIES;
--- a/src/forward/warm_up.c
+++ b/src/forward/warm_up.c
@@ -65,10 +65,11 @@
 bool
 wc_warm_up_evaluate (const WcWarmUp *warm_up, WcHost *host, uint64_t now_us)
 {
-  bool was_limited = host->warm_up.is_limited;
+  bool was_limited;
 
   assert (warm_up != NULL && host != NULL);
 
+  was_limited = host->warm_up.is_limited;
   host->warm_up.is_limited = wc_warm_up_is_limited (warm_up, host, now_us);
   host->warm_up.has_lease = host->warm_up.is_limited && host->record.domain == warm_up->settings.domain &&
                             wc_host_lease_holds (warm_up->lease, host->record.id, now_us);
--- a/tests/test_warm_up.c
+++ b/tests/test_warm_up.c
@@ -232,6 +232,23 @@
 }
 END_TEST
 
+/* Guards against a timer that resets openings which their host may still answer, because no other host is left. */
+START_TEST (timer_leaves_openings_to_their_host)
+{
+  init_limited ();
+  put_host (1, "desk", "a", 60000, 1);
+  advance (9 * SECOND_US);
+  ck_assert_uint_eq (open_flows (1000, OWN_LIMIT), OWN_LIMIT);
+  advance (100 * 1000);
+  ck_assert_uint_eq (fixture.forward.reset_count, 0);
+  ck_assert_uint_eq (fixture.forward.forward_count, OWN_LIMIT);
+  ck_assert_uint_eq (fixture_find_host (&fixture.forward, 1)->busy_flows, 0);
+  fixture_syn (&fixture.forward, 1000, FIXTURE_ONCE_PORT, 1);
+  ck_assert_uint_eq (fixture.forward.reset_count, 1);
+  finish_limited ();
+}
+END_TEST
+
 /* Guards against leases that are used after a pause, in which other instances may have acquired them, or in a stop. */
 START_TEST (pause_and_stop_end_leases)
 {
@@ -281,6 +298,7 @@
   tcase_add_test (tests, no_limit_without_feature);
   tcase_add_test (tests, every_path_to_a_cold_host_counts);
   tcase_add_test (tests, copy_of_an_opening_does_not_reset_its_flow);
+  tcase_add_test (tests, timer_leaves_openings_to_their_host);
   tcase_add_test (tests, pause_and_stop_end_leases);
   tcase_add_test (tests, hosts_count_as_cold_after_evacuation);
 }
