Keep the cold period of a domain for hosts added later, and cache limits per host

Cause: after an evacuation, a host whose outdated entry arrives for the first time within 1.5 s counted as warm. Placement looked up the rate of the service for each cold host that an opening may go to.

Change: the domains whose evacuation ended are remembered; the limit is evaluated when a host or the routes change and at each tick, and kept in the host. Flows to cold hosts are counted also while no limit is configured, so that a configuration that sets one does not start from 0.

--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -84,6 +84,8 @@
   forwarder->routes = routes;
   if (forwarder->warm_up)
     wc_warm_up_set_routes (forwarder->warm_up, routes);
+  for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
+    wc_forwarder_evaluate_warm_up (forwarder, wc_host_table_get (forwarder->hosts, i));
   wc_forwarder_emit_decision (forwarder, WC_DECISION_ROUTES_IN_FORCE, NULL, NULL);
 }
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -91,8 +91,8 @@
 void wc_forwarder_release_leases (WcForwarder *forwarder, uint64_t now_us);
 
 /**
- * wc_forwarder_assume_cold() - count all known hosts of a domain as cold for 1.5 s, because the evacuation of the
- * domain has ended and entries of its hosts may be out of date.
+ * wc_forwarder_assume_cold() - count all hosts of a domain as cold for 1.5 s, also those added meanwhile, because the
+ * evacuation of the domain has ended and entries of its hosts may be out of date.
  */
 void wc_forwarder_assume_cold (WcForwarder *forwarder, uint32_t domain, uint64_t now_us);
 
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -361,8 +361,7 @@
 static void
 forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, bool is_diverted)
 {
-  if (forwarder->warm_up)
-    wc_warm_up_record (forwarder->warm_up, host, forwarder->now_us);
+  wc_warm_up_record (host, forwarder->now_us);
   forwarder->flows_diverted += is_diverted;
   forwarder->ops.forward (forwarder->user_data, packet, host);
 }
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -15,6 +15,19 @@
  * forwarder_health.c failure detection of hosts, and forwarder_warm_up.c cold hosts.
  */
 
+enum
+{
+  /* A deployment has up to five failure domains. */
+  WC_ASSUMED_COLD_DOMAINS = 8
+};
+
+/** struct WcAssumedCold - a domain whose hosts all count as cold until @deadline_us. */
+typedef struct
+{
+  uint32_t domain;
+  uint64_t deadline_us;
+} WcAssumedCold;
+
 /**
  * struct WcForwarder - see forwarder.h.
  * @openings: forwarded openings, each until its answer timeout.
@@ -26,6 +39,7 @@
  * @rejected: callers whose openings were rejected recently, to recognise their retries from another port.
  * @domain_peers: other live instances of this domain.
  * @warm_up: limit of new flows to cold hosts; NULL when the deployment does not ask for it.
+ * @assumed_cold: domains whose evacuation ended recently.
  * @flows_diverted: flows placed on another host because of that limit.
  * @started_us: time of the first packet; 0 before it.
  * @now_us: time of the current call.
@@ -48,6 +62,7 @@
   WcLinkQuality       link;
   uint32_t            domain_peers;
   WcWarmUp           *warm_up;
+  WcAssumedCold       assumed_cold[WC_ASSUMED_COLD_DOMAINS];
   uint64_t            flows_diverted;
   uint64_t            started_us;
   uint64_t            now_us;
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -66,12 +66,14 @@
 /**
  * struct WcHostWarmUp - new flows to a cold host; see warm_up.h.
  * @flows: openings that this instance forwarded to the host while it was cold.
+ * @limit: new flows in any sliding second that this instance may send to the host while it holds the lease.
  * @is_limited: at the latest evaluation, the host was cold and its service has a limit.
  * @has_lease: at the latest evaluation, this instance held the host's lease.
  */
 typedef struct
 {
   WcSecondWindow flows;
+  uint32_t       limit;
   bool           is_limited;
   bool           has_lease;
 } WcHostWarmUp;
--- a/src/forward/warm_up.h
+++ b/src/forward/warm_up.h
@@ -46,15 +46,13 @@
 
 /**
  * wc_warm_up_evaluate() - decide again whether this instance holds the lease of a host; to be called when the host
- * changes and several times a second. A host without a lease gets no new flows of this instance while it is cold.
+ * or the routes change and several times a second. A host without a lease gets no new flows of this instance while it
+ * is cold.
  *
  * Return: true when the host begins to be limited.
  */
 bool wc_warm_up_evaluate (const WcWarmUp *warm_up, WcHost *host, uint64_t now_us);
 
-/** wc_warm_up_is_limited() - whether new flows to the host are limited now, at this instance or elsewhere. */
-bool wc_warm_up_is_limited (const WcWarmUp *warm_up, const WcHost *host, uint64_t now_us);
-
 /**
  * wc_warm_up_allows() - whether this instance may send a new flow to the host now. Constant time.
  * @warm_up: may be NULL; all hosts are allowed then.
@@ -62,9 +60,6 @@
 bool wc_warm_up_allows (const WcWarmUp *warm_up, const WcHost *host, uint64_t now_us);
 
 /** wc_warm_up_record() - record that an opening is forwarded to the host, also if it was forwarded before. */
-void wc_warm_up_record (const WcWarmUp *warm_up, WcHost *host, uint64_t now_us);
-
-/** wc_warm_up_get_limit() - new flows that the holder of the lease may send to a host in any sliding second. */
-uint64_t wc_warm_up_get_limit (const WcWarmUp *warm_up, uint32_t service);
+void wc_warm_up_record (WcHost *host, uint64_t now_us);
 
 #endif
--- a/tests/test_host_lease.c
+++ b/tests/test_host_lease.c
@@ -110,6 +110,7 @@
       instance->hosts[i].record.domain = g_quark_from_string ("a");
       instance->hosts[i].record.service = g_quark_from_string ("desk");
       instance->hosts[i].warm_up_deadline_us = UINT64_MAX;
+      (void)wc_warm_up_evaluate (instance->warm_up, &instance->hosts[i], fleet->now_us);
     }
 }
 
@@ -189,7 +190,7 @@
       {
         uint32_t in_second = 0;
 
-        wc_warm_up_record (instance->warm_up, &instance->hosts[h], fleet->now_us);
+        wc_warm_up_record (&instance->hosts[h], fleet->now_us);
         fleet->flows[h][fleet->flow_counts[h]++ % FLOWS_MAX] = fleet->now_us;
         for (uint64_t i = 0; i < MIN (fleet->flow_counts[h], FLOWS_MAX); i++)
           in_second += fleet->now_us - fleet->flows[h][i] <= SECOND_US;
--- a/tests/test_warm_up.c
+++ b/tests/test_warm_up.c
@@ -143,6 +143,10 @@
   ck_assert_uint_eq (fixture.forward.decisions[WC_DECISION_HELD], 0);
   ck_assert_uint_eq (fixture.forward.decisions[WC_DECISION_HOST_WARMING], 2);
   ck_assert_uint_eq (wc_forwarder_get_warm_up (fixture.forward.forwarder).leases, 1);
+  wc_forwarder_set_routes (fixture.forward.forwarder, fixture_routes (3), fixture.forward.now_us);
+  ck_assert_uint_eq (open_flows (3000, 40), 40);
+  wc_forwarder_set_routes (fixture.forward.forwarder, limited_routes (4), fixture.forward.now_us);
+  ck_assert_uint_eq (open_flows (4000, 40), 0);
   finish_limited ();
 }
 END_TEST
@@ -277,7 +281,8 @@
   advance (9 * SECOND_US);
   wc_forwarder_assume_cold (fixture.forward.forwarder, g_quark_from_string ("a"), fixture.forward.now_us);
   put_host (1, "desk", "a", 0, 1);
-  ck_assert_uint_eq (fixture.forward.decisions[WC_DECISION_HOST_WARMING], 1);
+  put_host (3, "other", "a", 0, 1);
+  ck_assert_uint_eq (fixture.forward.decisions[WC_DECISION_HOST_WARMING], 2);
   for (uint16_t i = 0; i < 40; i++)
     (void)open_flows ((uint16_t)(1000 + i), 1);
   ck_assert_uint_eq (fixture_find_host (&fixture.forward, 1)->flows, OWN_LIMIT);
