--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -32,6 +32,7 @@
   X (DOMAIN_RESTORED, "domain_restored", "Domains whose evacuation ended.")                                            \
   X (HOST_FAILING, "host_failing", "Hosts avoided because they fail more requests than others.")                       \
   X (HOST_RECOVERED, "host_recovered", "Avoided hosts that are used again.")                                           \
+  X (HOST_WARMING, "host_warming", "Cold hosts to which new flows began to be limited.")                               \
   X (LINK_LOSSY, "link_lossy", "Times at which the link of this instance began to lose openings.")                     \
   X (ROUTES_IN_FORCE, "routes_in_force", "Configurations put in force.")
 
@@ -61,7 +62,7 @@
  * @witnesses: number of instances with unanswered or failed requests at the host, this one included; 0 when the
  * decision does not depend on them.
  * @forwards_per_s: for an opening that had to wait, rate at which this instance forwards openings of the service; 0
- * when not known.
+ * when not known. For a cold host, new flows that the holder of its lease may send to it in any second.
  * @priority: for such an opening, priority of its route.
  * @is_guaranteed, @exceeds_share: for such an opening, see WcHeldOpening.
  * @share_percent: for such an opening, factor of this instance's equal share of the hosts' slots; 0 otherwise.
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -57,6 +57,10 @@
     forwarder->shares = wc_admission_shares_new ();
   forwarder->held = wc_admission_queue_new (forwarder->settings.admission->is_before);
   forwarder->admit_deadline_us = UINT64_MAX;
+  if (settings->features.warm_up_limit && settings->warm_up_overrun_milli > 0)
+    forwarder->warm_up = wc_warm_up_new (&(WcWarmUpSettings){ .domain = settings->domain,
+                                                              .overrun_milli = settings->warm_up_overrun_milli,
+                                                              .slack = settings->warm_up_slack });
   return forwarder;
 }
 
@@ -65,6 +69,7 @@
 {
   if (!forwarder)
     return;
+  wc_warm_up_delete (forwarder->warm_up);
   wc_route_table_delete (forwarder->routes);
   wc_host_table_delete (forwarder->hosts);
   wc_evacuation_delete (forwarder->evacuation);
@@ -83,6 +88,10 @@
   forwarder->now_us = now_us;
   wc_route_table_delete (forwarder->routes);
   forwarder->routes = routes;
+  if (forwarder->warm_up)
+    wc_warm_up_set_routes (forwarder->warm_up, routes);
+  for (size_t i = 0; i < wc_host_table_get_count (forwarder->hosts); i++)
+    wc_forwarder_evaluate_warm_up (forwarder, wc_host_table_get (forwarder->hosts, i));
   wc_forwarder_emit_decision (forwarder, WC_DECISION_ROUTES_IN_FORCE, NULL, NULL);
 }
 
@@ -105,6 +114,7 @@
   if (record->state != before)
     wc_forwarder_emit_decision (
         forwarder, record->state == WC_HOST_READY ? WC_DECISION_HOST_READY : WC_DECISION_HOST_DRAINING, NULL, host);
+  wc_forwarder_evaluate_warm_up (forwarder, host);
 }
 
 void
@@ -152,6 +162,7 @@
 
       if (host->unanswered.requests > 0)
         wc_forwarder_evaluate_host (forwarder, host);
+      wc_forwarder_evaluate_warm_up (forwarder, host);
     }
   wc_forwarder_evaluate_failures (forwarder);
   wc_host_table_evict (forwarder->hosts, now_us);
--- a/src/forward/forwarder_evacuation.c
+++ b/src/forward/forwarder_evacuation.c
@@ -34,6 +34,8 @@
   forwarder->ops.decided (forwarder->user_data, &decision);
   if (is_evacuated)
     wc_forwarder_reject_unplaceable (forwarder);
+  else
+    wc_forwarder_assume_cold (forwarder, domain, now_us);
 }
 
 const WcEvacuation *
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -40,18 +40,20 @@
 static void    reject_opening (WcForwarder *forwarder, const WcHeldOpening *held, WcDecisionKind kind);
 static void    emit_decision (WcForwarder *forwarder, WcDecisionKind kind, const WcHeldOpening *held);
 static bool    try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial);
-static void    open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host);
+static void
+open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host, bool is_diverted);
 static void
 place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, WcOpeningCause cause);
+static void forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, bool is_diverted);
 static bool        can_keep_host (const WcForwarder *forwarder, const WcPlacement *placement, const WcHost *host);
 static WcPlacement placement_of (const WcForwarder *forwarder, const WcFlowKey *key, uint32_t service, uint32_t avoid);
 static WcServiceLoad *get_own_load (WcForwarder *forwarder, uint32_t service);
 static bool           is_trial_due (const WcForwarder *forwarder);
 static bool           is_starting (const WcForwarder *forwarder);
 static uint64_t       get_handshake_us (const WcForwarder *forwarder);
-static WcHost        *choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement);
-static uint32_t       pick_service (const WcRoute *route, const WcFlowKey *key);
-static uint32_t       find_refusing_host (WcForwarder *forwarder, const WcFlowKey *key);
+static WcHost  *choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, bool *is_diverted);
+static uint32_t pick_service (const WcRoute *route, const WcFlowKey *key);
+static uint32_t find_refusing_host (WcForwarder *forwarder, const WcFlowKey *key);
 
 void
 wc_forwarder_receive_opening (WcForwarder *forwarder, const WcPacket *packet)
@@ -280,8 +282,10 @@
 {
   const WcRoute *route = forwarder->routes ? wc_route_table_find (forwarder->routes, &held->opening.packet.key) : NULL;
   WcPlacement    placement = wc_forwarder_get_placement (forwarder, held);
+  bool           is_diverted = false;
 
-  return route && wc_evacuation_get_count (forwarder->evacuation) > 0 && !choose_host (forwarder, route, &placement);
+  return route && wc_evacuation_get_count (forwarder->evacuation) > 0 &&
+         !choose_host (forwarder, route, &placement, &is_diverted);
 }
 
 static bool
@@ -343,7 +347,8 @@
 {
   const WcPacket        packet = wc_opening_get_packet (&held->opening);
   WcPlacement           placement = wc_forwarder_get_placement (forwarder, held);
-  WcHost               *best = choose_host (forwarder, route, &placement);
+  bool                  is_diverted = false;
+  WcHost               *best = choose_host (forwarder, route, &placement, &is_diverted);
   const WcAdmissionView view = wc_forwarder_get_admission_view (forwarder, &placement);
   WcHost               *host = best;
 
@@ -370,12 +375,12 @@
   wc_admission_shares_record_opening (forwarder->shares, held, host->record.domain == forwarder->settings.domain,
                                       forwarder->now_us);
   forwarder->trial_deadline_us = forwarder->now_us + forwarder->settings.admission->trial_interval_us;
-  open_flow (forwarder, route, &packet, host);
+  open_flow (forwarder, route, &packet, host, is_diverted);
   return true;
 }
 
 static void
-open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host)
+open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host, bool is_diverted)
 {
   WcFlow *flow = wc_flow_table_add (forwarder->flows, &packet->key);
 
@@ -388,7 +393,7 @@
       wc_host_failures_record_flow (&host->failures);
       wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_TIMEOUT_US);
     }
-  forwarder->ops.forward (forwarder->user_data, packet, host);
+  forward_opening (forwarder, packet, host, is_diverted);
 }
 
 /*
@@ -399,11 +404,23 @@
 static void
 place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, WcOpeningCause cause)
 {
-  WcPlacement placement = placement_of (forwarder, &packet->key, pick_service (route, &packet->key),
-                                        flow->state == WC_FLOW_OPENING ? flow->cookie : 0);
-  WcHost     *host = choose_host (forwarder, route, &placement);
-  WcHost     *first = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+  bool        is_opening = flow->state == WC_FLOW_OPENING;
+  WcPlacement placement =
+      placement_of (forwarder, &packet->key, pick_service (route, &packet->key), is_opening ? flow->cookie : 0);
+  bool    is_diverted = false;
+  WcHost *host = choose_host (forwarder, route, &placement, &is_diverted);
+  WcHost *first = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
 
+  /*
+   * A limit is no reason to reset an open flow because of a late copy of its opening, or an opening that its host may
+   * still answer; in the latter case the caller's retransmission is reset if there is no other host by then.
+   */
+  if (!host && (cause == WC_OPENING_CAUSE_TIMER || !is_opening) && is_diverted)
+    {
+      if (is_opening)
+        wc_forwarder_uncount_busy (forwarder, flow);
+      return;
+    }
   if (!host)
     {
       if (!wc_forwarder_stays_at_host (forwarder, flow, packet, cause == WC_OPENING_CAUSE_RETRANSMISSION))
@@ -434,6 +451,14 @@
   flow->second_host = flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
   wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
   wc_forwarder_set_flow_host (forwarder, flow, host);
+  forward_opening (forwarder, packet, host, is_diverted);
+}
+
+static void
+forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, bool is_diverted)
+{
+  wc_warm_up_record (host, forwarder->now_us);
+  forwarder->flows_diverted += is_diverted;
   forwarder->ops.forward (forwarder->user_data, packet, host);
 }
 
@@ -482,24 +507,31 @@
     .domain = forwarder->settings.domain,
     .domain_peers = forwarder->domain_peers,
     .tie_breaker = wc_flow_key_hash (key),
+    .warm_up = forwarder->warm_up,
     .avoid = avoid != 0 ? wc_host_table_find_cookie (forwarder->hosts, avoid) : NULL,
   };
 }
 
 /*
  * Return: a host of the given service, or else of another service of the route, which @placement names then; NULL when
- * there is none.
+ * there is none. @is_diverted must stay valid while @placement is used.
  */
 static WcHost *
-choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement)
+choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, bool *is_diverted)
 {
-  WcHost *host = wc_placement_choose (forwarder->hosts, placement, forwarder->now_us);
+  WcHost *host;
+
+  placement->is_diverted = is_diverted;
+  host = wc_placement_choose (forwarder->hosts, placement, forwarder->now_us);
 
   for (size_t i = 0; !host && i < route->service_count; i++)
     {
+      bool was_diverted = *is_diverted;
+
       placement->service = route->services[i].service;
       if (route->services[i].weight > 0)
         host = wc_placement_choose (forwarder->hosts, placement, forwarder->now_us);
+      *is_diverted = *is_diverted || was_diverted;
     }
   return host;
 }
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -10,13 +10,27 @@
 #include "forward/opening_queue.h"
 #include "forward/retry_cache.h"
 #include "forward/service_load.h"
+#include "forward/warm_up.h"
 
 /*
  * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows,
- * forwarder_health.c failure detection of hosts, forwarder_failures.c hosts that fail part of their requests, and
- * forwarder_evacuation.c evacuated domains.
+ * forwarder_health.c failure detection of hosts, forwarder_failures.c hosts that fail part of their requests,
+ * forwarder_evacuation.c evacuated domains, and forwarder_warm_up.c cold hosts.
  */
 
+enum
+{
+  /* A deployment has up to five failure domains. */
+  WC_ASSUMED_COLD_DOMAINS = 8
+};
+
+/** struct WcAssumedCold - a domain whose hosts all count as cold until @deadline_us. */
+typedef struct
+{
+  uint32_t domain;
+  uint64_t deadline_us;
+} WcAssumedCold;
+
 /**
  * struct WcForwarder - see forwarder.h.
  * @openings: forwarded openings, each until its answer timeout.
@@ -29,6 +43,9 @@
  * @handshake_us: mean time from forwarding an opening until its request arrives; 0 before the first.
  * @rejected: callers whose openings were rejected recently, to recognise their retries from another port.
  * @domain_peers: other live instances of this domain.
+ * @warm_up: limit of new flows to cold hosts; NULL when the deployment does not ask for it.
+ * @assumed_cold: domains whose evacuation ended recently.
+ * @flows_diverted: flows placed on another host because of that limit.
  * @started_us: time of the first packet; 0 before it.
  * @failures_start_us: requests sent before this time are no evidence of failing hosts.
  * @next_failing_host: index of the host whose failures are reported next.
@@ -54,6 +71,9 @@
   WcRetryCache        rejected;
   WcLinkQuality       link;
   uint32_t            domain_peers;
+  WcWarmUp           *warm_up;
+  WcAssumedCold       assumed_cold[WC_ASSUMED_COLD_DOMAINS];
+  uint64_t            flows_diverted;
   uint64_t            started_us;
   uint64_t            failures_start_us;
   size_t              next_failing_host;
@@ -145,4 +165,7 @@
 /** wc_forwarder_evaluate_failures() - eject failing hosts, and take recovered ones into use. */
 void wc_forwarder_evaluate_failures (WcForwarder *forwarder);
 
+/** wc_forwarder_evaluate_warm_up() - evaluate the lease of a host; emits a decision when it begins to be limited. */
+void wc_forwarder_evaluate_warm_up (WcForwarder *forwarder, WcHost *host);
+
 #endif
