Decide from expected times how many flows leave a domain

Cause: a host of another domain has a fixed cost of 50 ms, and all instances of a domain together may have one request per slot there. Some instances reject nearly all openings while others have room: their answer time without queues is that of the slow hosts, so every opening looks late to them. A flow leaves when its answer is expected sooner elsewhere with the cost of the way and the risk of the link; each instance limits what it sends to each domain, by the answers that it observes, below its part of the spare slots by reports. Whether an opening can be in time is judged by the fastest domain. Decision placed_away, metric flows_placed_total by domain.

--- a/src/edge/decision_log.c
+++ b/src/edge/decision_log.c
@@ -38,6 +38,12 @@
     wc_event_line_add_uint (line, "forwards_per_s", decision->forwards_per_s);
   if (decision->share_percent > 0)
     wc_event_line_add_uint (line, "share_percent", decision->share_percent);
+  if (decision->kind == WC_DECISION_PLACED_AWAY)
+    {
+      wc_event_line_add_uint (line, "own_expected_us", decision->own_expected_us);
+      wc_event_line_add_uint (line, "other_expected_us", decision->other_expected_us);
+      wc_event_line_add_uint (line, "away_rate_milli", decision->away_rate_milli);
+    }
   wc_event_line_add_uint (line, "config", decision->version);
   wc_event_line_add_uint (line, "view_revision", view_revision);
   wc_event_line_add_uint (line, "view_age_ms", view_age_us / 1000);
--- a/src/edge/forward_metrics.c
+++ b/src/edge/forward_metrics.c
@@ -6,8 +6,11 @@
 static void add_counter (GString *text, const char *name, const char *help, uint64_t value);
 static void add_gauge (GString *text, const char *name, const char *help, double value);
 static void add_decisions (GString *text, const WcForwardMetrics *metrics);
+static void add_destinations (GString *text, const WcForwardMetrics *metrics);
 static void add_hosts (GString *text, const WcHostTable *hosts);
 
+const char *const WC_DESTINATION_STRINGS[WC_DESTINATION_COUNT] = { "own", "other" };
+
 void
 wc_forward_metrics_init (WcForwardMetrics *metrics)
 {
@@ -35,6 +38,7 @@
 
   routes = wc_forwarder_get_routes (gauges->forwarder);
   add_decisions (text, metrics);
+  add_destinations (text, metrics);
   add_counter (text, "forward_packets_received_total", "Packets received from callers.", gauges->packets->received);
   add_counter (text, "forward_packets_sent_total", "Packets sent to hosts.", gauges->packets->forwarded);
   add_counter (text, "forward_packets_malformed_total", "Datagrams that are no packets.", gauges->packets->malformed);
@@ -93,6 +97,16 @@
                             wc_decision_get_name ((WcDecisionKind)kind), metrics->decisions[kind]);
 }
 
+static void
+add_destinations (GString *text, const WcForwardMetrics *metrics)
+{
+  g_string_append (text, "# HELP wigeoncart_flows_placed_total Flows given to a host, by the domain of the host.\n"
+                         "# TYPE wigeoncart_flows_placed_total counter\n");
+  for (int destination = 0; destination < WC_DESTINATION_COUNT; destination++)
+    g_string_append_printf (text, "wigeoncart_flows_placed_total{domain=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                            WC_DESTINATION_STRINGS[destination], metrics->placed[destination]);
+}
+
 static void
 add_hosts (GString *text, const WcHostTable *hosts)
 {
--- a/src/edge/forward_metrics.h
+++ b/src/edge/forward_metrics.h
@@ -10,15 +10,28 @@
 #include "forward/decision.h"
 #include "forward/forwarder.h"
 
+/** enum WcDestination - domain of the host that a flow was given to, relative to that of the instance. */
+typedef enum
+{
+  WC_DESTINATION_OWN_DOMAIN = 0,
+  WC_DESTINATION_OTHER_DOMAIN,
+  WC_DESTINATION_COUNT
+} WcDestination;
+
+/** WC_DESTINATION_STRINGS - name of each destination for metrics, indexed by WcDestination. */
+extern const char *const WC_DESTINATION_STRINGS[WC_DESTINATION_COUNT];
+
 /**
  * struct WcForwardMetrics - counters and latencies of an instance that forwards packets.
  * @decisions: number of decisions by WcDecisionKind.
+ * @placed: flows given to a host, by WcDestination; one that is given to a second host counts twice.
  * @opening: time from the opening packet of a flow to the first packet on the established flow.
  * @answer: time from a request to the first packet that acknowledges a part of its answer.
  */
 typedef struct
 {
   uint64_t            decisions[WC_DECISION_COUNT];
+  uint64_t            placed[WC_DESTINATION_COUNT];
   WcLatencyHistogram *opening;
   WcLatencyHistogram *answer;
 } WcForwardMetrics;
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -155,6 +155,7 @@
     .max_flows = MAX_FLOWS,
     .flow_lifetime_us = (uint64_t)settings->flow_lifetime_ms * 1000,
     .features = settings->features,
+    .other_domain_cost_us = (uint64_t)settings->other_domain_cost_ms * 1000,
   };
   const WcPeerEntry self = {
     .address = settings->peers,
@@ -335,6 +336,10 @@
   uint64_t         age_us = get_view_age_us (server);
 
   server->metrics.decisions[decision->kind]++;
+  if (decision->kind == WC_DECISION_PLACED || decision->kind == WC_DECISION_PLACED_AGAIN)
+    server->metrics.placed[decision->host->record.domain == wc_peer_table_get_self (server->peers)->domain
+                               ? WC_DESTINATION_OWN_DOMAIN
+                               : WC_DESTINATION_OTHER_DOMAIN]++;
   wc_decision_log_write (server->log, decision, wc_store_replica_get_version (server->replica).revision,
                          age_us != UINT64_MAX ? age_us : 0, server->now_us);
 }
@@ -481,6 +486,9 @@
   wc_forwarder_set_domain_peers (server->forwarder, wc_peer_table_count_domain (server->peers, now_us));
   for (size_t i = 0; i < gossip->host_count; i++)
     wc_forwarder_apply_report (server->forwarder, gossip->sender.incarnation, is_own_domain, &gossip->hosts[i], now_us);
+  wc_forwarder_apply_domain_load (server->forwarder, gossip->sender.domain,
+                                  wc_peer_table_count_in (server->peers, gossip->sender.domain, now_us), gossip->hosts,
+                                  gossip->host_count, now_us);
   wc_packet_socket_flush (server->packet_socket);
 }
 
--- a/src/emulator/flow_experiment.c
+++ b/src/emulator/flow_experiment.c
@@ -14,6 +14,7 @@
 
 static void     enter_phase (WcFlowExperiment *experiment, uint32_t phase);
 static void     handle_event (WcFlowExperiment *experiment, const WcExperimentEvent *event);
+static bool     is_slow (WcFlowFault fault, uint32_t domain, uint32_t host);
 static uint64_t sum_spans (const WcFlowExperimentScenario *scenario);
 
 void
@@ -96,7 +97,7 @@
     {
       WcFlowHost *host = &experiment->hosts[i];
 
-      host->slowdown = entered->fault == WC_FLOW_FAULT_SLOW_HOSTS && i % 2 == 0 ? entered->factor : 1;
+      host->slowdown = is_slow (entered->fault, host->domain, i) ? entered->factor : 1;
       host->is_lost = entered->fault == WC_FLOW_FAULT_LOST_DOMAIN && host->domain == 0;
     }
   if (entered->fault == WC_FLOW_FAULT_OUTAGE)
@@ -131,6 +132,13 @@
     }
 }
 
+static bool
+is_slow (WcFlowFault fault, uint32_t domain, uint32_t host)
+{
+  return (fault == WC_FLOW_FAULT_SLOW_HOSTS && host % 2 == 0) ||
+         (fault == WC_FLOW_FAULT_SLOW_DOMAIN && domain == 0 && host % 5 < 2);
+}
+
 static uint64_t
 sum_spans (const WcFlowExperimentScenario *scenario)
 {
--- a/src/emulator/flow_experiment.h
+++ b/src/emulator/flow_experiment.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "forward/admission_policy.h"
+#include "forward/features.h"
 
 /*
  * Experiment in virtual time with instances that forward packets: callers open flows through a fabric, several
@@ -43,7 +44,9 @@
   /* No instance runs; all start again, without state, at the end of the phase. */
   WC_FLOW_FAULT_OUTAGE,
   /* The hosts of the first domain do not answer. */
-  WC_FLOW_FAULT_LOST_DOMAIN
+  WC_FLOW_FAULT_LOST_DOMAIN,
+  /* Two of five hosts of the first domain run requests more slowly, by the factor of the phase. */
+  WC_FLOW_FAULT_SLOW_DOMAIN
 } WcFlowFault;
 
 /** WC_FLOW_FAULT_STRINGS - name of each fault for reports, indexed by WcFlowFault. */
@@ -53,6 +56,7 @@
  * struct WcFlowExperimentPhase - a part of a scenario; the phases follow one another.
  * @load: offered run time divided by the capacity of all hosts at normal speed.
  * @factor: argument of the fault; 0 when it has none.
+ * @crowding: load of the first domain, as a multiple of that of each other domain; 0 stands for 1.
  */
 typedef struct
 {
@@ -60,6 +64,7 @@
   double      load;
   WcFlowFault fault;
   double      factor;
+  uint32_t    crowding;
 } WcFlowExperimentPhase;
 
 /**
@@ -69,6 +74,7 @@
  * @caller_delay_us, @domain_delay_us: one-way delay between callers and a domain, and between domains.
  * @requests_per_flow: number of requests that a caller sends on a flow, with a pause of @pause_us in between.
  * @judged_phase: index of the phase whose requests are compared with those of the omniscient dispatcher.
+ * @gossips_across_domains: instances send reports to other domains as well.
  */
 typedef struct
 {
@@ -87,6 +93,7 @@
   WcFlowExperimentPhase phases[WC_FLOW_EXPERIMENT_MAX_PHASES];
   size_t                phase_count;
   size_t                judged_phase;
+  bool                  gossips_across_domains;
 } WcFlowExperimentScenario;
 
 /** enum WcFlowDispatch - who chooses the host of a flow. */
@@ -103,12 +110,14 @@
 /**
  * struct WcFlowExperimentPolicy - a compared policy.
  * @admission: admission policy of the forwarders; NULL unless @dispatch is WC_FLOW_DISPATCH_INSTANCES.
+ * @features: decisions of the forwarders that a deployment has to ask for.
  */
 typedef struct
 {
   const char              *name;
   WcFlowDispatch           dispatch;
   const WcAdmissionPolicy *admission;
+  WcForwardFeatures        features;
 } WcFlowExperimentPolicy;
 
 /**
--- a/src/emulator/flow_experiment_callers.c
+++ b/src/emulator/flow_experiment_callers.c
@@ -15,6 +15,7 @@
 static const double WORK_SHAPE = 4;
 
 static double         get_rate_per_s (const WcFlowExperiment *experiment);
+static uint32_t       choose_domain (WcFlowExperiment *experiment);
 static void           begin_request (WcFlowExperiment *experiment);
 static WcFlowRequest *add_request (WcFlowExperiment *experiment, uint32_t *index);
 static void           continue_flow (WcFlowExperiment *experiment, uint32_t previous);
@@ -112,12 +113,22 @@
   WcFlowRequest *request = add_request (experiment, &index);
 
   request->caller = experiment->next_caller++;
-  request->domain = (uint32_t)gsl_rng_uniform_int (experiment->arrival_random, experiment->scenario->domains);
+  request->domain = choose_domain (experiment);
   request->flow_left = experiment->scenario->requests_per_flow - 1;
   request->host = UINT32_MAX;
   start_attempt (experiment, index);
 }
 
+static uint32_t
+choose_domain (WcFlowExperiment *experiment)
+{
+  uint32_t crowding = MAX (wc_flow_experiment_get_phase (experiment)->crowding, 1);
+  uint32_t share =
+      (uint32_t)gsl_rng_uniform_int (experiment->arrival_random, experiment->scenario->domains + crowding - 1);
+
+  return share < crowding ? 0 : share - crowding + 1;
+}
+
 static WcFlowRequest *
 add_request (WcFlowExperiment *experiment, uint32_t *index)
 {
--- a/src/emulator/flow_experiment_fleet.c
+++ b/src/emulator/flow_experiment_fleet.c
@@ -25,6 +25,7 @@
 static WcFlowInstance *choose_instance (WcFlowExperiment *experiment, const WcFlowKey *key, uint32_t domain);
 static void            schedule_timers (WcFlowInstance *instance);
 static void            send_reports (WcFlowInstance *instance);
+static void            send_reports_to (WcFlowInstance *instance, WcFlowInstance *peer);
 static WcFlowKey       key_of (const WcFlowExperiment *experiment, uint32_t request);
 static uint32_t        request_of (const WcFlowExperiment *experiment, const WcFlowKey *key);
 static void            send_to_host (WcFlowExperiment *experiment, uint32_t index, uint32_t host, uint64_t delay_us);
@@ -172,6 +173,7 @@
           .incarnation = 1 + instance->index,
           .max_flows = MAX_FLOWS,
           .flow_lifetime_us = FLOW_LIFETIME_US,
+          .features = experiment->config->policy->features,
           .admission = experiment->config->policy->admission,
   };
   WcRouteTable *routes = wc_route_table_new (1);
@@ -250,33 +252,48 @@
                                instance->epoch, instance->index, 0);
 }
 
-/* Sends reports on the next hosts to the next peer of the domain. */
+/* Sends reports on the next hosts to the next peer of the domain, and of another domain if the scenario says so. */
 static void
 send_reports (WcFlowInstance *instance)
+{
+  const WcFlowExperiment *experiment = instance->experiment;
+  uint32_t                per_domain = experiment->instance_count / experiment->scenario->domains;
+  uint32_t                round = (uint32_t)(experiment->now_us / GOSSIP_US);
+  uint32_t                offset = per_domain > 1 ? 1 + round % (per_domain - 1) : 0;
+  uint32_t                other;
+
+  send_reports_to (instance,
+                   &experiment->instances[instance->domain * per_domain + (instance->index + offset) % per_domain]);
+  if (!experiment->scenario->gossips_across_domains)
+    return;
+  other = (instance->domain + 1 + round % (experiment->scenario->domains - 1)) % experiment->scenario->domains;
+  send_reports_to (instance, &experiment->instances[other * per_domain + (instance->index + round) % per_domain]);
+}
+
+static void
+send_reports_to (WcFlowInstance *instance, WcFlowInstance *peer)
 {
   WcFlowExperiment  *experiment = instance->experiment;
   const WcHostTable *hosts = wc_forwarder_get_hosts (instance->forwarder);
   size_t             count = wc_host_table_get_count (hosts);
-  uint32_t           per_domain = experiment->instance_count / experiment->scenario->domains;
-  uint32_t           round = (uint32_t)(experiment->now_us / GOSSIP_US);
-  uint32_t           offset = per_domain > 1 ? 1 + round % (per_domain - 1) : 0;
-  WcFlowInstance    *peer =
-      &experiment->instances[instance->domain * per_domain + (instance->index + offset) % per_domain];
+  WcHostReport       reports[REPORTS_MAX];
+  size_t             sent = 0;
 
   if (peer == instance || !peer->forwarder)
     return;
-  for (size_t i = 0, sent = 0; i < count && sent < REPORTS_MAX; i++)
+  for (size_t i = 0; i < count && sent < REPORTS_MAX; i++)
     {
       const WcHost *host = wc_host_table_get (hosts, instance->next_reported_host++ % count);
 
-      if (host->flows == 0)
-        continue;
-      WcHostReport report = wc_forwarder_get_report (instance->forwarder, host, experiment->now_us);
-
-      wc_forwarder_apply_report (peer->forwarder, 1 + instance->index, true, &report,
-                                 experiment->now_us + GOSSIP_DELAY_US);
-      sent++;
+      if (host->flows > 0)
+        reports[sent++] = wc_forwarder_get_report (instance->forwarder, host, experiment->now_us);
     }
+  for (size_t i = 0; i < sent; i++)
+    wc_forwarder_apply_report (peer->forwarder, 1 + instance->index, peer->domain == instance->domain, &reports[i],
+                               experiment->now_us + GOSSIP_DELAY_US);
+  wc_forwarder_apply_domain_load (peer->forwarder, domain_quark (instance->domain),
+                                  experiment->instance_count / experiment->scenario->domains, reports, sent,
+                                  experiment->now_us + GOSSIP_DELAY_US);
   schedule_timers (peer);
 }
 
--- a/src/emulator/flow_experiment_scenarios.c
+++ b/src/emulator/flow_experiment_scenarios.c
@@ -20,6 +20,18 @@
 
 #define SECONDS(n) ((uint64_t)((n)*1000 * 1000))
 
+/*
+ * All domains at a quarter of their capacity; then the first gets five times that, and two of five of its hosts are
+ * five times slower. Its hosts can run little more than half of it; the others have room for three times the rest.
+ */
+#define IDLE_LOAD 0.25
+#define CROWDED_LOAD (IDLE_LOAD * (5 + 1 + 1) / 3)
+#define CROWDED_PHASES                                                                                                 \
+  .phases = { { SECONDS (6), IDLE_LOAD, WC_FLOW_FAULT_NONE, 0, 0 },                                                    \
+              { SECONDS (8), CROWDED_LOAD, WC_FLOW_FAULT_SLOW_DOMAIN, 5, 5 },                                          \
+              { SECONDS (6), IDLE_LOAD, WC_FLOW_FAULT_NONE, 0, 0 } },                                                  \
+  .phase_count = 3, .judged_phase = 1, .gossips_across_domains = true
+
 static const WcFlowExperimentScenario SCENARIOS[] = {
   {
       .name = "burst-short",
@@ -101,6 +113,20 @@
       .phase_count = 3,
       .judged_phase = 1,
   },
+  {
+      .name = "crowded-domain",
+      DESK,
+      SHORT_FLOWS,
+      DESK_CLASSES,
+      CROWDED_PHASES,
+  },
+  {
+      .name = "crowded-long",
+      DESK,
+      LONG_FLOWS,
+      DESK_CLASSES,
+      CROWDED_PHASES,
+  },
   {
       .name = "normal",
       DESK,
@@ -113,13 +139,20 @@
 };
 
 static const WcFlowExperimentPolicy POLICIES[] = {
-  { "omniscient", WC_FLOW_DISPATCH_OMNISCIENT, NULL },
-  { "deadline", WC_FLOW_DISPATCH_INSTANCES, &WC_ADMISSION_DEADLINE },
-  { "newest-first", WC_FLOW_DISPATCH_INSTANCES, &WC_ADMISSION_NEWEST_FIRST },
-  { "hash", WC_FLOW_DISPATCH_HASH, NULL },
+  { .name = "omniscient", .dispatch = WC_FLOW_DISPATCH_OMNISCIENT },
+  { .name = "deadline", .dispatch = WC_FLOW_DISPATCH_INSTANCES, .admission = &WC_ADMISSION_DEADLINE },
+  { .name = "newest-first", .dispatch = WC_FLOW_DISPATCH_INSTANCES, .admission = &WC_ADMISSION_NEWEST_FIRST },
+  { .name = "hash", .dispatch = WC_FLOW_DISPATCH_HASH },
+  {
+      .name = "balanced",
+      .dispatch = WC_FLOW_DISPATCH_INSTANCES,
+      .admission = &WC_ADMISSION_DEADLINE,
+      .features = { .domain_balance = true },
+  },
 };
 
-const char *const WC_FLOW_FAULT_STRINGS[] = { "none", "slow hosts", "outage", "lost domain" };
+const char *const WC_FLOW_FAULT_STRINGS[] = { "none", "slow hosts", "outage", "lost domain",
+                                              "slow hosts in one domain" };
 
 const WcFlowExperimentScenario *
 wc_flow_experiment_get_scenario (size_t index)
--- a/src/forward/admission_deadline.c
+++ b/src/forward/admission_deadline.c
@@ -44,6 +44,7 @@
 
 static bool admits (const WcHeldOpening *held, const WcAdmissionView *view, const WcHost *host);
 static bool admits_to_own_domain (const WcAdmissionView *view, bool is_in_time);
+static bool admits_by_balance (const WcAdmissionView *view, const WcHost *host, bool is_in_time);
 static bool admits_to_other_domain (const WcAdmissionView *view, const WcHost *host, bool is_in_time);
 static bool is_before (const WcHeldOpening *a, const WcHeldOpening *b, uint64_t now_us);
 static bool is_hopeless (const WcHeldOpening *held, size_t position, const WcAdmissionView *view);
@@ -75,6 +76,10 @@
     return false;
   if (host->record.domain == view->placement->domain)
     return admits_to_own_domain (view, is_in_time);
+  if (view->placement->balance && admits_by_balance (view, host, is_in_time))
+    return true;
+  if (view->placement->balance && sum_own_domain (view).slots > 0)
+    return false;
   return admits_to_other_domain (view, host, is_in_time);
 }
 
@@ -110,6 +115,15 @@
   return others.own_busy * 10 * instances < others.slots * OTHER_DOMAINS_TENTHS * share_percent / 100;
 }
 
+/* A late opening waits for the hosts of its own domain, because the capacity of others is for those who can be in time.
+ */
+static bool
+admits_by_balance (const WcAdmissionView *view, const WcHost *host, bool is_in_time)
+{
+  return host->busy_flows < host->record.slots && is_in_time &&
+         wc_domain_balance_allows (view->placement->balance, host->record.service, host->record.domain, view->now_us);
+}
+
 /*
  * Openings that can be in time precede the others; within both groups they are ordered by priority and then by their
  * deadlines. The oldest is first, because no more are held than can be in time.
@@ -142,6 +156,8 @@
     drain_per_s = share_per_s;
   if (!wc_held_opening_can_be_in_time (held, view->now_us))
     return is_late_hopeless (held, position, view, MAX (drain_per_s, share_per_s));
+  if (view->placement->balance && own.slots > 0)
+    drain_per_s += wc_domain_balance_sum_rates_milli (view->placement->balance, held->service) / 1000;
   left_us = (held->target_deadline_us - view->now_us) * TARGET_PERCENT / 100;
   return (position + capacity.own_busy + 1) * SECOND_US > left_us * drain_per_s;
 }
--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -10,6 +10,7 @@
 #define WC_DECISION_LIST(X)                                                                                            \
   X (PLACED, "placed", "New flows given to a host.")                                                                   \
   X (PLACED_AGAIN, "placed_again", "Flows given to another host because the first did not answer.")                    \
+  X (PLACED_AWAY, "placed_away", "Placed flows that went to a host of another domain, with domain balance.")           \
   X (HELD, "held", "New flows held until a host can take them.")                                                       \
   X (FORWARDED, "forwarded", "Requests forwarded to the host of their flow.")                                          \
   X (REJECTED_NO_ROUTE, "rejected_no_route", "New flows rejected because no route exists.")                            \
@@ -54,6 +55,9 @@
  * @forwards_per_s: for an opening that had to wait, rate at which this instance forwards openings of the service; 0
  * when not known.
  * @share_percent: for such an opening, factor of this instance's equal share of the hosts' slots; 0 otherwise.
+ * @own_expected_us, @other_expected_us: for a flow that leaves the domain, expected time to its answer in the own
+ * domain, 0 when its hosts were not considered, and in the other one, with the cost of the way.
+ * @away_rate_milli: for such a flow, openings that may be sent to that domain, in thousandths per second.
  */
 typedef struct
 {
@@ -67,6 +71,9 @@
   uint32_t         witnesses;
   uint64_t         forwards_per_s;
   uint32_t         share_percent;
+  uint64_t         own_expected_us;
+  uint64_t         other_expected_us;
+  uint64_t         away_rate_milli;
 } WcDecision;
 
 #endif
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -30,7 +30,7 @@
 static void
 update_flow (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host);
 static void record_answer_time (WcForwarder *forwarder, const WcRoute *route, WcHost *host, uint64_t duration_us);
-static void record_handshake (WcForwarder *forwarder, uint64_t duration_us);
+static void record_handshake (WcForwarder *forwarder, const WcHost *host, uint64_t duration_us);
 static void update_counts (WcFlow *flow, WcHost *host, uint64_t now_us);
 static bool expire_flow (void *user_data, WcFlow *flow);
 
@@ -53,6 +53,8 @@
     forwarder->settings.admission = &WC_ADMISSION_DEADLINE;
   forwarder->held = wc_admission_queue_new (forwarder->settings.admission->is_before);
   forwarder->admit_deadline_us = UINT64_MAX;
+  if (settings->features.domain_balance)
+    forwarder->balance = wc_domain_balance_new (settings->domain, settings->other_domain_cost_us);
   return forwarder;
 }
 
@@ -66,6 +68,7 @@
   wc_flow_table_delete (forwarder->flows);
   wc_opening_queue_delete (forwarder->openings);
   wc_admission_queue_delete (forwarder->held);
+  wc_domain_balance_delete (forwarder->balance);
   g_free (forwarder);
 }
 
@@ -147,6 +150,7 @@
         wc_forwarder_evaluate_host (forwarder, host);
     }
   wc_host_table_evict (forwarder->hosts, now_us);
+  wc_forwarder_update_balance (forwarder);
 }
 
 uint64_t
@@ -308,7 +312,7 @@
       wc_link_quality_record_answered (&forwarder->link, flow->unanswered_us > request_us, forwarder->now_us))
     wc_forwarder_emit_decision (forwarder, WC_DECISION_LINK_LOSSY, &flow->key, host);
   if (progress.opened)
-    record_handshake (forwarder, forwarder->now_us - flow->opened_us);
+    record_handshake (forwarder, host, forwarder->now_us - flow->opened_us);
   if (progress.answered)
     {
       record_answer_time (forwarder, route, host, progress.answer_time_us);
@@ -335,6 +339,9 @@
     return;
   if (host->busy_flows <= host->record.slots)
     wc_host_load_record_answer (&host->load, duration_us, forwarder->now_us);
+  if (forwarder->balance)
+    wc_domain_balance_record_answer (forwarder->balance, host->record.service, host->record.domain, duration_us,
+                                     (uint64_t)route->target_latency_ms * 1000, forwarder->now_us);
   own = wc_service_loads_get (&forwarder->loads, host->record.service, true, forwarder->now_us);
   if (host->record.domain == forwarder->settings.domain)
     wc_service_load_record_answer (own, duration_us, (uint64_t)route->target_latency_ms * 1000, forwarder->now_us);
@@ -345,9 +352,12 @@
 }
 
 static void
-record_handshake (WcForwarder *forwarder, uint64_t duration_us)
+record_handshake (WcForwarder *forwarder, const WcHost *host, uint64_t duration_us)
 {
   forwarder->ops.opened (forwarder->user_data, duration_us);
+  if (forwarder->balance)
+    wc_domain_balance_record_opened (forwarder->balance, host->record.service, host->record.domain, duration_us,
+                                     forwarder->now_us);
   if (forwarder->handshake_us == 0)
     forwarder->handshake_us = duration_us;
   else
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -20,6 +20,7 @@
  * @flow_lifetime_us: maximum lifetime of a flow; also the minimum time for which a host that is gone is kept.
  * @features: decisions that the deployment asks for.
  * @admission: admission policy; NULL for the default.
+ * @other_domain_cost_us: with domain balance, cost of a flow to another domain as the operator sets it.
  */
 typedef struct
 {
@@ -30,6 +31,7 @@
 
   WcForwardFeatures        features;
   const WcAdmissionPolicy *admission;
+  uint64_t                 other_domain_cost_us;
 } WcForwarderSettings;
 
 /**
@@ -86,6 +88,14 @@
 void wc_forwarder_apply_report (WcForwarder *forwarder, uint64_t sender, bool is_own_domain, const WcHostReport *report,
                                 uint64_t now_us);
 
+/**
+ * wc_forwarder_apply_domain_load() - process the reports of a datagram as a sample of the load of the sender's domain.
+ * @domain: domain of the sending instance.
+ * @instances: live instances of that domain.
+ */
+void wc_forwarder_apply_domain_load (WcForwarder *forwarder, uint32_t domain, uint32_t instances,
+                                     const WcHostReport *reports, size_t count, uint64_t now_us);
+
 /**
  * wc_forwarder_get_report() - this instance's report on a host for other instances. It contains no unanswered requests
  * while the instance's own link loses packets.
--- a/src/forward/forwarder_health.c
+++ b/src/forward/forwarder_health.c
@@ -76,6 +76,7 @@
 void
 wc_forwarder_record_unanswered (WcForwarder *forwarder, WcFlow *flow, WcHost *host, uint64_t since_us, bool is_request)
 {
+  wc_forwarder_record_lost (forwarder, host);
   if (wc_host_health_record_unanswered (host, flow, since_us, is_request, forwarder->now_us))
     wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_SUSPECTED, NULL, host);
 }
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -47,9 +47,11 @@
 static bool            is_trial_due (const WcForwarder *forwarder);
 static bool            is_starting (const WcForwarder *forwarder);
 static uint64_t        get_handshake_us (const WcForwarder *forwarder);
-static WcHost         *choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement);
-static uint32_t        pick_service (const WcRoute *route, const WcFlowKey *key);
-static uint32_t        find_refusing_host (WcForwarder *forwarder, const WcFlowKey *key);
+static void
+set_balance (const WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, WcPlacementReason *reason);
+static WcHost  *choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement);
+static uint32_t pick_service (const WcRoute *route, const WcFlowKey *key);
+static uint32_t find_refusing_host (WcForwarder *forwarder, const WcFlowKey *key);
 
 void
 wc_forwarder_receive_opening (WcForwarder *forwarder, const WcPacket *packet)
@@ -146,6 +148,9 @@
   held.avoid = find_refusing_host (forwarder, &packet->key);
   load = get_own_load (forwarder, held.service);
   held.answer_us = get_handshake_us (forwarder) + wc_service_load_get_base_us (load);
+  if (forwarder->balance)
+    held.answer_us =
+        MIN (held.answer_us, wc_domain_balance_get_shortest_us (forwarder->balance, held.service, forwarder->now_us));
   if (wc_held_opening_can_be_in_time (&held, forwarder->now_us))
     wc_rate_window_record (&load->arrivals, forwarder->now_us);
   if (wc_admission_queue_get_count (forwarder->held) == 0 && try_to_admit (forwarder, route, &held, false))
@@ -176,9 +181,10 @@
 static bool
 is_hopeless (WcForwarder *forwarder, const WcHeldOpening *held, size_t position)
 {
-  const WcPlacement     placement = placement_of_held (forwarder, held);
+  WcPlacement           placement = placement_of_held (forwarder, held);
   const WcAdmissionView view = view_of (forwarder, &placement);
 
+  placement.balance = forwarder->balance;
   return forwarder->settings.admission->is_hopeless (held, position, &view);
 }
 
@@ -273,12 +279,16 @@
 static bool
 try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial)
 {
-  const WcPacket        packet = wc_opening_get_packet (&held->opening);
-  WcPlacement           placement = placement_of_held (forwarder, held);
-  WcHost               *best = choose_host (forwarder, route, &placement);
-  const WcAdmissionView view = view_of (forwarder, &placement);
-  WcHost               *host = best;
-
+  const WcPacket    packet = wc_opening_get_packet (&held->opening);
+  WcPlacement       placement = placement_of_held (forwarder, held);
+  WcPlacementReason reason = { 0 };
+  WcHost           *best;
+  WcHost           *host;
+  WcAdmissionView   view;
+
+  set_balance (forwarder, route, &placement, &reason);
+  host = best = choose_host (forwarder, route, &placement);
+  view = view_of (forwarder, &placement);
   if (!best)
     {
       wc_forwarder_reset_flow (forwarder, &packet, WC_DECISION_REJECTED_NO_HOST, NULL);
@@ -301,6 +311,7 @@
     wc_rate_window_record (&get_own_load (forwarder, placement.service)->forwards, forwarder->now_us);
   forwarder->trial_deadline_us = forwarder->now_us + forwarder->settings.admission->trial_interval_us;
   open_flow (forwarder, route, &packet, host);
+  wc_forwarder_record_placed (forwarder, &packet.key, host, &reason);
   return true;
 }
 
@@ -326,10 +337,13 @@
 static void
 place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow)
 {
-  WcPlacement placement = placement_of (forwarder, &packet->key, pick_service (route, &packet->key),
+  WcPlacement       placement = placement_of (forwarder, &packet->key, pick_service (route, &packet->key),
                                         flow->state == WC_FLOW_OPENING ? flow->cookie : 0);
-  WcHost     *host = choose_host (forwarder, route, &placement);
+  WcPlacementReason reason = { 0 };
+  WcHost           *host;
 
+  set_balance (forwarder, route, &placement, &reason);
+  host = choose_host (forwarder, route, &placement);
   if (!host)
     {
       wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_HOST, NULL);
@@ -339,6 +353,7 @@
   flow->second_host = flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
   wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
   wc_forwarder_set_flow_host (forwarder, flow, host);
+  wc_forwarder_record_placed (forwarder, &packet->key, host, &reason);
   forwarder->ops.forward (forwarder->user_data, packet, host);
 }
 
@@ -408,6 +423,14 @@
   };
 }
 
+static void
+set_balance (const WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, WcPlacementReason *reason)
+{
+  placement->balance = forwarder->balance;
+  placement->time_limit_us = (uint64_t)route->time_limit_ms * 1000;
+  placement->reason = reason;
+}
+
 /*
  * Return: a host of the given service, or else of another service of the route, which @placement names then; NULL when
  * there is none.
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -2,16 +2,18 @@
 #define WC_FORWARD_FORWARDER_PRIVATE_H
 
 #include "forward/admission_queue.h"
+#include "forward/domain_balance.h"
 #include "forward/flow_table.h"
 #include "forward/forwarder.h"
 #include "forward/link_quality.h"
 #include "forward/opening_queue.h"
+#include "forward/placement.h"
 #include "forward/retry_cache.h"
 #include "forward/service_load.h"
 
 /*
- * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows, and
- * forwarder_health.c failure detection of hosts.
+ * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows,
+ * forwarder_health.c failure detection of hosts, and forwarder_balance.c flows that leave the domain.
  */
 
 /**
@@ -23,6 +25,7 @@
  * @loads: load of the services in the own domain.
  * @handshake_us: mean time from forwarding an opening until its request arrives; 0 before the first.
  * @rejected: callers whose openings were rejected recently, to recognise their retries from another port.
+ * @balance: decides which flows leave the domain; NULL unless the deployment asks for it.
  * @domain_peers: other live instances of this domain.
  * @started_us: time of the first packet; 0 before it.
  * @now_us: time of the current call.
@@ -43,6 +46,7 @@
   uint64_t            handshake_us;
   WcRetryCache        rejected;
   WcLinkQuality       link;
+  WcDomainBalance    *balance;
   uint32_t            domain_peers;
   uint64_t            started_us;
   uint64_t            now_us;
@@ -82,4 +86,14 @@
  */
 void wc_forwarder_evaluate_host (WcForwarder *forwarder, WcHost *host);
 
+/** wc_forwarder_update_balance() - update the capacity of the other domains. */
+void wc_forwarder_update_balance (WcForwarder *forwarder);
+
+/** wc_forwarder_record_placed() - record an opening that is sent to @host, and emit the decision if it leaves. */
+void wc_forwarder_record_placed (WcForwarder *forwarder, const WcFlowKey *key, const WcHost *host,
+                                 const WcPlacementReason *reason);
+
+/** wc_forwarder_record_lost() - record that @host did not answer an opening or request in time. */
+void wc_forwarder_record_lost (WcForwarder *forwarder, const WcHost *host);
+
 #endif
--- a/src/forward/peer_table.c
+++ b/src/forward/peer_table.c
@@ -221,6 +221,12 @@
 
 uint32_t
 wc_peer_table_count_domain (const WcPeerTable *table, uint64_t now_us)
+{
+  return wc_peer_table_count_in (table, table->self.domain, now_us);
+}
+
+uint32_t
+wc_peer_table_count_in (const WcPeerTable *table, uint32_t domain, uint64_t now_us)
 {
   uint32_t count = 0;
 
@@ -228,7 +234,7 @@
     {
       const WcPeer *peer = table->peers->pdata[i];
 
-      if (peer->entry.domain == table->self.domain && wc_peer_is_live (peer, now_us))
+      if (peer->entry.domain == domain && wc_peer_is_live (peer, now_us))
         count++;
     }
   return count;
--- a/src/forward/peer_table.h
+++ b/src/forward/peer_table.h
@@ -86,6 +86,9 @@
 /** wc_peer_table_count_domain() - number of other live instances of this domain. */
 uint32_t wc_peer_table_count_domain (const WcPeerTable *table, uint64_t now_us);
 
+/** wc_peer_table_count_in() - number of other live instances of a domain. */
+uint32_t wc_peer_table_count_in (const WcPeerTable *table, uint32_t domain, uint64_t now_us);
+
 size_t  wc_peer_table_get_count (const WcPeerTable *table);
 WcPeer *wc_peer_table_get (const WcPeerTable *table, size_t index);
 WcPeer *wc_peer_table_find (const WcPeerTable *table, const WcAddress *address);
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -45,6 +45,11 @@
   ANSWERING_TIMEOUT_US = 150 * 1000,
   /* Ratio of the answer times of two hosts, in tenths, above which the difference is not the spread of run times. */
   SLOW_RATIO_TENTHS = 25,
+  /*
+   * With domain balance, estimates of hosts of other domains that differ by less are equal, and the flow decides: all
+   * instances see the same idle hosts there.
+   */
+  OTHER_DOMAIN_GRAIN_US = 8 * 1000,
   /* Time after its latest answer for which a host counts as slow. */
   SLOW_LIFETIME_US = 1000 * 1000,
   MILLI = 1000,
@@ -78,6 +83,8 @@
   Candidate          best[CLASS_COUNT];
 } Choice;
 
+static WcHost   *choose_balanced (const WcHostTable *hosts, Choice *own);
+static void      consider_domain (Choice *best, const Choice *own, const WcHostGroup *group, uint64_t own_us);
 static bool      is_answering (const WcHost *host, uint64_t now_us);
 static uint64_t  get_service_time_us (const WcHost *host);
 static uint64_t  get_service_max_us (const WcHostTable *hosts, const WcPlacement *placement, uint64_t now_us);
@@ -104,6 +111,8 @@
 
   choice.use_grace = at_least_half_in_grace_period (hosts, placement->service, now_us);
   choice.service_max_us = get_service_max_us (hosts, placement, now_us);
+  if (placement->balance)
+    return choose_balanced (hosts, &choice);
   if (placement->scope != WC_PLACEMENT_OTHER_DOMAINS)
     for (cursor = 0; wc_host_table_next_group (hosts, placement->service, &cursor, &group);)
       if (group.domain == placement->domain)
@@ -133,6 +142,8 @@
 
   if (now_us < host->warm_up_deadline_us)
     estimate_us = estimate_us * WARM_UP_NUMERATOR / WARM_UP_DENOMINATOR;
+  if (placement->balance)
+    return is_own_domain (host, placement) ? estimate_us : estimate_us - estimate_us % OTHER_DOMAIN_GRAIN_US;
   return is_own_domain (host, placement) ? estimate_us : estimate_us + OTHER_DOMAIN_COST_US;
 }
 
@@ -169,6 +180,19 @@
   return capacity.served_per_s * span_us / SECOND_US / (placement->domain_peers + 1);
 }
 
+uint64_t
+wc_placement_sum_slots (const WcHostGroup *group, uint64_t now_us)
+{
+  uint64_t slots = 0;
+
+  assert (group != NULL);
+
+  for (size_t i = 0; i < group->count; i++)
+    if (accepts_flows (group->hosts[i], now_us) && now_us >= group->hosts[i]->suspect_deadline_us)
+      slots += group->hosts[i]->record.slots;
+  return slots;
+}
+
 WcPlacementCapacity
 wc_placement_sum_capacity (const WcHostTable *hosts, const WcPlacement *placement, WcPlacementScope scope,
                            uint64_t now_us)
@@ -189,6 +213,88 @@
 
 /* local functions */
 
+/*
+ * Hosts are compared within each domain first, then the best ones of the domains by the expected time to the answer.
+ * Domains to which this instance may send nothing now are left for flows that no other host can serve.
+ */
+static WcHost *
+choose_balanced (const WcHostTable *hosts, Choice *own)
+{
+  const WcPlacement *placement = own->placement;
+  Choice             best = *own;
+  Choice             beyond = *own;
+  WcHostGroup        group;
+  uint64_t           own_us = 0;
+
+  if (placement->scope != WC_PLACEMENT_OTHER_DOMAINS)
+    for (size_t cursor = 0; wc_host_table_next_group (hosts, placement->service, &cursor, &group);)
+      if (group.domain == placement->domain)
+        consider_group (own, &group);
+  best = *own;
+  for (int host_class = 0; host_class < CLASS_COUNT; host_class++)
+    best.best[host_class].estimate_us = wc_domain_balance_get_answer_us (
+        placement->balance, placement->service, placement->domain, own->best[host_class].estimate_us, own->now_us);
+  if (own->best[CLASS_USABLE].host)
+    own_us = best.best[CLASS_USABLE].estimate_us;
+  if (placement->reason && own_us > 0)
+    placement->reason->own_us = own_us;
+  if (placement->scope != WC_PLACEMENT_OWN_DOMAIN)
+    for (size_t cursor = 0; wc_host_table_next_group (hosts, placement->service, &cursor, &group);)
+      if (group.domain != placement->domain)
+        {
+          bool is_allowed =
+              wc_domain_balance_allows (placement->balance, placement->service, group.domain, own->now_us);
+
+          if (is_allowed || !own->best[CLASS_USABLE].host)
+            consider_domain (is_allowed ? &best : &beyond, own, &group, own_us);
+        }
+  for (int host_class = 0; host_class < CLASS_COUNT; host_class++)
+    {
+      const Candidate *candidate = &best.best[host_class];
+
+      if (!candidate->host)
+        candidate = &beyond.best[host_class];
+      if (!candidate->host)
+        continue;
+      if (placement->reason && !is_own_domain (candidate->host, placement))
+        placement->reason->other_us = candidate->estimate_us;
+      return candidate->host;
+    }
+  return NULL;
+}
+
+/* @own_us: expected time in the own domain; 0 when it has no usable host or is not considered. */
+static void
+consider_domain (Choice *best, const Choice *own, const WcHostGroup *group, uint64_t own_us)
+{
+  const WcPlacement *placement = own->placement;
+  Choice             other = {
+                .placement = placement, .use_grace = own->use_grace, .service_max_us = own->service_max_us, .now_us = own->now_us
+  };
+  uint64_t cost_us = wc_domain_balance_get_cost_us (placement->balance, group->service, group->domain,
+                                                    placement->time_limit_us, own->now_us);
+
+  /* Even an answer that takes no time would come too late; avoids a walk over the hosts at low load. */
+  if (own_us > 0 && own_us <= cost_us)
+    return;
+  consider_group (&other, group);
+  for (int host_class = 0; host_class < CLASS_COUNT; host_class++)
+    {
+      Candidate *candidate = &other.best[host_class];
+
+      if (!candidate->host)
+        continue;
+      candidate->estimate_us =
+          cost_us + wc_domain_balance_get_answer_us (placement->balance, group->service, group->domain,
+                                                     candidate->estimate_us, own->now_us);
+      if (own_us > 0 && !wc_domain_balance_prefers (own_us, candidate->estimate_us, placement->tie_breaker))
+        continue;
+      if (!best->best[host_class].host || candidate->estimate_us < best->best[host_class].estimate_us ||
+          (candidate->estimate_us == best->best[host_class].estimate_us && candidate->tie < best->best[host_class].tie))
+        best->best[host_class] = *candidate;
+    }
+}
+
 static void
 consider_group (Choice *choice, const WcHostGroup *group)
 {
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -4,14 +4,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "forward/domain_balance.h"
 #include "forward/host_table.h"
 
 /*
  * Load pattern: after an outage of all instances the requests of a second or more arrive at once; and a domain that has
  * lost hosts, or receives a burst, gets more requests than its hosts can queue while hosts of other domains are idle.
  * Hosts refuse requests beyond their queue and callers retry, so an overloaded host causes additional load. A new flow
- * is therefore placed on the host with the shortest expected answer time, where a fixed cost is added to hosts of other
- * domains.
+ * is therefore placed on the host with the shortest expected answer time, where a cost is added to hosts of other
+ * domains: a fixed one, or the one that domain_balance.h determines.
  */
 
 /** enum WcPlacementScope - hosts that are considered, relative to the domain of this instance. */
@@ -23,6 +24,18 @@
   WC_PLACEMENT_OTHER_DOMAINS
 } WcPlacementScope;
 
+/**
+ * struct WcPlacementReason - expected times to the answer that the choice of another domain is based on, each with the
+ * cost of the way.
+ * @own_us: best usable host of the own domain; 0 when there is none or it was not considered.
+ * @other_us: chosen host of another domain.
+ */
+typedef struct
+{
+  uint64_t own_us;
+  uint64_t other_us;
+} WcPlacementReason;
+
 /**
  * struct WcPlacement - requirements of a new flow.
  * @service: quark of its service.
@@ -35,6 +48,9 @@
  * @service_max_us: a host whose requests take longer is too slow if they also take much longer than those of the
  * service's fastest host; it is chosen only when no other host is left. 0 for no limit.
  * @scope: hosts that are considered.
+ * @balance: decides which flows leave the domain; NULL for a fixed cost.
+ * @time_limit_us: with @balance, time limit of the route; 0 for none.
+ * @reason: with @balance, where the reason for the choice is stored.
  */
 typedef struct
 {
@@ -46,6 +62,10 @@
   uint64_t      service_max_us;
 
   WcPlacementScope scope;
+
+  const WcDomainBalance *balance;
+  uint64_t               time_limit_us;
+  WcPlacementReason     *reason;
 } WcPlacement;
 
 /**
@@ -56,8 +76,8 @@
 WcHost *wc_placement_choose (const WcHostTable *hosts, const WcPlacement *placement, uint64_t now_us);
 
 /**
- * wc_placement_estimate_us() - expected time until the first request of a new flow is answered by a host, plus the cost
- * of another domain.
+ * wc_placement_estimate_us() - expected time until the first request of a new flow is answered by a host, plus the
+ * fixed cost of another domain unless the placement has a domain balance.
  */
 uint64_t wc_placement_estimate_us (const WcHost *host, const WcPlacement *placement, uint64_t now_us);
 
@@ -93,6 +113,9 @@
 WcPlacementCapacity wc_placement_sum_capacity (const WcHostTable *hosts, const WcPlacement *placement,
                                                WcPlacementScope scope, uint64_t now_us);
 
+/** wc_placement_sum_slots() - slots of the hosts of a group that accept new flows and are not suspected. */
+uint64_t wc_placement_sum_slots (const WcHostGroup *group, uint64_t now_us);
+
 /**
  * wc_placement_get_capacity() - number of requests that can be answered in @span_us by this instance's share of the
  * hosts of its domain that accept flows and answer; when there are none, by its share of those of all other domains.
