--- a/src/forward/domain_balance.c
+++ b/src/forward/domain_balance.c
@@ -4,7 +4,6 @@
 
 #include <glib.h>
 
-#include "core/mix.h"
 #include "forward/answer_times.h"
 #include "forward/send_rate.h"
 
@@ -24,10 +23,12 @@
   /* Share of the latency target that opening and answer may take; the rest covers the spread of run times. */
   TARGET_PERCENT = 60,
   /*
-   * Probability, in thousandths, that the link is cut while the flow is open. With a time limit of 2.5 s, the risk is
-   * 50 ms; with a third of it, three times as many requests failed when links were cut.
+   * Probability, in thousandths, that the link is cut while a flow is open, for each request that it carries, and at
+   * most. With a time limit of 2.5 s, the risk of a long flow is 50 ms; without it, three times as many requests failed
+   * when links were cut.
    */
-  CUT_PERMILLE = 20,
+  CUT_PERMILLE = 5,
+  CUT_MAX_PERMILLE = 20,
   LIMIT_DEFAULT_US = 2500 * 1000,
   /* Weight of an unanswered opening in the share of losses, 1 in this many, and time in which the share halves. */
   LOSS_DIVISOR = 4,
@@ -95,6 +96,7 @@
 static uint64_t       get_base_us (const WcDomainBalance *balance, const Service *service, const Domain *domain);
 static uint64_t       get_way_us (const WcDomainBalance *balance, const Service *service, const Domain *domain);
 static bool is_long (const WcDomainBalance *balance, const Service *service, const Domain *domain, uint64_t target_us);
+static uint64_t get_cut_permille (const Service *service);
 static uint64_t get_loss_permille (const Domain *domain, uint64_t now_us);
 static uint64_t get_elapsed_us (uint64_t since_us, uint64_t now_us);
 static bool     is_reported (const Domain *domain, uint64_t now_us);
@@ -246,7 +248,7 @@
 {
   const Service *entry;
   const Domain  *state;
-  uint64_t       permille = CUT_PERMILLE;
+  uint64_t       permille = CUT_MAX_PERMILLE;
   uint64_t       way_us = WAY_DEFAULT_US;
 
   assert (balance != NULL);
@@ -257,7 +259,7 @@
   state = find_domain (entry, domain);
   if (state)
     {
-      permille += get_loss_permille (state, now_us);
+      permille = get_cut_permille (entry) + get_loss_permille (state, now_us);
       way_us = get_way_us (balance, entry, state);
     }
   return balance->cost_us + way_us + (limit_us > 0 ? limit_us : LIMIT_DEFAULT_US) * permille / MILLI;
@@ -278,7 +280,10 @@
     return estimate_us;
   if (wc_answer_times_is_recent (&state->times, now_us))
     return MAX (estimate_us, state->times.answer_us);
-  return domain == balance->domain ? estimate_us : MAX (estimate_us, get_base_us (balance, entry, state));
+  if (domain == balance->domain)
+    return estimate_us;
+  /* The own domain may have been slow from the first answer on and is no reference then. */
+  return MAX (estimate_us, state->times.base_us > 0 ? get_base_us (balance, entry, state) : BASE_DEFAULT_US);
 }
 
 uint64_t
@@ -300,14 +305,6 @@
   return shortest_us;
 }
 
-bool
-wc_domain_balance_prefers (uint64_t own_us, uint64_t other_us, uint64_t hash)
-{
-  if (own_us <= other_us)
-    return false;
-  return wc_mix64 (hash) % MILLI < (own_us - other_us) * MILLI / MAX (other_us, 1);
-}
-
 bool
 wc_domain_balance_allows (const WcDomainBalance *balance, uint32_t service, uint32_t domain, uint64_t now_us)
 {
@@ -438,6 +435,14 @@
          (target_us > 0 && (times->handshake_us + times->answer_us) * 100 > target_us * TARGET_PERCENT);
 }
 
+static uint64_t
+get_cut_permille (const Service *service)
+{
+  uint64_t flows = MAX (service->flows, 1);
+
+  return CLAMP (CUT_PERMILLE * service->requests / flows, CUT_PERMILLE, CUT_MAX_PERMILLE);
+}
+
 static uint64_t
 get_loss_permille (const Domain *domain, uint64_t now_us)
 {
@@ -466,15 +471,15 @@
   uint64_t requests = MAX (service->requests, 1);
   uint64_t flows = MAX (service->flows, 1);
   uint64_t base_us = get_base_us (balance, service, domain);
-  uint64_t run_us = MAX (base_us - MIN (base_us, domain->times.handshake_us), base_us / RUN_MIN_DIVISOR);
-  uint64_t busy_milli;
+  uint64_t run_min_us = base_us / RUN_MIN_DIVISOR + 1;
+  uint64_t run_us =
+      base_us > domain->times.handshake_us + run_min_us ? base_us - domain->times.handshake_us : run_min_us;
+  uint64_t way_us = get_way_us (balance, service, domain);
+  uint64_t busy_us = MAX (base_us + domain->times.handshake_us - MIN (base_us, 2 * way_us), run_us);
 
+  /* The domain's own callers report a flow as busy from its opening until the answer is acknowledged. */
   if (is_reported (domain, now_us))
-    {
-      /* A flow is reported as busy from its opening until its answer is acknowledged, and uses a slot for a part of it.
-       */
-      busy_milli = domain->busy_milli * run_us / (base_us + domain->times.handshake_us);
-      spare_milli = (slots_milli - MIN (slots_milli, busy_milli)) * (100 - RESERVE_PERCENT) / 100;
-    }
+    spare_milli =
+        (slots_milli - MIN (slots_milli, domain->busy_milli * run_us / busy_us)) * (100 - RESERVE_PERCENT) / 100;
   return spare_milli * SECOND_US / run_us / MAX (domain->senders, 1) * flows / MAX (requests, flows);
 }
--- a/src/forward/domain_balance.h
+++ b/src/forward/domain_balance.h
@@ -96,14 +96,6 @@
  */
 uint64_t wc_domain_balance_get_shortest_us (const WcDomainBalance *balance, uint32_t service, uint64_t now_us);
 
-/**
- * wc_domain_balance_prefers() - whether a flow leaves the domain, given the expected times in both domains with the
- * cost of the way. The part of the flows that leave grows with the advantage, up to all of them when it takes twice as
- * long in the own domain: the expected times of an instance follow few answers, and would otherwise send all of its
- * flows to and fro. @hash: hash of the flow, which selects the part.
- */
-bool wc_domain_balance_prefers (uint64_t own_us, uint64_t other_us, uint64_t hash);
-
 /** wc_domain_balance_allows() - whether an opening may be sent to another domain now. */
 bool wc_domain_balance_allows (const WcDomainBalance *balance, uint32_t service, uint32_t domain, uint64_t now_us);
 
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -184,7 +184,7 @@
   WcPlacement           placement = placement_of_held (forwarder, held);
   const WcAdmissionView view = view_of (forwarder, &placement);
 
-  placement.balance = forwarder->balance;
+  placement.balance = is_starting (forwarder) ? NULL : forwarder->balance;
   return forwarder->settings.admission->is_hopeless (held, position, &view);
 }
 
@@ -423,10 +423,11 @@
   };
 }
 
+/* Right after the start nothing is known of the answer times, and hosts of other domains have a fixed cost. */
 static void
 set_balance (const WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, WcPlacementReason *reason)
 {
-  placement->balance = forwarder->balance;
+  placement->balance = is_starting (forwarder) ? NULL : forwarder->balance;
   placement->time_limit_us = (uint64_t)route->time_limit_ms * 1000;
   placement->reason = reason;
 }
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -287,8 +287,6 @@
       candidate->estimate_us =
           cost_us + wc_domain_balance_get_answer_us (placement->balance, group->service, group->domain,
                                                      candidate->estimate_us, own->now_us);
-      if (own_us > 0 && !wc_domain_balance_prefers (own_us, candidate->estimate_us, placement->tie_breaker))
-        continue;
       if (!best->best[host_class].host || candidate->estimate_us < best->best[host_class].estimate_us ||
           (candidate->estimate_us == best->best[host_class].estimate_us && candidate->tie < best->best[host_class].tie))
         best->best[host_class] = *candidate;
--- a/tests/forward_fixture.h
+++ b/tests/forward_fixture.h
@@ -40,6 +40,8 @@
   uint32_t       reset_sequences[FIXTURE_RECORDS];
   uint32_t       decisions[WC_DECISION_COUNT];
   uint64_t       last_evidence_us;
+  uint64_t       last_own_expected_us;
+  uint64_t       last_other_expected_us;
   uint32_t       opened;
   uint32_t       answered;
 } ForwardFixture;
@@ -69,6 +71,10 @@
 
   fixture->decisions[decision->kind]++;
   fixture->last_evidence_us = decision->evidence_us;
+  if (decision->kind != WC_DECISION_PLACED_AWAY)
+    return;
+  fixture->last_own_expected_us = decision->own_expected_us;
+  fixture->last_other_expected_us = decision->other_expected_us;
 }
 
 static void
@@ -111,7 +117,7 @@
 }
 
 static inline void
-fixture_init (ForwardFixture *fixture)
+fixture_init_features (ForwardFixture *fixture, const WcForwardFeatures *features)
 {
   static const WcForwarderOps ops = { fixture_forward, fixture_reset, fixture_decided, fixture_opened,
                                       fixture_answered };
@@ -120,6 +126,7 @@
       .incarnation = FIXTURE_INCARNATION,
       .max_flows = 4096,
       .flow_lifetime_us = 60 * 1000 * 1000,
+      .features = *features,
   };
 
   memset (fixture, 0, sizeof *fixture);
@@ -128,6 +135,14 @@
   wc_forwarder_set_routes (fixture->forwarder, fixture_routes (1), fixture->now_us);
 }
 
+static inline void
+fixture_init (ForwardFixture *fixture)
+{
+  const WcForwardFeatures none = { 0 };
+
+  fixture_init_features (fixture, &none);
+}
+
 static inline void
 fixture_finish (ForwardFixture *fixture)
 {
--- a/tests/test_flow_experiment.c
+++ b/tests/test_flow_experiment.c
@@ -110,6 +110,30 @@
 }
 END_TEST
 
+/*
+ * One domain has five times the load, and two of five of its hosts are five times slower. Guards against callers who
+ * are late while hosts of other domains are idle: target 0.90 of the omniscient dispatcher, and more than the fixed
+ * cost.
+ */
+START_TEST (crowded_domain_uses_idle_ones)
+{
+  double ratio = relative_goodput ("crowded-domain", "balanced");
+
+  ck_assert_double_ge (ratio, 0.90);
+  ck_assert_double_gt (ratio, relative_goodput ("crowded-domain", "deadline"));
+  ck_assert_double_ge (relative_goodput ("crowded-long", "balanced"), 0.90);
+}
+END_TEST
+
+/* Guards against domain balance that makes an overload of all domains worse, or sends flows away at normal load. */
+START_TEST (balance_does_no_harm_elsewhere)
+{
+  ck_assert_double_ge (relative_goodput ("burst-short", "balanced"), 0.90);
+  ck_assert_double_ge (relative_goodput ("slow-hosts", "balanced"), 0.90);
+  ck_assert_double_ge (relative_goodput ("normal", "balanced"), 0.995);
+}
+END_TEST
+
 /* Half of the hosts' capacity. Guards against openings that are rejected without need: at most one in a thousand. */
 START_TEST (normal_load_is_not_rejected)
 {
@@ -174,6 +198,8 @@
   tcase_add_test (tests, slow_hosts_are_avoided);
   tcase_add_test (tests, return_after_outage_is_answered_in_time);
   tcase_add_test (tests, more_are_in_time_than_before);
+  tcase_add_test (tests, crowded_domain_uses_idle_ones);
+  tcase_add_test (tests, balance_does_no_harm_elsewhere);
   tcase_add_test (tests, normal_load_is_not_rejected);
   tcase_add_test (tests, load_is_normal_again_after_its_cause);
   tcase_add_test (tests, every_request_has_one_outcome);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -229,6 +229,32 @@
 }
 END_TEST
 
+/*
+ * With domain balance. Guards against instances that all choose the same host of another domain, because they see the
+ * same hosts, or because few answers make one of them look a little faster.
+ */
+START_TEST (flows_spread_over_hosts_of_another_domain)
+{
+  WcHostTable     *table = wc_host_table_new (1000);
+  WcDomainBalance *balance = wc_domain_balance_new (g_quark_from_string ("a"), 0);
+  uint32_t         flows[10] = { 0 };
+
+  for (uint64_t id = 1; id <= G_N_ELEMENTS (flows); id++)
+    wc_host_load_record_answer (&add_host (table, id, "b")->load, 24 * 1000 + id * 300, 1000);
+  for (uint64_t i = 0; i < 200; i++)
+    {
+      WcPlacement flow = new_flow (i);
+
+      flow.balance = balance;
+      flows[wc_placement_choose (table, &flow, 1)->record.id - 1]++;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (flows); i++)
+    ck_assert_uint_le (flows[i], 40);
+  wc_domain_balance_delete (balance);
+  wc_host_table_delete (table);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -238,6 +264,7 @@
   tcase_add_test (tests, warming_host_gets_less);
   tcase_add_test (tests, suspected_and_avoided_hosts_are_last);
   tcase_add_test (tests, expired_entries_are_used_until_republished);
+  tcase_add_test (tests, flows_spread_over_hosts_of_another_domain);
 }
 
 int
