--- a/src/forward/domain_balance.c
+++ b/src/forward/domain_balance.c
@@ -30,8 +30,11 @@
   CUT_PERMILLE = 5,
   CUT_MAX_PERMILLE = 20,
   LIMIT_DEFAULT_US = 2500 * 1000,
-  /* Weight of an unanswered opening in the share of losses, 1 in this many, and time in which the share halves. */
-  LOSS_DIVISOR = 4,
+  /*
+   * Weight of a handshake or loss in the share of losses, 1 in this many, and time in which the share halves without
+   * any. A single host that fails must not close its domain.
+   */
+  LOSS_DIVISOR = 16,
   LOSS_HALF_LIFE_US = 2000 * 1000,
   LOSS_SHIFT_MAX = 16,
   /* This many successive losses without an answer are no coincidence: only trials are sent. */
@@ -139,6 +142,7 @@
     return;
   wc_answer_times_record_opened (&state->times, duration_us);
   state->losses = 0;
+  state->loss_permille -= state->loss_permille / LOSS_DIVISOR;
 }
 
 void
--- a/src/forward/forwarder_health.c
+++ b/src/forward/forwarder_health.c
@@ -4,6 +4,12 @@
 
 #include "forward/host_health.h"
 
+enum
+{
+  /* A caller sends a request again after 200, 600 and 1,400 ms; all of these are one loss. */
+  SECOND_RETRANSMISSION_US = 500 * 1000
+};
+
 /* Arguments of a walk that resets the flows of a host. */
 typedef struct
 {
@@ -76,7 +82,8 @@
 void
 wc_forwarder_record_unanswered (WcForwarder *forwarder, WcFlow *flow, WcHost *host, uint64_t since_us, bool is_request)
 {
-  wc_forwarder_record_lost (forwarder, host);
+  if (!is_request || forwarder->now_us < since_us + SECOND_RETRANSMISSION_US)
+    wc_forwarder_record_lost (forwarder, host);
   if (wc_host_health_record_unanswered (host, flow, since_us, is_request, forwarder->now_us))
     wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_SUSPECTED, NULL, host);
 }
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -221,8 +221,8 @@
 choose_balanced (const WcHostTable *hosts, Choice *own)
 {
   const WcPlacement *placement = own->placement;
-  Choice             best = *own;
   Choice             beyond = *own;
+  Choice             best;
   WcHostGroup        group;
   uint64_t           own_us = 0;
 
--- a/tests/test_answer_times.c
+++ b/tests/test_answer_times.c
@@ -17,7 +17,8 @@
     wc_answer_times_record_answer (times, duration_us, now_us);
 }
 
-/* Guards against queues that are taken for the run time of the hosts, and against decisions on one answer. */
+/* Guards against queues that are taken for the run time of hosts, and against decisions on one answer or on old ones.
+ */
 START_TEST (base_stays_while_answers_get_long)
 {
   WcAnswerTimes times = { 0 };
@@ -33,16 +34,6 @@
   ck_assert_uint_le (times.base_us, SHORT_US * 3 / 2);
   record (&times, 1000, LONG_US, SECOND_US);
   ck_assert_uint_ge (times.base_us, LONG_US * 9 / 10);
-}
-END_TEST
-
-/* Guards against decisions on answers of a time that is over. */
-START_TEST (means_are_recent_for_a_second)
-{
-  WcAnswerTimes times = { 0 };
-
-  record (&times, 20, SHORT_US, SECOND_US);
-  ck_assert (wc_answer_times_is_recent (&times, SECOND_US + 900 * MS));
   ck_assert (!wc_answer_times_is_recent (&times, SECOND_US + 1100 * MS));
 }
 END_TEST
@@ -51,7 +42,6 @@
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, base_stays_while_answers_get_long);
-  tcase_add_test (tests, means_are_recent_for_a_second);
 }
 
 int
--- a/tests/test_domain_balance.c
+++ b/tests/test_domain_balance.c
@@ -199,37 +199,26 @@
   world->load[1] = other_load;
 }
 
-/* Guards against callers who wait while another domain is idle, and against a queue there. */
-START_TEST (idle_neighbours_take_the_excess)
-{
-  World world;
-
-  init_crowded (&world, 20);
-  run (&world, 4);
-  ck_assert_uint_ge (run (&world, 4), CAPACITY_PER_S * 40 / 100);
-  ck_assert_uint_le (answer_us (&world, 1), RUN_US * 3 / 2);
-  ck_assert_uint_le (answer_us (&world, 0), TARGET_US / 2);
-  ck_assert_uint_eq (world.away[1], 0);
-  finish (&world);
-}
-END_TEST
-
 /*
- * Guards against instances that fill the queues of the idle hosts together when they see them at the same time: the
- * first answer that shows a queue comes after the damage.
+ * Guards against callers who wait while another domain is idle, and against instances that fill the queues of its hosts
+ * together when they see them at the same time: the first answer that shows a queue comes after the damage.
  */
-START_TEST (instances_do_not_herd)
+START_TEST (idle_neighbours_take_the_excess_without_herding)
 {
   World    world;
   uint64_t longest_us = 0;
 
   init_crowded (&world, 20);
-  for (int i = 0; i < 8; i++)
+  for (int i = 0; i < 5; i++)
     {
       run (&world, 1);
       longest_us = MAX (longest_us, answer_us (&world, 1));
     }
-  ck_assert_uint_le (longest_us, 2 * RUN_US);
+  ck_assert_uint_le (longest_us, RUN_US * 3 / 2);
+  ck_assert_uint_ge (run (&world, 4), CAPACITY_PER_S * 40 / 100);
+  ck_assert_uint_le (answer_us (&world, 1), RUN_US * 3 / 2);
+  ck_assert_uint_le (answer_us (&world, 0), TARGET_US / 2);
+  ck_assert_uint_eq (world.away[1], 0);
   finish (&world);
 }
 END_TEST
@@ -355,8 +344,10 @@
   ck_assert_uint_eq (wc_domain_balance_get_cost_us (dear, SERVICE, 2, LIMIT_US, SECOND_US), cheap_us + 80 * 1000);
   ck_assert_uint_gt (wc_domain_balance_get_cost_us (cheap, SERVICE, 2, 2 * LIMIT_US, SECOND_US), cheap_us);
   ck_assert_uint_eq (wc_domain_balance_get_cost_us (dear, SERVICE, 1, LIMIT_US, SECOND_US), 0);
+  wc_domain_balance_record_opened (cheap, SERVICE, 2, 8000, SECOND_US);
+  cheap_us = wc_domain_balance_get_cost_us (cheap, SERVICE, 2, LIMIT_US, SECOND_US);
   wc_domain_balance_record_unanswered (cheap, SERVICE, 2, SECOND_US);
-  ck_assert_uint_gt (wc_domain_balance_get_cost_us (cheap, SERVICE, 2, LIMIT_US, SECOND_US), cheap_us + 100 * 1000);
+  ck_assert_uint_gt (wc_domain_balance_get_cost_us (cheap, SERVICE, 2, LIMIT_US, SECOND_US), cheap_us + LIMIT_US / 20);
   wc_domain_balance_delete (cheap);
   wc_domain_balance_delete (dear);
 }
@@ -365,8 +356,7 @@
 static void
 add_tests (TCase *tests)
 {
-  tcase_add_test (tests, idle_neighbours_take_the_excess);
-  tcase_add_test (tests, instances_do_not_herd);
+  tcase_add_test (tests, idle_neighbours_take_the_excess_without_herding);
   tcase_add_test (tests, full_neighbours_get_trials_only);
   tcase_add_test (tests, overloaded_domains_keep_their_callers);
   tcase_add_test (tests, cut_link_gets_trials_until_it_works);
--- a/tests/test_forwarder_balance.c
+++ b/tests/test_forwarder_balance.c
@@ -81,6 +81,31 @@
 }
 END_TEST
 
+/*
+ * One host of the other domain leaves a request unanswered, and its caller sends it again twice. Guards against a
+ * domain that is closed because of a single host.
+ */
+START_TEST (one_failing_host_does_not_close_its_domain)
+{
+  static ForwardFixture fixture;
+  uint64_t              host;
+
+  init (&fixture, &BALANCE);
+  ck_assert_uint_ge (serve_callers (&fixture, 100), CALLERS / 4);
+  fixture_syn (&fixture, 200, FIXTURE_LATENCY_PORT, 0);
+  host = fixture_last_host (&fixture);
+  ck_assert_uint_ne (host, OWN_HOST);
+  for (int i = 0; i < 3; i++)
+    {
+      fixture_advance (&fixture, 10 * 1000 + (uint64_t)i * 200 * 1000);
+      fixture_request (&fixture, 200, FIXTURE_LATENCY_PORT, 0, 0, host);
+    }
+  fixture_advance (&fixture, 2000 * 1000);
+  ck_assert_uint_ge (serve_callers (&fixture, 300), CALLERS / 4);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /* Guards against callers who are rejected, or wait for trials, in a domain without hosts of its own. */
 START_TEST (domain_without_hosts_sends_all)
 {
@@ -123,6 +148,7 @@
 {
   tcase_add_test (tests, flows_leave_a_slow_domain_with_a_reason);
   tcase_add_test (tests, nothing_changes_without_the_feature);
+  tcase_add_test (tests, one_failing_host_does_not_close_its_domain);
   tcase_add_test (tests, domain_without_hosts_sends_all);
   tcase_add_test (tests, reports_of_full_hosts_keep_flows_at_home);
 }
