--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -170,6 +170,7 @@
     .features = settings->features,
     .warm_up_overrun_milli = (uint64_t)(settings->warm_up_overrun * 1000),
     .warm_up_slack = settings->warm_up_slack,
+    .other_domain_cost_us = (uint64_t)settings->other_domain_cost_ms * 1000,
   };
   const WcPeerEntry self = {
     .address = settings->peers,
@@ -351,6 +352,10 @@
   uint64_t         age_us = get_view_age_us (server);
 
   server->metrics.decisions[decision->kind]++;
+  if (decision->kind == WC_DECISION_PLACED || decision->kind == WC_DECISION_PLACED_AGAIN)
+    server->metrics.placed[decision->host->record.domain == wc_peer_table_get_self (server->peers)->domain
+                               ? WC_DESTINATION_OWN_DOMAIN
+                               : WC_DESTINATION_OTHER_DOMAIN]++;
   wc_decision_log_write (server->log, decision, wc_store_replica_get_version (server->replica).revision,
                          age_us != UINT64_MAX ? age_us : 0, server->now_us);
 }
@@ -528,6 +533,9 @@
   wc_forwarder_update_leases (server->forwarder, server->peers, now_us);
   for (size_t i = 0; i < gossip->host_count; i++)
     wc_forwarder_apply_report (server->forwarder, gossip->sender.incarnation, is_own_domain, &gossip->hosts[i], now_us);
+  wc_forwarder_apply_domain_load (server->forwarder, gossip->sender.domain,
+                                  wc_peer_table_count_in (server->peers, gossip->sender.domain, now_us), gossip->hosts,
+                                  gossip->host_count, now_us);
   wc_packet_socket_flush (server->packet_socket);
 }
 
--- a/src/emulator/flow_experiment_fleet.c
+++ b/src/emulator/flow_experiment_fleet.c
@@ -28,6 +28,7 @@
 static WcFlowInstance *choose_instance (WcFlowExperiment *experiment, const WcFlowKey *key, uint32_t domain);
 static void            schedule_timers (WcFlowInstance *instance);
 static void            send_reports (WcFlowInstance *instance);
+static void send_reports_to (WcFlowInstance *instance, WcFlowInstance *peer);
 static void send_report (const WcFlowInstance *instance, const WcHost *host, bool failures_only, WcFlowInstance *peer);
 static void report_failures (WcFlowInstance *instance);
 static WcFlowKey key_of (const WcFlowExperiment *experiment, uint32_t request);
@@ -258,36 +259,60 @@
                                instance->epoch, instance->index, 0);
 }
 
-/* Sends reports on the next hosts to the next peer of the domain. */
+/* Sends reports on the next hosts to the next peer of the domain, and of another domain if the scenario says so. */
 static void
 send_reports (WcFlowInstance *instance)
+{
+  const WcFlowExperiment *experiment = instance->experiment;
+  uint32_t                per_domain = experiment->instance_count / experiment->scenario->domains;
+  uint32_t                round = (uint32_t)(experiment->now_us / GOSSIP_US);
+  uint32_t                offset = per_domain > 1 ? 1 + round % (per_domain - 1) : 0;
+  uint32_t                other;
+
+  send_reports_to (instance,
+                   &experiment->instances[instance->domain * per_domain + (instance->index + offset) % per_domain]);
+  if (!experiment->scenario->gossips_across_domains)
+    return;
+  other = (instance->domain + 1 + round % (experiment->scenario->domains - 1)) % experiment->scenario->domains;
+  send_reports_to (instance, &experiment->instances[other * per_domain + (instance->index + round) % per_domain]);
+}
+
+static void
+send_reports_to (WcFlowInstance *instance, WcFlowInstance *peer)
 {
   WcFlowExperiment  *experiment = instance->experiment;
   const WcHostTable *hosts = wc_forwarder_get_hosts (instance->forwarder);
   size_t             count = wc_host_table_get_count (hosts);
-  uint32_t           per_domain = experiment->instance_count / experiment->scenario->domains;
-  uint32_t           round = (uint32_t)(experiment->now_us / GOSSIP_US);
-  uint32_t           offset = per_domain > 1 ? 1 + round % (per_domain - 1) : 0;
-  WcFlowInstance    *peer =
-      &experiment->instances[instance->domain * per_domain + (instance->index + offset) % per_domain];
-  WcHostReport failures[FAILURE_REPORTS_MAX];
-  size_t       sent;
+  WcHostReport       failures[FAILURE_REPORTS_MAX];
+  WcHostReport       reports[REPORTS_MAX];
+  bool               is_own_domain = peer->domain == instance->domain;
+  size_t             failure_count = 0;
+  size_t             sent = 0;
 
   if (peer == instance || !peer->forwarder)
     return;
-  sent = wc_forwarder_add_failure_reports (instance->forwarder, failures, FAILURE_REPORTS_MAX, experiment->now_us);
-  for (size_t i = 0; i < sent; i++)
+  if (is_own_domain)
+    failure_count =
+        wc_forwarder_add_failure_reports (instance->forwarder, failures, FAILURE_REPORTS_MAX, experiment->now_us);
+  for (size_t i = 0; i < failure_count; i++)
     wc_forwarder_apply_report (peer->forwarder, 1 + instance->index, true, &failures[i],
                                experiment->now_us + GOSSIP_DELAY_US);
+  sent = failure_count;
   for (size_t i = 0; i < count && sent < REPORTS_MAX; i++)
     {
       const WcHost *host = wc_host_table_get (hosts, instance->next_reported_host++ % count);
 
-      if (host->flows == 0 || wc_forwarder_has_failure_news (instance->forwarder, host, experiment->now_us))
+      if (host->flows == 0 ||
+          (is_own_domain && wc_forwarder_has_failure_news (instance->forwarder, host, experiment->now_us)))
         continue;
-      send_report (instance, host, false, peer);
-      sent++;
+      reports[sent++] = wc_forwarder_get_report (instance->forwarder, host, experiment->now_us);
     }
+  for (size_t i = 0; i < sent; i++)
+    wc_forwarder_apply_report (peer->forwarder, 1 + instance->index, peer->domain == instance->domain, &reports[i],
+                               experiment->now_us + GOSSIP_DELAY_US);
+  wc_forwarder_apply_domain_load (peer->forwarder, domain_quark (instance->domain),
+                                  experiment->instance_count / experiment->scenario->domains, reports, sent,
+                                  experiment->now_us + GOSSIP_DELAY_US);
   schedule_timers (peer);
 }
 
--- a/src/emulator/flow_experiment_scenarios.c
+++ b/src/emulator/flow_experiment_scenarios.c
@@ -24,6 +24,18 @@
 
 #define SECONDS(n) ((uint64_t)((n)*1000 * 1000))
 
+/*
+ * All domains at a quarter of their capacity; then the first gets five times that, and two of five of its hosts are
+ * five times slower. Its hosts can run little more than half of it; the others have room for three times the rest.
+ */
+#define IDLE_LOAD 0.25
+#define CROWDED_LOAD (IDLE_LOAD * (5 + 1 + 1) / 3)
+#define CROWDED_PHASES                                                                                                 \
+  .phases = { { SECONDS (6), IDLE_LOAD, WC_FLOW_FAULT_NONE, 0, 0 },                                                    \
+              { SECONDS (8), CROWDED_LOAD, WC_FLOW_FAULT_SLOW_DOMAIN, 5, 5 },                                          \
+              { SECONDS (6), IDLE_LOAD, WC_FLOW_FAULT_NONE, 0, 0 } },                                                  \
+  .phase_count = 3, .judged_phase = 1, .gossips_across_domains = true
+
 static const WcFlowExperimentScenario SCENARIOS[] = {
   {
       .name = "burst-short",
@@ -110,9 +122,9 @@
       FLEET,
       SHORT_FLOWS,
       FLEET_CLASSES,
-      .phases = { { SECONDS (4), 0.45, WC_FLOW_FAULT_NONE, 0 },
-                  { SECONDS (12), 0.45, WC_FLOW_FAULT_FAILING_HOSTS, 0.5 },
-                  { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0 } },
+      .phases = { { SECONDS (4), 0.45, WC_FLOW_FAULT_NONE, 0, 0 },
+                  { SECONDS (12), 0.45, WC_FLOW_FAULT_FAILING_HOSTS, 0.5, 0 },
+                  { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0, 0 } },
       .phase_count = 3,
       .judged_phase = 1,
   },
@@ -121,9 +133,9 @@
       FLEET,
       SHORT_FLOWS,
       FLEET_CLASSES,
-      .phases = { { SECONDS (4), 0.45, WC_FLOW_FAULT_NONE, 0 },
-                  { SECONDS (12), 0.85, WC_FLOW_FAULT_FAILING_HOSTS, 0.5 },
-                  { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0 } },
+      .phases = { { SECONDS (4), 0.45, WC_FLOW_FAULT_NONE, 0, 0 },
+                  { SECONDS (12), 0.85, WC_FLOW_FAULT_FAILING_HOSTS, 0.5, 0 },
+                  { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0, 0 } },
       .phase_count = 3,
       .judged_phase = 1,
   },
@@ -132,9 +144,9 @@
       FLEET,
       LONG_FLOWS,
       FLEET_CLASSES,
-      .phases = { { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0 },
-                  { SECONDS (16), 0.45, WC_FLOW_FAULT_FAILING_HOSTS, 0.5 },
-                  { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0 } },
+      .phases = { { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0, 0 },
+                  { SECONDS (16), 0.45, WC_FLOW_FAULT_FAILING_HOSTS, 0.5, 0 },
+                  { SECONDS (12), 0.45, WC_FLOW_FAULT_NONE, 0, 0 } },
       .phase_count = 3,
       .judged_phase = 1,
   },
@@ -145,12 +157,26 @@
       .pause_us = 500 * 1000,
       .classes = { { "order", 22, 39000, 600000, 5000000 }, { "watch", 78, 30000, 600000, 4000000 } },
       .class_count = 2,
-      .phases = { { SECONDS (8), 0.45, WC_FLOW_FAULT_NONE, 0 },
-                  { SECONDS (10), 4.0, WC_FLOW_FAULT_NONE, 0 },
-                  { SECONDS (8), 0.45, WC_FLOW_FAULT_NONE, 0 } },
+      .phases = { { SECONDS (8), 0.45, WC_FLOW_FAULT_NONE, 0, 0 },
+                  { SECONDS (10), 4.0, WC_FLOW_FAULT_NONE, 0, 0 },
+                  { SECONDS (8), 0.45, WC_FLOW_FAULT_NONE, 0, 0 } },
       .phase_count = 3,
       .judged_phase = 1,
   },
+  {
+      .name = "crowded-domain",
+      DESK,
+      SHORT_FLOWS,
+      DESK_CLASSES,
+      CROWDED_PHASES,
+  },
+  {
+      .name = "crowded-long",
+      DESK,
+      LONG_FLOWS,
+      DESK_CLASSES,
+      CROWDED_PHASES,
+  },
   {
       .name = "normal",
       DESK,
@@ -170,9 +196,11 @@
   { .name = "deadline-budget", .admission = &WC_ADMISSION_DEADLINE, .features = { .attempt_budget = true } },
   { .name = "weighted", .admission = &WC_ADMISSION_WEIGHTED, .features = { .urgency = true, .attempt_budget = true } },
   { .name = "host-failures", .admission = &WC_ADMISSION_DEADLINE, .features = { .host_failures = true } },
+  { .name = "balanced", .admission = &WC_ADMISSION_DEADLINE, .features = { .domain_balance = true } },
 };
 
-const char *const WC_FLOW_FAULT_STRINGS[] = { "none", "slow hosts", "outage", "lost domain", "failing hosts" };
+const char *const WC_FLOW_FAULT_STRINGS[] = { "none", "slow hosts", "outage", "lost domain", "failing hosts",
+                                              "slow hosts in one domain" };
 
 const WcFlowExperimentScenario *
 wc_flow_experiment_get_scenario (size_t index)
--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -12,6 +12,7 @@
   X (PLACED, "placed", "New flows given to a host.")                                                                   \
   X (PLACED_AGAIN, "placed_again", "Flows given to another host because the first did not answer.")                    \
   X (SECOND_REFUSED, "second_refused", "Openings not given to another host because the budget is used up.")            \
+  X (PLACED_AWAY, "placed_away", "Placed flows that went to a host of another domain, with domain balance.")           \
   X (HELD, "held", "New flows held until a host can take them.")                                                       \
   X (FORWARDED, "forwarded", "Requests forwarded to the host of their flow.")                                          \
   X (REJECTED_NO_ROUTE, "rejected_no_route", "New flows rejected because no route exists.")                            \
@@ -68,6 +69,9 @@
  * @share_percent: for such an opening, factor of this instance's equal share of the hosts' slots; 0 otherwise.
  * @domain: quark of the domain that was evacuated or restored; 0 for other decisions.
  * @domain_revision: store revision of that change.
+ * @own_expected_us, @other_expected_us: for a flow that leaves the domain, expected time to its answer in the own
+ * domain, 0 when its hosts were not considered, and in the other one, with the cost of the way.
+ * @away_rate_milli: for such a flow, openings that may be sent to that domain, in thousandths per second.
  */
 typedef struct
 {
@@ -87,6 +91,9 @@
   uint8_t          priority;
   bool             is_guaranteed;
   bool             exceeds_share;
+  uint64_t         own_expected_us;
+  uint64_t         other_expected_us;
+  uint64_t         away_rate_milli;
 } WcDecision;
 
 #endif
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -30,7 +30,7 @@
 static void
 update_flow (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host);
 static void record_answer_time (WcForwarder *forwarder, const WcRoute *route, WcHost *host, uint64_t duration_us);
-static void record_handshake (WcForwarder *forwarder, uint64_t duration_us);
+static void record_handshake (WcForwarder *forwarder, const WcHost *host, uint64_t duration_us);
 static void update_counts (WcFlow *flow, WcHost *host, uint64_t now_us);
 static bool expire_flow (void *user_data, WcFlow *flow);
 
@@ -61,6 +61,8 @@
     forwarder->warm_up = wc_warm_up_new (&(WcWarmUpSettings){ .domain = settings->domain,
                                                               .overrun_milli = settings->warm_up_overrun_milli,
                                                               .slack = settings->warm_up_slack });
+  if (settings->features.domain_balance)
+    forwarder->balance = wc_domain_balance_new (settings->domain, settings->other_domain_cost_us);
   return forwarder;
 }
 
@@ -77,6 +79,7 @@
   wc_opening_queue_delete (forwarder->openings);
   wc_admission_queue_delete (forwarder->held);
   wc_admission_shares_delete (forwarder->shares);
+  wc_domain_balance_delete (forwarder->balance);
   g_free (forwarder);
 }
 
@@ -166,6 +169,7 @@
     }
   wc_forwarder_evaluate_failures (forwarder);
   wc_host_table_evict (forwarder->hosts, now_us);
+  wc_forwarder_update_balance (forwarder);
 }
 
 uint64_t
@@ -334,7 +338,7 @@
     wc_forwarder_emit_decision (forwarder, WC_DECISION_LINK_LOSSY, &flow->key, host);
   wc_forwarder_record_outcome (forwarder, route, flow, host, &progress, request_us);
   if (progress.opened)
-    record_handshake (forwarder, forwarder->now_us - flow->opened_us);
+    record_handshake (forwarder, host, forwarder->now_us - flow->opened_us);
   if (host->record.domain == forwarder->settings.domain)
     wc_admission_shares_record_progress (forwarder->shares, host->record.service, route->priority,
                                          flow->request_us == forwarder->now_us && request_us != forwarder->now_us,
@@ -365,6 +369,9 @@
     return;
   if (host->busy_flows <= host->record.slots)
     wc_host_load_record_answer (&host->load, duration_us, forwarder->now_us);
+  if (forwarder->balance)
+    wc_domain_balance_record_answer (forwarder->balance, host->record.service, host->record.domain, duration_us,
+                                     (uint64_t)route->target_latency_ms * 1000, forwarder->now_us);
   own = wc_service_loads_get (&forwarder->loads, host->record.service, true, forwarder->now_us);
   if (host->record.domain == forwarder->settings.domain)
     wc_service_load_record_answer (own, duration_us, (uint64_t)route->target_latency_ms * 1000, forwarder->now_us);
@@ -375,9 +382,12 @@
 }
 
 static void
-record_handshake (WcForwarder *forwarder, uint64_t duration_us)
+record_handshake (WcForwarder *forwarder, const WcHost *host, uint64_t duration_us)
 {
   forwarder->ops.opened (forwarder->user_data, duration_us);
+  if (forwarder->balance)
+    wc_domain_balance_record_opened (forwarder->balance, host->record.service, host->record.domain, duration_us,
+                                     forwarder->now_us);
   if (forwarder->handshake_us == 0)
     forwarder->handshake_us = duration_us;
   else
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -23,6 +23,7 @@
  * @flow_lifetime_us: maximum lifetime of a flow; also the minimum time for which a host that is gone is kept.
  * @features: decisions that the deployment asks for.
  * @warm_up_overrun_milli, @warm_up_slack: limit of flows to cold hosts, see warm_up.h.
+ * @other_domain_cost_us: with domain balance, cost of a flow to another domain as the operator sets it.
  * @admission: admission policy; NULL for the one that @features ask for.
  */
 typedef struct
@@ -36,6 +37,7 @@
   uint64_t                 warm_up_overrun_milli;
   uint64_t                 warm_up_slack;
   const WcAdmissionPolicy *admission;
+  uint64_t                 other_domain_cost_us;
 } WcForwarderSettings;
 
 /**
@@ -128,6 +130,14 @@
 void wc_forwarder_apply_report (WcForwarder *forwarder, uint64_t sender, bool is_own_domain, const WcHostReport *report,
                                 uint64_t now_us);
 
+/**
+ * wc_forwarder_apply_domain_load() - process the reports of a datagram as a sample of the load of the sender's domain.
+ * @domain: domain of the sending instance.
+ * @instances: live instances of that domain.
+ */
+void wc_forwarder_apply_domain_load (WcForwarder *forwarder, uint32_t domain, uint32_t instances,
+                                     const WcHostReport *reports, size_t count, uint64_t now_us);
+
 /**
  * wc_forwarder_get_report() - this instance's report on a host for other instances. It contains no unanswered requests
  * while the instance's own link loses packets.
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -51,6 +51,8 @@
 static bool           is_trial_due (const WcForwarder *forwarder);
 static bool           is_starting (const WcForwarder *forwarder);
 static uint64_t       get_handshake_us (const WcForwarder *forwarder);
+static void
+set_balance (const WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, WcPlacementReason *reason);
 static WcHost  *choose_host (WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, bool *is_diverted);
 static uint32_t pick_service (const WcRoute *route, const WcFlowKey *key);
 static uint32_t find_refusing_host (WcForwarder *forwarder, const WcFlowKey *key);
@@ -182,6 +184,9 @@
   held.avoid = find_refusing_host (forwarder, &packet->key);
   load = get_own_load (forwarder, held.service);
   held.answer_us = get_handshake_us (forwarder) + wc_service_load_get_base_us (load);
+  if (forwarder->balance)
+    held.answer_us =
+        MIN (held.answer_us, wc_domain_balance_get_shortest_us (forwarder->balance, held.service, forwarder->now_us));
   if (wc_held_opening_can_be_in_time (&held, forwarder->now_us))
     wc_rate_window_record (&load->arrivals, forwarder->now_us);
   wc_forwarder_classify_opening (forwarder, &held);
@@ -217,9 +222,10 @@
 static bool
 is_hopeless (WcForwarder *forwarder, const WcHeldOpening *held, size_t position)
 {
-  const WcPlacement     placement = wc_forwarder_get_placement (forwarder, held);
+  WcPlacement           placement = wc_forwarder_get_placement (forwarder, held);
   const WcAdmissionView view = wc_forwarder_get_admission_view (forwarder, &placement);
 
+  placement.balance = is_starting (forwarder) ? NULL : forwarder->balance;
   return forwarder->settings.admission->is_hopeless (held, position, &view);
 }
 
@@ -345,13 +351,17 @@
 static bool
 try_to_admit (WcForwarder *forwarder, const WcRoute *route, const WcHeldOpening *held, bool is_trial)
 {
-  const WcPacket        packet = wc_opening_get_packet (&held->opening);
-  WcPlacement           placement = wc_forwarder_get_placement (forwarder, held);
-  bool                  is_diverted = false;
-  WcHost               *best = choose_host (forwarder, route, &placement, &is_diverted);
-  const WcAdmissionView view = wc_forwarder_get_admission_view (forwarder, &placement);
-  WcHost               *host = best;
-
+  const WcPacket    packet = wc_opening_get_packet (&held->opening);
+  WcPlacement       placement = wc_forwarder_get_placement (forwarder, held);
+  WcPlacementReason reason = { 0 };
+  bool              is_diverted = false;
+  WcHost           *best;
+  WcHost           *host;
+  WcAdmissionView   view;
+
+  set_balance (forwarder, route, &placement, &reason);
+  host = best = choose_host (forwarder, route, &placement, &is_diverted);
+  view = wc_forwarder_get_admission_view (forwarder, &placement);
   if (!best)
     {
       wc_forwarder_reset_flow (forwarder, &packet, WC_DECISION_REJECTED_NO_HOST, NULL);
@@ -376,6 +386,7 @@
                                       forwarder->now_us);
   forwarder->trial_deadline_us = forwarder->now_us + forwarder->settings.admission->trial_interval_us;
   open_flow (forwarder, route, &packet, host, is_diverted);
+  wc_forwarder_record_placed (forwarder, &packet.key, host, &reason);
   return true;
 }
 
@@ -407,10 +418,13 @@
   bool        is_opening = flow->state == WC_FLOW_OPENING;
   WcPlacement placement =
       placement_of (forwarder, &packet->key, pick_service (route, &packet->key), is_opening ? flow->cookie : 0);
-  bool    is_diverted = false;
-  WcHost *host = choose_host (forwarder, route, &placement, &is_diverted);
-  WcHost *first = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+  WcPlacementReason reason = { 0 };
+  bool              is_diverted = false;
+  WcHost           *first = wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+  WcHost           *host;
 
+  set_balance (forwarder, route, &placement, &reason);
+  host = choose_host (forwarder, route, &placement, &is_diverted);
   /*
    * A limit is no reason to reset an open flow because of a late copy of its opening, or an opening that its host may
    * still answer; in the latter case the caller's retransmission is reset if there is no other host by then.
@@ -451,6 +465,7 @@
   flow->second_host = flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
   wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
   wc_forwarder_set_flow_host (forwarder, flow, host);
+  wc_forwarder_record_placed (forwarder, &packet->key, host, &reason);
   forward_opening (forwarder, packet, host, is_diverted);
 }
 
@@ -512,6 +527,15 @@
   };
 }
 
+/* Right after the start nothing is known of the answer times, and hosts of other domains have a fixed cost. */
+static void
+set_balance (const WcForwarder *forwarder, const WcRoute *route, WcPlacement *placement, WcPlacementReason *reason)
+{
+  placement->balance = is_starting (forwarder) ? NULL : forwarder->balance;
+  placement->time_limit_us = (uint64_t)route->time_limit_ms * 1000;
+  placement->reason = reason;
+}
+
 /*
  * Return: a host of the given service, or else of another service of the route, which @placement names then; NULL when
  * there is none. @is_diverted must stay valid while @placement is used.
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -2,12 +2,14 @@
 #define WC_FORWARD_FORWARDER_PRIVATE_H
 
 #include "forward/admission_queue.h"
+#include "forward/domain_balance.h"
 #include "forward/flow_progress.h"
 #include "forward/flow_table.h"
 #include "forward/forwarder.h"
 #include "forward/link_quality.h"
 #include "forward/opening_budget.h"
 #include "forward/opening_queue.h"
+#include "forward/placement.h"
 #include "forward/retry_cache.h"
 #include "forward/service_load.h"
 #include "forward/warm_up.h"
@@ -15,7 +17,8 @@
 /*
  * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows,
  * forwarder_health.c failure detection of hosts, forwarder_failures.c hosts that fail part of their requests,
- * forwarder_evacuation.c evacuated domains, and forwarder_warm_up.c cold hosts.
+ * forwarder_evacuation.c evacuated domains, forwarder_warm_up.c cold hosts, and forwarder_balance.c flows that leave the
+ * domain.
  */
 
 enum
@@ -42,6 +45,7 @@
  * @loads: load of the services in the own domain.
  * @handshake_us: mean time from forwarding an opening until its request arrives; 0 before the first.
  * @rejected: callers whose openings were rejected recently, to recognise their retries from another port.
+ * @balance: decides which flows leave the domain; NULL unless the deployment asks for it.
  * @domain_peers: other live instances of this domain.
  * @warm_up: limit of new flows to cold hosts; NULL when the deployment does not ask for it.
  * @assumed_cold: domains whose evacuation ended recently.
@@ -70,6 +74,7 @@
   uint64_t            handshake_us;
   WcRetryCache        rejected;
   WcLinkQuality       link;
+  WcDomainBalance    *balance;
   uint32_t            domain_peers;
   WcWarmUp           *warm_up;
   WcAssumedCold       assumed_cold[WC_ASSUMED_COLD_DOMAINS];
@@ -168,4 +173,14 @@
 /** wc_forwarder_evaluate_warm_up() - evaluate the lease of a host; emits a decision when it begins to be limited. */
 void wc_forwarder_evaluate_warm_up (WcForwarder *forwarder, WcHost *host);
 
+/** wc_forwarder_update_balance() - update the capacity of the other domains. */
+void wc_forwarder_update_balance (WcForwarder *forwarder);
+
+/** wc_forwarder_record_placed() - record an opening that is sent to @host, and emit the decision if it leaves. */
+void wc_forwarder_record_placed (WcForwarder *forwarder, const WcFlowKey *key, const WcHost *host,
+                                 const WcPlacementReason *reason);
+
+/** wc_forwarder_record_lost() - record that @host did not answer an opening or request in time. */
+void wc_forwarder_record_lost (WcForwarder *forwarder, const WcHost *host);
+
 #endif
--- a/tests/forward_fixture.h
+++ b/tests/forward_fixture.h
@@ -40,6 +40,8 @@
   uint32_t       reset_sequences[FIXTURE_RECORDS];
   uint32_t       decisions[WC_DECISION_COUNT];
   uint64_t       last_evidence_us;
+  uint64_t       last_own_expected_us;
+  uint64_t       last_other_expected_us;
   uint32_t       opened;
   uint32_t       answered;
 } ForwardFixture;
@@ -69,6 +71,10 @@
 
   fixture->decisions[decision->kind]++;
   fixture->last_evidence_us = decision->evidence_us;
+  if (decision->kind != WC_DECISION_PLACED_AWAY)
+    return;
+  fixture->last_own_expected_us = decision->own_expected_us;
+  fixture->last_other_expected_us = decision->other_expected_us;
 }
 
 static void
