Keep the verdict on an ejected host, and let old answers fade

Cause: the answers of a report still counted 2 s later, although the window had moved on, so that the rate of a host that left half of its requests unanswered stayed under 10% (8 failed of 91 as joined, 2 s after the fault). After an ejection, the estimate of an instance shrank with the load of the host, before the others had received it.

Change: the answers of a report fade over its lifetime of 2 s while its failures stay; an instance sends the counts on which it ejected a host for 2 s. The window of an instance's own counts is in a module of its own.

--- a/src/forward/failure_evidence.c
+++ b/src/forward/failure_evidence.c
@@ -7,10 +7,8 @@
 
 enum
 {
-  /* An instance reports a new failure at once and repeats it with its gossip; shorter than the window of the counts. */
+  /* An instance reports a new failure at once and repeats it with its gossip; the window of the counts. */
   REPORT_LIFETIME_US = 2000 * 1000,
-  /* Two gossip rounds more than an estimate needs to reach 100 instances. */
-  ESTIMATE_LIFETIME_US = 2000 * 1000,
   /* An instance at the planned size sends all hosts together 100 requests a second. */
   PLAUSIBLE_MAX = 1000,
   /* The same for the sum over the instances of a domain. */
@@ -18,8 +16,9 @@
   MILLI = 1000
 };
 
-static void add_counts (WcFailureSum *sum, uint32_t *failed_max, const WcFailureCounts *counts);
-static int  get_weight (const WcFailureReport *report, uint64_t now_us);
+static void            add_counts (WcFailureSum *sum, uint32_t *failed_max, const WcFailureCounts *counts);
+static WcFailureCounts get_current (const WcFailureReport *report, uint64_t now_us);
+static int             get_weight (const WcFailureReport *report, uint64_t now_us);
 
 bool
 wc_failure_counts_are_plausible (const WcFailureCounts *counts)
@@ -64,10 +63,10 @@
 
   assert (counts != NULL && origin != 0);
 
-  if (age_us >= ESTIMATE_LIFETIME_US || counts->answered > ESTIMATE_PLAUSIBLE_MAX ||
+  if (age_us >= WC_FAILURE_ESTIMATE_LIFETIME_US || counts->answered > ESTIMATE_PLAUSIBLE_MAX ||
       counts->failed > ESTIMATE_PLAUSIBLE_MAX)
     return;
-  deadline_us = now_us + ESTIMATE_LIFETIME_US - age_us;
+  deadline_us = now_us + WC_FAILURE_ESTIMATE_LIFETIME_US - age_us;
   for (int i = 0; i < WC_FAILURE_ESTIMATES; i++)
     {
       WcFailureEstimate *estimate = &evidence->estimates[i];
@@ -99,7 +98,9 @@
   for (int i = 0; evidence && i < WC_FAILURE_REPORTERS; i++)
     if (now_us < evidence->reports[i].deadline_us)
       {
-        add_counts (&sum, &failed_max, &evidence->reports[i].counts);
+        const WcFailureCounts counts = get_current (&evidence->reports[i], now_us);
+
+        add_counts (&sum, &failed_max, &counts);
         known++;
       }
   if (known < peers)
@@ -148,7 +149,7 @@
 uint64_t
 wc_failure_evidence_get_estimate_age_us (const WcFailureEstimate *estimate, uint64_t now_us)
 {
-  uint64_t made_us = estimate->deadline_us - ESTIMATE_LIFETIME_US;
+  uint64_t made_us = estimate->deadline_us - WC_FAILURE_ESTIMATE_LIFETIME_US;
 
   return now_us > made_us ? now_us - made_us : 0;
 }
@@ -173,6 +174,18 @@
   *failed_max = MAX (*failed_max, counts->failed);
 }
 
+/*
+ * The answers of a report leave the window as it ages, while the failures were new when it was sent. With undiminished
+ * answers from before a fault, the rate stayed below the threshold for 2 s.
+ */
+static WcFailureCounts
+get_current (const WcFailureReport *report, uint64_t now_us)
+{
+  uint64_t left_us = MIN (report->deadline_us - now_us, REPORT_LIFETIME_US);
+
+  return (WcFailureCounts){ (uint32_t)(report->counts.answered * left_us / REPORT_LIFETIME_US), report->counts.failed };
+}
+
 /* Return: 0 for expired or unused counts, 1 for counts without a failure, 2 for others. */
 static int
 get_weight (const WcFailureReport *report, uint64_t now_us)
--- a/src/forward/failure_evidence.h
+++ b/src/forward/failure_evidence.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "forward/failure_window.h"
+
 /*
  * Load pattern: an instance sends a host less than one request a second, so its own counts of failed requests say
  * little about a single host. The counts of the instances of a failure domain are joined. Counts are replaced by the
@@ -15,16 +17,11 @@
   /* Maximum number of instances whose counts are kept for one host. */
   WC_FAILURE_REPORTERS = 32,
   /* Maximum number of estimates of other instances that are kept for one host. */
-  WC_FAILURE_ESTIMATES = 2
+  WC_FAILURE_ESTIMATES = 2,
+  /* Two gossip rounds more than an estimate needs to reach 100 instances. */
+  WC_FAILURE_ESTIMATE_LIFETIME_US = 2000 * 1000
 };
 
-/** struct WcFailureCounts - requests of the sliding window. */
-typedef struct
-{
-  uint32_t answered;
-  uint32_t failed;
-} WcFailureCounts;
-
 /**
  * struct WcFailureReport - counts of another instance.
  * @reporter: incarnation of the instance; 0 for an unused entry.
--- a/src/forward/forwarder_failures.c
+++ b/src/forward/forwarder_failures.c
@@ -39,6 +39,7 @@
 } Evaluation;
 
 static bool     is_enabled (const WcForwarder *forwarder);
+static void     set_estimate (WcHostReport *report, const WcFailureCounts *counts, uint64_t age_us, uint64_t origin);
 static bool     is_evidence (const WcForwarder *forwarder, uint64_t sent_us);
 static void     record_failed (WcForwarder *forwarder, WcFlow *flow, WcHost *host);
 static void     record_unanswered_opening (WcForwarder *forwarder, WcFlow *flow, const WcHost *answering);
@@ -108,8 +109,10 @@
 void
 wc_forwarder_add_failures (const WcForwarder *forwarder, const WcHost *host, uint64_t now_us, WcHostReport *report)
 {
-  const WcHostFailures *failures = &host->failures;
-  WcFailureCounts       counts;
+  const WcHostFailures    *failures = &host->failures;
+  const WcFailureEstimate *relayed;
+  WcFailureCounts          counts;
+  uint64_t                 age_us;
 
   if (!is_enabled (forwarder))
     return;
@@ -119,23 +122,13 @@
       report->answered = counts.answered;
       report->failed = counts.failed;
     }
-  if (wc_host_failures_get_estimate (failures, &counts))
-    {
-      report->joined_answered = counts.answered;
-      report->joined_failed = counts.failed;
-    }
-  else if (failures->evidence)
-    {
-      const WcFailureEstimate *estimate =
-          wc_failure_evidence_pick_estimate (failures->evidence, now_us / RELAY_INTERVAL_US, now_us);
-
-      if (!estimate)
-        return;
-      report->joined_answered = estimate->counts.answered;
-      report->joined_failed = estimate->counts.failed;
-      report->joined_age_ms = (uint32_t)(wc_failure_evidence_get_estimate_age_us (estimate, now_us) / 1000);
-      report->joined_by = estimate->origin;
-    }
+  if (wc_host_failures_get_estimate (failures, now_us, &counts, &age_us))
+    set_estimate (report, &counts, age_us, 0);
+  else if (failures->evidence && (relayed = wc_failure_evidence_pick_estimate (
+                                      failures->evidence, now_us / RELAY_INTERVAL_US, now_us)) != NULL)
+    set_estimate (report, &relayed->counts, wc_failure_evidence_get_estimate_age_us (relayed, now_us), relayed->origin);
+  else if (wc_host_failures_get_trial (failures, &counts))
+    set_estimate (report, &counts, 0, 0);
 }
 
 /* While the link of this instance loses packets, its own counts are no evidence; those of the others still are. */
@@ -194,6 +187,15 @@
 
 /* local functions */
 
+static void
+set_estimate (WcHostReport *report, const WcFailureCounts *counts, uint64_t age_us, uint64_t origin)
+{
+  report->joined_answered = counts->answered;
+  report->joined_failed = counts->failed;
+  report->joined_age_ms = (uint32_t)(age_us / 1000);
+  report->joined_by = origin;
+}
+
 static bool
 is_enabled (const WcForwarder *forwarder)
 {
--- a/src/forward/host_failures.c
+++ b/src/forward/host_failures.c
@@ -59,7 +59,6 @@
   bool         most_fail;
 } Measure;
 
-static void advance (WcHostFailures *failures, uint64_t now_us);
 static bool is_idle (const WcHostFailures *failures, uint64_t now_us);
 static void
 measure (const WcHostFailuresMember *members, size_t count, uint32_t peers, uint64_t now_us, Measure *measures);
@@ -91,25 +90,17 @@
 void
 wc_host_failures_record_answered (WcHostFailures *failures, uint64_t now_us)
 {
-  uint16_t *bucket;
-
   assert (failures != NULL);
 
-  advance (failures, now_us);
-  bucket = &failures->answered[failures->interval % WC_HOST_FAILURES_BUCKETS];
-  *bucket += *bucket < UINT16_MAX;
+  wc_failure_window_record_answered (&failures->own, now_us);
 }
 
 void
 wc_host_failures_record_failed (WcHostFailures *failures, uint64_t now_us)
 {
-  uint16_t *bucket;
-
   assert (failures != NULL);
 
-  advance (failures, now_us);
-  bucket = &failures->failed[failures->interval % WC_HOST_FAILURES_BUCKETS];
-  *bucket += *bucket < UINT16_MAX;
+  wc_failure_window_record_failed (&failures->own, now_us);
   failures->is_report_due = true;
 }
 
@@ -118,30 +109,16 @@
 {
   assert (failures != NULL);
 
-  for (int i = 0; i < WC_HOST_FAILURES_BUCKETS; i++)
-    failures->answered[i] = failures->failed[i] = 0;
+  failures->own = (WcFailureWindow){ 0 };
   failures->is_report_due = false;
 }
 
 WcFailureCounts
 wc_host_failures_get_own (const WcHostFailures *failures, uint64_t now_us)
 {
-  uint64_t        interval = now_us / WC_HOST_FAILURES_BUCKET_US;
-  WcFailureCounts counts = { 0 };
-
   assert (failures != NULL);
 
-  /* The ring holds the intervals from @interval back; those that have left the window are skipped. */
-  for (uint64_t i = 0; i < WC_HOST_FAILURES_BUCKETS && i <= failures->interval; i++)
-    {
-      uint64_t bucket = failures->interval - i;
-
-      if (bucket + WC_HOST_FAILURES_BUCKETS <= interval)
-        break;
-      counts.answered += failures->answered[bucket % WC_HOST_FAILURES_BUCKETS];
-      counts.failed += failures->failed[bucket % WC_HOST_FAILURES_BUCKETS];
-    }
-  return counts;
+  return wc_failure_window_get (&failures->own, now_us);
 }
 
 void
@@ -215,13 +192,29 @@
 }
 
 bool
-wc_host_failures_get_estimate (const WcHostFailures *failures, WcFailureCounts *counts)
+wc_host_failures_get_estimate (const WcHostFailures *failures, uint64_t now_us, WcFailureCounts *counts,
+                               uint64_t *age_us)
+{
+  assert (failures != NULL && counts != NULL && age_us != NULL);
+
+  if (failures->verdict.failed > 0 && now_us - failures->verdict_us < WC_FAILURE_ESTIMATE_LIFETIME_US)
+    {
+      *counts = failures->verdict;
+      *age_us = now_us - failures->verdict_us;
+      return true;
+    }
+  *counts = failures->sum.counts;
+  *age_us = 0;
+  return is_significant (&failures->sum, REPORTERS_MIN);
+}
+
+bool
+wc_host_failures_get_trial (const WcHostFailures *failures, WcFailureCounts *counts)
 {
   assert (failures != NULL && counts != NULL);
 
   *counts = failures->sum.counts;
-  return is_significant (&failures->sum, REPORTERS_MIN) ||
-         (wc_host_failures_is_ejected (failures) && failures->sum.counts.failed >= TRIAL_FAILED_MIN);
+  return wc_host_failures_is_ejected (failures) && failures->sum.counts.failed >= TRIAL_FAILED_MIN;
 }
 
 void
@@ -265,20 +258,6 @@
 
 /* local functions */
 
-/* Empties the buckets of the intervals that have begun since the latest event. */
-static void
-advance (WcHostFailures *failures, uint64_t now_us)
-{
-  uint64_t interval = now_us / WC_HOST_FAILURES_BUCKET_US;
-  uint64_t first = failures->interval + 1;
-
-  if (interval >= first + WC_HOST_FAILURES_BUCKETS)
-    first = interval - WC_HOST_FAILURES_BUCKETS + 1;
-  for (uint64_t i = first; i <= interval; i++)
-    failures->answered[i % WC_HOST_FAILURES_BUCKETS] = failures->failed[i % WC_HOST_FAILURES_BUCKETS] = 0;
-  failures->interval = MAX (failures->interval, interval);
-}
-
 static bool
 is_idle (const WcHostFailures *failures, uint64_t now_us)
 {
@@ -469,6 +448,8 @@
   failures->eject_deadline_us = now_us + get_eject_span_us (failures);
   failures->outlier_since_us = 0;
   failures->eject_count++;
+  failures->verdict = is_significant (&failures->sum, REPORTERS_MIN) ? failures->sum.counts : (WcFailureCounts){ 0 };
+  failures->verdict_us = now_us;
   failures->trial_deadline_us = 0;
   failures->trial_flows = 0;
 }
--- a/src/forward/host_failures.h
+++ b/src/forward/host_failures.h
@@ -14,20 +14,14 @@
  * other hosts of its service and domain. If most of them fail, the cause is a link or the load, and none is ejected.
  */
 
-enum
-{
-  /* The counts cover the last 1.75 to 2 s. */
-  WC_HOST_FAILURES_BUCKETS = 8,
-  WC_HOST_FAILURES_BUCKET_US = 250 * 1000
-};
-
 /**
  * struct WcHostFailures - failed requests of a host and the decision derived from them. All zero at the start.
- * @answered, @failed: requests of this instance by interval, as a ring.
- * @interval: number of the latest interval with an event, counted from time 0.
+ * @own: requests of this instance.
  * @evidence: what other instances reported; NULL until a report contains a failed request.
  * @sum: counts of the domain without the estimates of others, at the last evaluation.
  * @outlier_since_us: since when the host has been an outlier without interruption; 0 when it is none.
+ * @verdict: counts of the domain that made this instance eject the host; 0 when it relied on the estimates of others.
+ * @verdict_us: time of that decision.
  * @eject_deadline_us: end of the current ejection; 0 when the host is in use.
  * @trial_deadline_us: end of the trial that follows the ejection; 0 before the trial.
  * @trial_flows: flows that this instance may still place on the host during the trial.
@@ -39,11 +33,11 @@
  */
 typedef struct
 {
-  uint16_t           answered[WC_HOST_FAILURES_BUCKETS];
-  uint16_t           failed[WC_HOST_FAILURES_BUCKETS];
-  uint64_t           interval;
+  WcFailureWindow    own;
   WcFailureEvidence *evidence;
   WcFailureSum       sum;
+  WcFailureCounts    verdict;
+  uint64_t           verdict_us;
   uint64_t           outlier_since_us;
   uint64_t           eject_deadline_us;
   uint64_t           trial_deadline_us;
@@ -135,10 +129,17 @@
                                 uint64_t now_us, WcHostFailuresChanged changed, void *user_data);
 
 /**
- * wc_host_failures_get_estimate() - counts of the domain for the reports of this instance.
+ * wc_host_failures_get_estimate() - counts of the domain for the reports of this instance. For a host that it has just
+ * ejected these are the ones of that time, because fewer requests fail since.
+ * @age_us: out: time since the counts were valid.
  *
  * Return: false when the counts that this instance received show no failing host.
  */
-bool wc_host_failures_get_estimate (const WcHostFailures *failures, WcFailureCounts *counts);
+bool wc_host_failures_get_estimate (const WcHostFailures *failures, uint64_t now_us, WcFailureCounts *counts,
+                                    uint64_t *age_us);
+
+/** wc_host_failures_get_trial() - the same for the trial of an ejected host, for which fewer requests are sufficient.
+ */
+bool wc_host_failures_get_trial (const WcHostFailures *failures, WcFailureCounts *counts);
 
 #endif
