Accept a single estimate beside failures of two instances

Cause: an instance waited for the estimates of two others, which gossip brings one after the other, although failures of several instances had been reported to it directly.

Change: a single estimate counts when the failures that this instance received, without those of one instance that outweighs the others, are at least two.

Tests: the placement class (test_placement) and the mark on failure reports and their replies (test_peer_endpoint).

--- a/src/forward/host_failures.c
+++ b/src/forward/host_failures.c
@@ -15,6 +15,8 @@
   REQUESTS_MIN = 5,
   /* With a single lost packet in 700, one or two failures occur at healthy hosts. */
   FAILED_MIN = 3,
+  /* Failures of two instances at least, because none contributes more than the others together. */
+  CONFIRMING_FAILED_MIN = 2,
   /* Instances that must have seen failures, when there are several. */
   REPORTERS_MIN = 2,
   /* An outlier fails this many times as often as the median host of the group. */
@@ -295,6 +297,9 @@
       measures[i].sum = failures->sum;
       if (failures->evidence)
         estimate = wc_failure_evidence_get_estimate (failures->evidence, now_us);
+      /* A single estimate is sufficient when failures that several instances reported here confirm it. */
+      if (failures->evidence && !estimate && failures->sum.counts.failed >= CONFIRMING_FAILED_MIN)
+        estimate = wc_failure_evidence_pick_estimate (failures->evidence, 0, now_us);
       if (estimate && estimate->counts.failed > failures->sum.counts.failed)
         measures[i].sum = (WcFailureSum){ estimate->counts, WC_FAILURE_ESTIMATES };
       measures[i].rate_milli = get_rate_milli (&measures[i].sum.counts);
--- a/tests/test_host_failures.c
+++ b/tests/test_host_failures.c
@@ -226,6 +226,29 @@
 }
 END_TEST
 
+/* Guards against an estimate of a single instance that ejects a host which nobody else saw fail. */
+START_TEST (single_estimate_needs_failures)
+{
+  const WcFailureCounts estimate = { 20, 20 };
+  const WcFailureCounts failed = { 0, 1 };
+  Domain                domain;
+
+  init (&domain);
+  domain.reports_stopped = true;
+  run (&domain, 4);
+  wc_host_failures_apply_estimate (&domain.hosts[3], 11, &estimate, 0, domain.now_us);
+  run (&domain, 1);
+  ck_assert_uint_eq (count_ejected (&domain), 0);
+  wc_host_failures_apply_estimate (&domain.hosts[3], 11, &estimate, 0, domain.now_us);
+  wc_host_failures_apply_report (&domain.hosts[3], 12, &failed, domain.now_us);
+  wc_host_failures_apply_report (&domain.hosts[3], 13, &failed, domain.now_us);
+  run (&domain, 1);
+  ck_assert_uint_eq (domain.ejected[3], 1);
+  ck_assert_uint_eq (count_ejected (&domain), 1);
+  finish (&domain);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -235,6 +258,7 @@
   tcase_add_test (tests, recovered_host_is_used_again);
   tcase_add_test (tests, host_without_reports_is_used_again);
   tcase_add_test (tests, needed_host_is_used);
+  tcase_add_test (tests, single_estimate_needs_failures);
 }
 
 int
--- a/tests/test_peer_endpoint.c
+++ b/tests/test_peer_endpoint.c
@@ -149,6 +149,33 @@
 }
 END_TEST
 
+/* Guards against load taken from reports that are sent because a request failed, and from the replies to them. */
+START_TEST (failure_reports_are_marked)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  Instance        reporter;
+  Instance        joining;
+
+  start (&reporter, loop, 1);
+  start (&joining, loop, 2);
+  wc_peer_table_set_seeds (reporter.peers, &joining.address, 1);
+  wc_peer_endpoint_send_gossip (reporter.endpoint, wc_clock_monotonic_us ());
+  while (wc_peer_table_count_domain (reporter.peers, wc_clock_monotonic_us ()) == 0)
+    ev_run (loop, EVRUN_ONCE);
+  wc_peer_endpoint_report_failures (reporter.endpoint, 7, wc_clock_monotonic_us ());
+  run_until (loop, &reporter.replies, 1);
+  ck_assert_uint_eq (reporter.replies, 1);
+  ck_assert (joining.last_gossip.asks && joining.last_gossip.hosts[0].failures_only);
+  ck_assert (reporter.last_gossip.hosts[0].failures_only);
+  wc_peer_endpoint_query_peers (reporter.endpoint, 7, wc_clock_monotonic_us ());
+  run_until (loop, &reporter.replies, 2);
+  ck_assert (!reporter.last_gossip.hosts[0].failures_only);
+  finish (&reporter);
+  finish (&joining);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 /* Guards against malformed datagrams that are dropped without being counted. */
 START_TEST (malformed_datagrams_are_counted)
 {
@@ -237,6 +264,7 @@
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, query_is_answered_once);
+  tcase_add_test (tests, failure_reports_are_marked);
   tcase_add_test (tests, malformed_datagrams_are_counted);
   tcase_add_test (tests, reads_are_answered_by_era);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -196,6 +196,34 @@
 }
 END_TEST
 
+/*
+ * Guards against failing hosts that are chosen before slow ones, or after hosts that do not answer at all, and against
+ * capacity that is counted on them unless they are needed.
+ */
+START_TEST (failing_host_is_chosen_between_slow_and_suspected)
+{
+  WcHostTable      *table = wc_host_table_new (1000);
+  WcHost           *failing = add_host (table, 1, "a");
+  WcHost           *slow = add_host (table, 2, "a");
+  WcHost           *suspected = add_host (table, 3, "a");
+  WcPlacement       flow = new_flow (1);
+  const WcPlacement no_target = flow;
+
+  failing->failures.eject_deadline_us = 1000;
+  suspected->suspect_deadline_us = 1000;
+  suspected->load.service_time_us = WORK_US;
+  slow->load.service_time_us = 5 * WORK_US;
+  flow.service_max_us = WORK_US;
+  ck_assert_ptr_eq (wc_placement_choose (table, &flow, 1), slow);
+  slow->record.state = WC_HOST_DRAINING;
+  ck_assert_ptr_eq (wc_placement_choose (table, &flow, 1), failing);
+  ck_assert_uint_eq (wc_placement_sum_capacity (table, &no_target, WC_PLACEMENT_OWN_DOMAIN, 1).slots, 0);
+  failing->failures.is_needed = true;
+  ck_assert_uint_eq (wc_placement_sum_capacity (table, &no_target, WC_PLACEMENT_OWN_DOMAIN, 1).slots, SLOTS);
+  wc_host_table_delete (table);
+}
+END_TEST
+
 /*
  * The store recovers after all entries have expired. Guards against a service without hosts for two seconds, and
  * against placing all flows on the first host that is published again.
@@ -237,6 +265,7 @@
   tcase_add_test (tests, slow_host_gets_less);
   tcase_add_test (tests, warming_host_gets_less);
   tcase_add_test (tests, suspected_and_avoided_hosts_are_last);
+  tcase_add_test (tests, failing_host_is_chosen_between_slow_and_suspected);
   tcase_add_test (tests, expired_entries_are_used_until_republished);
 }
 
