--- a/src/emulator/flow_experiment_fleet.c
+++ b/src/emulator/flow_experiment_fleet.c
@@ -28,7 +28,7 @@
 static WcFlowInstance *choose_instance (WcFlowExperiment *experiment, const WcFlowKey *key, uint32_t domain);
 static void            schedule_timers (WcFlowInstance *instance);
 static void            send_reports (WcFlowInstance *instance);
-static void send_reports_to (WcFlowInstance *instance, WcFlowInstance *peer);
+static void            send_reports_to (WcFlowInstance *instance, WcFlowInstance *peer);
 static void send_report (const WcFlowInstance *instance, const WcHost *host, bool failures_only, WcFlowInstance *peer);
 static void report_failures (WcFlowInstance *instance);
 static WcFlowKey key_of (const WcFlowExperiment *experiment, uint32_t request);
--- a/src/emulator/flow_experiment_scenarios.c
+++ b/src/emulator/flow_experiment_scenarios.c
@@ -199,8 +199,8 @@
   { .name = "balanced", .admission = &WC_ADMISSION_DEADLINE, .features = { .domain_balance = true } },
 };
 
-const char *const WC_FLOW_FAULT_STRINGS[] = { "none", "slow hosts", "outage", "lost domain", "failing hosts",
-                                              "slow hosts in one domain" };
+const char *const WC_FLOW_FAULT_STRINGS[] = { "none",        "slow hosts",    "outage",
+                                              "lost domain", "failing hosts", "slow hosts in one domain" };
 
 const WcFlowExperimentScenario *
 wc_flow_experiment_get_scenario (size_t index)
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -44,7 +44,7 @@
 open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host, bool is_diverted);
 static void
 place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, WcOpeningCause cause);
-static void forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, bool is_diverted);
+static void        forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, bool is_diverted);
 static bool        can_keep_host (const WcForwarder *forwarder, const WcPlacement *placement, const WcHost *host);
 static WcPlacement placement_of (const WcForwarder *forwarder, const WcFlowKey *key, uint32_t service, uint32_t avoid);
 static WcServiceLoad *get_own_load (WcForwarder *forwarder, uint32_t service);
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -17,8 +17,8 @@
 /*
  * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows,
  * forwarder_health.c failure detection of hosts, forwarder_failures.c hosts that fail part of their requests,
- * forwarder_evacuation.c evacuated domains, forwarder_warm_up.c cold hosts, and forwarder_balance.c flows that leave the
- * domain.
+ * forwarder_evacuation.c evacuated domains, forwarder_warm_up.c cold hosts, and forwarder_balance.c flows that leave
+ * the domain.
  */
 
 enum
