Let the rates of the domain balance bind only while openings wait

Change: until openings have had to wait for the window of the rate, the limit without balance applies as well.

--- a/src/forward/admission_deadline.c
+++ b/src/forward/admission_deadline.c
@@ -110,7 +110,10 @@
     return admits_to_own_domain (view, is_in_time);
   if (view->placement->balance && admits_by_balance (view, host, is_in_time))
     return true;
-  if (view->placement->balance && sum_own_domain (view).slots > 0)
+  /* The rates of the balance bind once openings have had to wait for a while; until then the domain is not overloaded.
+   */
+  if (view->placement->balance && sum_own_domain (view).slots > 0 &&
+      wc_service_load_get_drain_per_s (view->load, view->now_us) > 0)
     return false;
   return admits_to_other_domain (view, host, is_in_time);
 }
