Give the explained opening a buffer

Cause: the sanitizers reported a null pointer passed to memcpy() with a length of 0, in test_explanation. Result: explains_what_is_done_then passes; it failed in the run with sanitizers before.

--- a/src/forward/forwarder_explain.c
+++ b/src/forward/forwarder_explain.c
@@ -53,9 +53,10 @@
 static void
 explain_opening (WcForwarder *forwarder, const WcFlowKey *key, WcExplanation *explanation)
 {
+  static const uint8_t no_bytes[1];
   const WcRoute       *route = explanation->route;
   const WcServiceLoad *load;
-  WcPacket             packet = { .key = *key, .flags = WC_PACKET_SYN };
+  WcPacket             packet = { .key = *key, .flags = WC_PACKET_SYN, .bytes = no_bytes };
   WcHeldOpening        held;
   WcHostChoice         choice;
   WcPlacement          placement;
