Apply only the reports that an emulated instance wrote

Cause: with reports on failing hosts, the flow experiment also applied entries of its array that were not written, since the balance between domains and the detection of failing hosts were merged; the sanitizers reported an invalid bool in failing_hosts_are_used_when_needed and every_request_has_one_outcome. Instances are not concerned.

--- a/src/emulator/flow_experiment_fleet.c
+++ b/src/emulator/flow_experiment_fleet.c
@@ -297,8 +297,7 @@
   for (size_t i = 0; i < failure_count; i++)
     wc_forwarder_apply_report (peer->forwarder, 1 + instance->index, true, &failures[i],
                                experiment->now_us + GOSSIP_DELAY_US);
-  sent = failure_count;
-  for (size_t i = 0; i < count && sent < REPORTS_MAX; i++)
+  for (size_t i = 0; i < count && failure_count + sent < REPORTS_MAX; i++)
     {
       const WcHost *host = wc_host_table_get (hosts, instance->next_reported_host++ % count);
 
