--- a/review/standins/rig.c
+++ b/review/standins/rig.c
@@ -35,7 +35,8 @@
   HOSTS = 14,
   CALLERS = 8,
   SLOTS = 2,
-  ROUTE_IP = 0xc6120001,
+  /* 127.18.0.1. */
+  ROUTE_IP = 0x7f120001,
   ROUTE_PORT = 443,
   ANSWER_BYTES = 2000,
   PACKET_DATA_MAX_BYTES = 1200,
@@ -343,7 +344,7 @@
 put_config (void)
 {
   char *text = g_strdup_printf (
-      "{\"version\":3,\"routes\":[{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/%d/\",\"kind\":\"safe\","
+      "{\"version\":3,\"routes\":[{\"name\":\"r-1\",\"host\":\"127.18.0.1\",\"prefix\":\"/%d/\",\"kind\":\"safe\","
       "\"timeout-ms\":500,\"target-latency-ms\":120,\"priority\":2,\"service\":\"desk\",\"max-attempts\":2}],"
       "\"services\":[{\"name\":\"desk\",\"health-path\":\"/health\"}],"
       "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,\"header-timeout-ms\":3000,"
