Log how many peers are avoided as a source of the view

The lines of a read of the view could not tell whether a failed source was chosen again because the time for which it is avoided had passed, or because that time was forgotten.

--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -424,6 +424,8 @@
   static const char *const source_names[] = { "store", "peer", "none" };
   const WcStoreVersion     version = wc_store_replica_get_version (reader->replica);
   uint64_t                 confirmed_us = wc_store_replica_get_confirmed_us (reader->replica);
+  uint64_t                 now_us = wc_clock_monotonic_us ();
+  uint32_t                 avoided = wc_peer_table_count_avoided (reader->peers, now_us);
   WcEventLine             *line = wc_event_log_begin (reader->log, "view", event);
   char                     text[WC_ADDRESS_TEXT_BYTES];
 
@@ -433,7 +435,9 @@
   wc_event_line_add_uint (line, "view_era", version.era);
   wc_event_line_add_uint (line, "view_revision", version.revision);
   if (confirmed_us > 0)
-    wc_event_line_add_uint (line, "view_age_ms", (wc_clock_monotonic_us () - confirmed_us) / 1000);
+    wc_event_line_add_uint (line, "view_age_ms", (now_us - confirmed_us) / 1000);
+  if (avoided > 0)
+    wc_event_line_add_uint (line, "peers_avoided", avoided);
   if (reason[0] != '\0')
     wc_event_line_add_text (line, "reason", reason);
   wc_event_line_end (line);
--- a/src/forward/peer_table.c
+++ b/src/forward/peer_table.c
@@ -314,6 +314,18 @@
   peer->last_heartbeat_us = 0;
 }
 
+uint32_t
+wc_peer_table_count_avoided (const WcPeerTable *table, uint64_t now_us)
+{
+  uint32_t count = 0;
+
+  assert (table != NULL);
+
+  for (guint i = 0; i < table->peers->len; i++)
+    count += now_us < ((const WcPeer *)table->peers->pdata[i])->avoid_deadline_us;
+  return count;
+}
+
 void
 wc_peer_table_avoid_indirect (WcPeerTable *table, uint32_t domain, uint64_t deadline_us)
 {
--- a/src/forward/peer_table.h
+++ b/src/forward/peer_table.h
@@ -111,6 +111,9 @@
 /** wc_peer_table_avoid() - a read from a peer failed: do not read from it until @deadline_us and a new heartbeat. */
 void wc_peer_table_avoid (WcPeerTable *table, const WcAddress *address, uint64_t deadline_us);
 
+/** wc_peer_table_count_avoided() - number of instances from which the view is not read, because a read failed. */
+uint32_t wc_peer_table_count_avoided (const WcPeerTable *table, uint64_t now_us);
+
 /** wc_peer_table_avoid_indirect() - an instance of @domain declined a read, because its domain reads through another.
  */
 void wc_peer_table_avoid_indirect (WcPeerTable *table, uint32_t domain, uint64_t deadline_us);
