Keep the avoid deadline of a failed source until it has passed

What callers saw: for up to 5.3 s after the ack of a configuration, requests were handled by the old one (CONFIG), and new flows went to hosts that had said they were draining (DRAIN), at an instance that reached the store all the while.

Cause: wc_peer_table_avoid() set last_heartbeat_us to 0, so that the peer does not count as live until its next heartbeat. wc_peer_table_evict() took the same field for an instance that has been silent for a minute, removed the entry at the next gossip round, and the next datagram that named the instance added it again: live, and without its avoid_deadline_us. The two instances that could not read the store were read from in turn, and the store was not.

Evidence: peers_avoided in the lines of the view falls from 2 to 0 within 1.2 s of a deadline of 2 s. The two tests failed before: a failed source was chosen again after one round, and a relayed heartbeat that was known already made it live.

Fix: that the last read failed is a field of its own, which the next heartbeat clears; the time of the last heartbeat stays what it is. So eviction, the relaying of entries and the lease of cold hosts no longer see an invented time, and the entry outlives its deadline.

Ruled out: the deadline being too short (it was never reached); a late clock (the same on a virtual clock in the test).

--- a/src/forward/host_lease.c
+++ b/src/forward/host_lease.c
@@ -150,7 +150,6 @@
 
 /* local functions */
 
-/* A peer from which a read of the view failed has last_heartbeat_us 0; what was known of it before still counts. */
 static void
 merge_peer (WcHostLease *lease, const WcPeer *peer, uint64_t now_us)
 {
--- a/src/forward/peer_table.c
+++ b/src/forward/peer_table.c
@@ -52,6 +52,7 @@
 
 static WcPeer *add_peer (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
 static void    record_echo (WcPeerTable *table, WcPeer *peer, const WcGossip *gossip);
+static void    record_heartbeat (WcPeer *peer, uint64_t now_us);
 static void    merge_entry (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
 static void    add_lowest_ranks (const WcPeerTable *table, WcGossip *gossip, uint64_t now_us);
 static void add_random_peers (WcPeerTable *table, WcGossip *gossip, bool own_domain, size_t max_count, uint64_t now_us);
@@ -116,7 +117,7 @@
   if (!peer)
     peer = add_peer (table, sender, now_us);
   if (is_new || sender->heartbeat > peer->entry.heartbeat)
-    peer->last_heartbeat_us = now_us;
+    record_heartbeat (peer, now_us);
   peer->entry = *sender;
   peer->last_received_us = now_us;
   peer->revision = gossip->revision;
@@ -303,6 +304,10 @@
   return NULL;
 }
 
+/*
+ * The time of the last heartbeat is kept: it decides when the entry is evicted, and the avoid deadline must not be lost
+ * with the entry.
+ */
 void
 wc_peer_table_avoid (WcPeerTable *table, const WcAddress *address, uint64_t deadline_us)
 {
@@ -311,7 +316,7 @@
   if (!peer)
     return;
   peer->avoid_deadline_us = deadline_us;
-  peer->last_heartbeat_us = 0;
+  peer->unresponsive = true;
 }
 
 uint32_t
@@ -358,7 +363,7 @@
 bool
 wc_peer_is_live (const WcPeer *peer, uint64_t now_us)
 {
-  return !peer->stopping && now_us - peer->last_heartbeat_us < LIVE_TIMEOUT_US;
+  return !peer->stopping && !peer->unresponsive && now_us - peer->last_heartbeat_us < LIVE_TIMEOUT_US;
 }
 
 bool
@@ -423,12 +428,19 @@
       if (entry->heartbeat <= peer->entry.heartbeat)
         return;
     }
-  else if (now_us - peer->last_heartbeat_us < REPLACE_MIN_AGE_US)
+  else if (!peer->unresponsive && now_us - peer->last_heartbeat_us < REPLACE_MIN_AGE_US)
     return;
   else
     peer->stopping = false;
   peer->entry = *entry;
+  record_heartbeat (peer, now_us);
+}
+
+static void
+record_heartbeat (WcPeer *peer, uint64_t now_us)
+{
   peer->last_heartbeat_us = now_us;
+  peer->unresponsive = false;
 }
 
 static uint64_t
@@ -490,7 +502,7 @@
 static bool
 is_fresh (const WcPeer *peer, uint64_t now_us)
 {
-  return !peer->stopping && now_us - peer->last_heartbeat_us < PROPAGATION_MAX_AGE_US;
+  return !peer->stopping && !peer->unresponsive && now_us - peer->last_heartbeat_us < PROPAGATION_MAX_AGE_US;
 }
 
 /*
--- a/src/forward/peer_table.h
+++ b/src/forward/peer_table.h
@@ -22,6 +22,7 @@
  * @revision, @view_us: revision of its view, and when the store confirmed that view, as stated by the peer.
  * @domain_instances: instances of this domain that it remembers, as stated by the peer; 0 when not stated.
  * @stopping: it is in a planned shutdown.
+ * @unresponsive: a read from it failed, and its heartbeat has not increased since; it does not count as live.
  * @avoid_deadline_us: until then the view is not read from it, because a read failed.
  * @indirect_deadline_us: until then its domain counts as one that reads the store through another domain.
  */
@@ -36,6 +37,7 @@
   uint64_t    view_us;
   uint32_t    domain_instances;
   bool        stopping;
+  bool        unresponsive;
   uint64_t    avoid_deadline_us;
   uint64_t    indirect_deadline_us;
 } WcPeer;
@@ -125,7 +127,7 @@
  */
 uint64_t wc_peer_rank (const WcAddress *address);
 
-/** wc_peer_is_live() - its heartbeat has increased recently, and it is not stopping. */
+/** wc_peer_is_live() - its heartbeat has increased recently and since a failed read, and it is not stopping. */
 bool wc_peer_is_live (const WcPeer *peer, uint64_t now_us);
 
 /** wc_peer_table_is_isolated() - datagrams of peers were received before, but none within @timeout_us. */
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -238,6 +238,64 @@
 }
 END_TEST
 
+/*
+ * A read from the first instance of the domain failed; heartbeats of it keep arriving through others. Guards against an
+ * avoid deadline that is lost with the peer's entry, so that the failed source is read from again at once.
+ */
+START_TEST (failed_source_is_avoided_until_deadline)
+{
+  Fleet        fleet;
+  WcViewSource failed;
+  WcViewSource source;
+  uint64_t     deadline_us;
+
+  init_fleet (&fleet);
+  run_rounds (&fleet, 30);
+  failed = wc_view_source_choose (fleet.tables[1], 0, fleet.now_us);
+  ck_assert_int_eq (failed.kind, WC_VIEW_SOURCE_PEER);
+  deadline_us = fleet.now_us + 2000 * 1000;
+  wc_peer_table_avoid (fleet.tables[1], &failed.peer, deadline_us);
+  while (fleet.now_us < deadline_us)
+    {
+      source = wc_view_source_choose (fleet.tables[1], 0, fleet.now_us);
+      ck_assert (source.kind != WC_VIEW_SOURCE_PEER || !wc_address_equal (&source.peer, &failed.peer));
+      ck_assert_uint_eq (wc_peer_table_count_avoided (fleet.tables[1], fleet.now_us), 1);
+      run_rounds (&fleet, 1);
+    }
+  source = wc_view_source_choose (fleet.tables[1], 0, fleet.now_us);
+  ck_assert (source.kind == WC_VIEW_SOURCE_PEER && wc_address_equal (&source.peer, &failed.peer));
+  finish_fleet (&fleet);
+}
+END_TEST
+
+/*
+ * A read from an instance failed, and another one relays the heartbeat that is known of it already. Guards against a
+ * failed source that counts as live again without a sign of life.
+ */
+START_TEST (relayed_heartbeat_does_not_revive_failed_source)
+{
+  const WcPeerEntry self = entry_of (0, 1);
+  const WcPeerEntry failed = entry_of (4, 2);
+  WcPeerTable      *table = wc_peer_table_new (&self);
+  WcGossip          gossip = { .sender = failed };
+  uint64_t          now_us = 1000 * 1000 * 1000;
+
+  gossip.sender.heartbeat = 7;
+  wc_peer_table_receive (table, &gossip, now_us);
+  wc_peer_table_avoid (table, &failed.address, now_us);
+  wc_peer_table_evict (table, now_us);
+  gossip.known[0] = gossip.sender;
+  gossip.known_count = 1;
+  gossip.sender = entry_of (8, 3);
+  wc_peer_table_receive (table, &gossip, now_us);
+  ck_assert_uint_eq (wc_peer_table_count_domain (table, now_us), 1);
+  gossip.known[0].heartbeat++;
+  wc_peer_table_receive (table, &gossip, now_us);
+  ck_assert_uint_eq (wc_peer_table_count_domain (table, now_us), 2);
+  wc_peer_table_delete (table);
+}
+END_TEST
+
 /* Guards against an instance that cannot read the store and does not read from peers either. */
 START_TEST (most_recent_peer_view_is_read_without_store)
 {
@@ -360,6 +418,8 @@
   tcase_add_test (tests, one_instance_of_a_domain_reads_the_store);
   tcase_add_test (tests, readers_form_a_tree);
   tcase_add_test (tests, failed_reader_is_skipped);
+  tcase_add_test (tests, failed_source_is_avoided_until_deadline);
+  tcase_add_test (tests, relayed_heartbeat_does_not_revive_failed_source);
   tcase_add_test (tests, most_recent_peer_view_is_read_without_store);
   tcase_add_test (tests, other_domain_is_read_without_store);
   tcase_add_test (tests, isolated_when_all_peers_are_silent);
