Read the store when peers do not confirm the view in time

Cause: the time until an instance reads the store itself was the sum of the times after which it gives up its peers. A hung one cost 1.4 s (a wait of 1 s and a timeout of 0.4 s). One that answers but cannot read the store was taken for a good source until its view was 3.5 s old, which is later than the 3 s in which a configuration must be in force. Each level of the tree also answered only after its own wait, so that a view could be a second older at each.

Fix: the bound is on the view, not on the source. When the view has not been confirmed for 2 s, the store is read whatever the peers do, and the peer that was read from is avoided if the store answers. The first read from a source does not wait for changes, so that a hung one is given up after 0.4 s. A confirmation without changes is passed on at once. A peer is given up for the age of its view only while a newer view is known.

Ruled out: a shorter timeout alone (the sum still grows with the number of peers); a shorter maximum age alone (normal views of deep trees exceed it as long as levels wait one after the other).

--- a/src/edge/forward_metrics.c
+++ b/src/edge/forward_metrics.c
@@ -50,6 +50,10 @@
   add_counter (text, "view_read_failures_total", "Reads that failed.", gauges->reader->failures);
   add_counter (text, "view_history_expired_total", "Reads from a revision that the source does not know.",
                gauges->reader->expired);
+  add_counter (text, "view_overdue_reads_total", "Reads of the store because peers did not confirm the view in time.",
+               gauges->reader->overdue);
+  add_counter (text, "view_peers_behind_total", "Peers given up because their view was older than one known elsewhere.",
+               gauges->reader->behind);
   add_counter (text, "peer_datagrams_malformed_total", "Datagrams that are no news of a peer.",
                gauges->peer_datagrams_malformed);
   add_counter (text, "log_lines_suppressed_total", "Log lines not written to keep within limits.",
--- a/src/edge/peer_endpoint.c
+++ b/src/edge/peer_endpoint.c
@@ -26,6 +26,7 @@
 {
   WcStoreVersion after;
   WcStoreVersion version;
+  uint64_t       confirmed_us;
   uint64_t       deadline_us;
   GBytes        *body;
 } CachedResponse;
@@ -53,6 +54,7 @@
   ev_io                 readable;
   GArray               *waiters;
   CachedResponse        cached;
+  uint64_t              relayed_confirmation_us;
   bool                  is_indirect;
 };
 
@@ -145,10 +147,18 @@
   return endpoint->malformed;
 }
 
+/*
+ * A confirmation without changes is passed on as well: if each level of the tree answered only after its own wait, the
+ * view would be older by up to a second at each of them.
+ */
 void
 wc_peer_endpoint_view_changed (WcPeerEndpoint *endpoint)
 {
-  respond_to_waiters (endpoint, wc_store_replica_get_version (endpoint->replica), 0);
+  uint64_t confirmed_us = wc_store_replica_get_confirmed_us (endpoint->replica);
+  bool     is_confirmed = confirmed_us > endpoint->relayed_confirmation_us;
+
+  endpoint->relayed_confirmation_us = confirmed_us;
+  respond_to_waiters (endpoint, wc_store_replica_get_version (endpoint->replica), is_confirmed ? UINT64_MAX : 0);
 }
 
 void
@@ -361,7 +371,8 @@
 {
   uint64_t             now_us = wc_clock_monotonic_us ();
   const WcStoreVersion version = wc_store_replica_get_version (endpoint->replica);
-  uint64_t             age_us = now_us - wc_store_replica_get_confirmed_us (endpoint->replica);
+  uint64_t             confirmed_us = wc_store_replica_get_confirmed_us (endpoint->replica);
+  uint64_t             age_us = now_us - confirmed_us;
   WcViewOrigin         origin = {
             .age_ms = (uint32_t)MIN (age_us / 1000, UINT32_MAX),
             .logical = wc_event_log_get_logical_clock (endpoint->log),
@@ -371,14 +382,15 @@
   bool         is_known;
 
   if (endpoint->cached.body && wc_store_version_compare (endpoint->cached.after, after) == 0 &&
-      wc_store_version_compare (endpoint->cached.version, version) == 0 && now_us < endpoint->cached.deadline_us)
+      wc_store_version_compare (endpoint->cached.version, version) == 0 &&
+      endpoint->cached.confirmed_us == confirmed_us && now_us < endpoint->cached.deadline_us)
     return true;
   wc_store_reply_init (&reply);
   is_known = wc_store_replica_get_changes (endpoint->replica, after, &reply);
   if (is_known)
     {
       g_bytes_unref (endpoint->cached.body);
-      endpoint->cached = (CachedResponse){ after, version, now_us + RESPONSE_CACHE_LIFETIME_US,
+      endpoint->cached = (CachedResponse){ after, version, confirmed_us, now_us + RESPONSE_CACHE_LIFETIME_US,
                                            wc_view_changes_pack (&reply, &origin) };
     }
   wc_store_reply_finish (&reply);
--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -32,10 +32,11 @@
   /* A peer responds within 10 ms, or within a few hundred milliseconds when its CPU is busy. */
   PEER_TIMEOUT_US = 400 * 1000,
   /*
-   * A view that was relayed through three peers is at most 3 * WATCH_WAIT_MS old, plus transfer times. An older view is
-   * no longer being updated.
+   * Pause before the store is read again because of an overdue view. Without evidence that another instance can read
+   * the store, all instances would otherwise call an unavailable store several times a second.
    */
-  PEER_VIEW_MAX_AGE_US = 3500 * 1000,
+  CHECK_RETRY_MIN_US = 250 * 1000,
+  CHECK_RETRY_US = 4000 * 1000,
   /* How long a peer is not read from after a failed read. */
   PEER_AVOID_US = 2000 * 1000,
   /*
@@ -53,6 +54,10 @@
   PAUSE_MIN_US = 20 * 1000
 };
 
+/*
+ * @is_first_read: nothing was read from the source since it was chosen.
+ * @overdue_peer: peer that was read from when the view became overdue; only if @has_overdue_peer.
+ */
 struct WcViewReader
 {
   struct ev_loop      *loop;
@@ -62,7 +67,11 @@
   WcPlatformClient    *store_client;
   WcPlatformClient    *peer_client;
   WcViewSource         source;
+  bool                 is_first_read;
+  bool                 has_overdue_peer;
+  WcAddress            overdue_peer;
   uint64_t             store_avoid_deadline_us;
+  uint64_t             check_avoid_deadline_us;
   bool                 store_lost;
   bool                 is_indirect;
   uint64_t             store_era;
@@ -70,25 +79,31 @@
   WcViewReaderOps      ops;
   void                *user_data;
   ev_timer             pause_timer;
+  ev_timer             overdue_timer;
   WcViewReaderCounters counters;
 };
 
-static void read_next (WcViewReader *reader);
-static void pause_for (WcViewReader *reader, uint64_t duration_us);
-static void read_store (WcViewReader *reader, WcStoreRead read, const char *after_key);
-static void read_peer (WcViewReader *reader, WcStoreRead read);
-static void set_source (WcViewReader *reader, const WcViewSource *source);
-static void set_indirect (WcViewReader *reader, bool is_indirect);
-static void pause_expired (struct ev_loop *loop, ev_timer *watcher, int events);
-static void read_finished (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
-                           const char *body, size_t size_bytes);
-static void set_store_era (WcViewReader *reader, uint64_t era);
-static bool decode_reply (const WcViewReader *reader, uint64_t era, const char *body, size_t size_bytes,
-                          WcStoreReply *reply, WcViewOrigin *origin, WcError *error);
+static void     read_next (WcViewReader *reader);
+static void     pause_for (WcViewReader *reader, uint64_t duration_us);
+static void     read_store (WcViewReader *reader, WcStoreRead read, const char *after_key);
+static void     read_peer (WcViewReader *reader, WcStoreRead read);
+static void     set_source (WcViewReader *reader, const WcViewSource *source);
+static void     set_indirect (WcViewReader *reader, bool is_indirect);
+static void     pause_expired (struct ev_loop *loop, ev_timer *watcher, int events);
+static void     overdue_expired (struct ev_loop *loop, ev_timer *watcher, int events);
+static void     cancel_reads (WcViewReader *reader);
+static uint32_t get_wait_ms (WcViewReader *reader);
+static void     read_finished (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
+                               const char *body, size_t size_bytes);
+static void     set_store_era (WcViewReader *reader, uint64_t era);
+static bool     decode_reply (const WcViewReader *reader, uint64_t era, const char *body, size_t size_bytes,
+                              WcStoreReply *reply, WcViewOrigin *origin, WcError *error);
 static void
 reply_received (WcViewReader *reader, WcPlatformRead read, const WcStoreReply *reply, const WcViewOrigin *origin);
 static void handle_read_declined (WcViewReader *reader);
 static void handle_read_failure (WcViewReader *reader, const char *reason);
+static void handle_check_failure (WcViewReader *reader, const char *reason);
+static void avoid_peer_if_behind (WcViewReader *reader, uint64_t age_us, uint64_t now_us);
 static void avoid_peer (WcViewReader *reader);
 static void log_state (WcViewReader *reader, const char *event, const char *reason);
 
@@ -113,6 +128,8 @@
   reader->user_data = user_data;
   ev_timer_init (&reader->pause_timer, pause_expired, 0.0, 0.0);
   reader->pause_timer.data = reader;
+  ev_timer_init (&reader->overdue_timer, overdue_expired, 0.0, 0.0);
+  reader->overdue_timer.data = reader;
   read_next (reader);
   return reader;
 }
@@ -123,6 +140,7 @@
   if (!reader)
     return;
   ev_timer_stop (reader->loop, &reader->pause_timer);
+  ev_timer_stop (reader->loop, &reader->overdue_timer);
   wc_platform_client_delete (reader->store_client);
   wc_platform_client_delete (reader->peer_client);
   wc_store_sync_delete (reader->sync);
@@ -132,16 +150,12 @@
 void
 wc_view_reader_restart (WcViewReader *reader)
 {
-  WcPlatformClient *clients[] = { reader->store_client, reader->peer_client };
-
   ev_timer_stop (reader->loop, &reader->pause_timer);
-  for (size_t i = 0; i < G_N_ELEMENTS (clients); i++)
-    if (clients[i])
-      {
-        wc_platform_client_cancel (clients[i], WC_PLATFORM_READ_STORE_ITEMS);
-        wc_platform_client_cancel (clients[i], WC_PLATFORM_READ_STORE_CHANGES);
-      }
+  cancel_reads (reader);
   reader->store_avoid_deadline_us = 0;
+  reader->check_avoid_deadline_us = 0;
+  /* The source did not cause the pause, and is not avoided if the view is overdue. */
+  reader->source = (WcViewSource){ .kind = WC_VIEW_SOURCE_NONE };
   read_next (reader);
 }
 
@@ -156,11 +170,17 @@
 static void
 read_next (WcViewReader *reader)
 {
-  uint64_t     now_us = wc_clock_monotonic_us ();
-  WcViewSource source = wc_view_source_choose (reader->peers, reader->store_avoid_deadline_us, now_us);
+  uint64_t          now_us = wc_clock_monotonic_us ();
+  const WcViewState view = {
+    .confirmed_us = wc_store_replica_get_confirmed_us (reader->replica),
+    .store_avoid_deadline_us = reader->store_avoid_deadline_us,
+    .check_avoid_deadline_us = reader->check_avoid_deadline_us,
+  };
+  WcViewSource source = wc_view_source_choose (reader->peers, &view, now_us);
   const char  *after_key;
   WcStoreRead  read;
 
+  ev_timer_stop (reader->loop, &reader->overdue_timer);
   set_source (reader, &source);
   read = wc_store_sync_next (reader->sync, &after_key);
   switch (source.kind)
@@ -170,6 +190,10 @@
       break;
     case WC_VIEW_SOURCE_PEER:
       read_peer (reader, read);
+      if (source.deadline_us == UINT64_MAX)
+        break;
+      ev_timer_set (&reader->overdue_timer, (double)(source.deadline_us - now_us) / 1e6, 0.0);
+      ev_timer_start (reader->loop, &reader->overdue_timer);
       break;
     case WC_VIEW_SOURCE_NONE:
       pause_for (reader, MAX (source.deadline_us, now_us + PAUSE_MIN_US) - now_us);
@@ -184,11 +208,23 @@
   ev_timer_start (reader->loop, &reader->pause_timer);
 }
 
+/*
+ * The first read from a source does not wait for changes, so that a hung source is given up early and the view is
+ * confirmed at once. After a failed read, the store is only checked for recovery.
+ */
+static uint32_t
+get_wait_ms (WcViewReader *reader)
+{
+  bool is_check = reader->is_first_read || (reader->source.kind == WC_VIEW_SOURCE_STORE && reader->store_lost);
+
+  reader->is_first_read = false;
+  return is_check ? 0 : WATCH_WAIT_MS;
+}
+
 static void
 read_store (WcViewReader *reader, WcStoreRead read, const char *after_key)
 {
-  /* After a failed read, the store is only checked for recovery, without a wait for changes. */
-  uint32_t wait_ms = reader->store_lost ? 0 : WATCH_WAIT_MS;
+  uint32_t wait_ms = get_wait_ms (reader);
   char    *path;
 
   reader->counters.store_reads++;
@@ -211,7 +247,7 @@
 {
   bool                 is_range = read == WC_STORE_READ_RANGE;
   const WcStoreVersion version = wc_store_replica_get_version (reader->replica);
-  uint32_t             wait_ms = is_range ? 0 : WATCH_WAIT_MS;
+  uint32_t             wait_ms = is_range ? 0 : get_wait_ms (reader);
   char                *path =
       g_strdup_printf ("/changes?era=%" G_GUINT64_FORMAT "&after=%" G_GUINT64_FORMAT "&wait_ms=%u%s", version.era,
                        is_range ? 0 : version.revision, wait_ms, reader->source.is_other_domain ? "&direct=1" : "");
@@ -228,7 +264,14 @@
   bool is_same = source->kind == reader->source.kind &&
                  (source->kind != WC_VIEW_SOURCE_PEER || wc_address_equal (&source->peer, &reader->source.peer));
 
+  if (source->is_check)
+    {
+      reader->counters.overdue++;
+      reader->has_overdue_peer = reader->source.kind == WC_VIEW_SOURCE_PEER;
+      reader->overdue_peer = reader->source.peer;
+    }
   reader->source.is_other_domain = source->is_other_domain;
+  reader->source.is_check = source->is_check;
   if (source->is_other_domain)
     set_indirect (reader, true);
   if (is_same)
@@ -240,8 +283,9 @@
       wc_platform_client_set_response_timeout_us (reader->peer_client, PEER_TIMEOUT_US);
     }
   reader->source = *source;
+  reader->is_first_read = true;
   wc_store_sync_source_changed (reader->sync);
-  log_state (reader, "source_chosen", "");
+  log_state (reader, "source_chosen", source->is_check ? "the view is overdue" : "");
 }
 
 static void
@@ -262,6 +306,31 @@
   read_next (watcher->data);
 }
 
+/* The peer that is read from has not confirmed the view in time. */
+static void
+overdue_expired (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  WcViewReader *reader = watcher->data;
+
+  (void)loop;
+  (void)events;
+  cancel_reads (reader);
+  read_next (reader);
+}
+
+static void
+cancel_reads (WcViewReader *reader)
+{
+  WcPlatformClient *clients[] = { reader->store_client, reader->peer_client };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (clients); i++)
+    if (clients[i])
+      {
+        wc_platform_client_cancel (clients[i], WC_PLATFORM_READ_STORE_ITEMS);
+        wc_platform_client_cancel (clients[i], WC_PLATFORM_READ_STORE_CHANGES);
+      }
+}
+
 static void
 read_finished (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version, const char *body,
                size_t size_bytes)
@@ -349,9 +418,14 @@
       wc_platform_client_set_response_timeout_us (reader->store_client, STORE_TIMEOUT_US);
       log_state (reader, "store_back", "");
     }
-  if (reader->source.kind == WC_VIEW_SOURCE_PEER &&
-      now_us - wc_store_replica_get_confirmed_us (reader->replica) > PEER_VIEW_MAX_AGE_US)
-    avoid_peer (reader);
+  if (reader->source.kind == WC_VIEW_SOURCE_PEER)
+    avoid_peer_if_behind (reader, (uint64_t)origin->age_ms * 1000, now_us);
+  else if (reader->source.is_check && reader->has_overdue_peer)
+    {
+      /* The store could be read all the while. */
+      wc_peer_table_avoid (reader->peers, &reader->overdue_peer, now_us + PEER_AVOID_US);
+      reader->has_overdue_peer = false;
+    }
   if (!reader->source.is_other_domain)
     set_indirect (reader, origin->is_indirect);
   reader->ops.view_updated (reader->user_data);
@@ -389,6 +463,11 @@
   bool reads_for_domain = reader->source.kind == WC_VIEW_SOURCE_STORE || reader->source.is_other_domain;
 
   reader->counters.failures++;
+  if (reader->source.is_check)
+    {
+      handle_check_failure (reader, reason);
+      return;
+    }
   if (reader->source.kind == WC_VIEW_SOURCE_PEER)
     {
       log_state (reader, "peer_read_failed", reason);
@@ -412,6 +491,32 @@
       reader->store_client, reader->source.is_other_domain ? STORE_TIMEOUT_US : LOST_STORE_TIMEOUT_US);
 }
 
+/* The peers of this instance do not depend on the result, because they check the store themselves. */
+static void
+handle_check_failure (WcViewReader *reader, const char *reason)
+{
+  uint64_t now_us = wc_clock_monotonic_us ();
+  bool     is_store_up =
+      wc_view_source_has_newer (reader->peers, wc_store_replica_get_confirmed_us (reader->replica), now_us);
+
+  log_state (reader, "store_check_failed", reason);
+  reader->check_avoid_deadline_us = now_us + (is_store_up ? CHECK_RETRY_MIN_US : CHECK_RETRY_US);
+  wc_store_sync_failed (reader->sync);
+  read_next (reader);
+}
+
+static void
+avoid_peer_if_behind (WcViewReader *reader, uint64_t age_us, uint64_t now_us)
+{
+  uint64_t confirmed_us = wc_store_replica_get_confirmed_us (reader->replica);
+
+  if (!wc_view_source_is_behind (reader->peers, now_us > age_us ? now_us - age_us : 0, confirmed_us, now_us))
+    return;
+  reader->counters.behind++;
+  log_state (reader, "peer_behind", "its view is older than one known elsewhere");
+  avoid_peer (reader);
+}
+
 static void
 avoid_peer (WcViewReader *reader)
 {
--- a/src/edge/view_reader.h
+++ b/src/edge/view_reader.h
@@ -18,6 +18,8 @@
  * @peer_reads: reads sent to a peer.
  * @failures: reads that failed, of either source.
  * @expired: reads whose source no longer knew the requested revision.
+ * @overdue: reads of the store because the view was overdue although a peer was available.
+ * @behind: peers that were given up because their view was older than one known elsewhere.
  */
 typedef struct
 {
@@ -25,6 +27,8 @@
   uint64_t peer_reads;
   uint64_t failures;
   uint64_t expired;
+  uint64_t overdue;
+  uint64_t behind;
 } WcViewReaderCounters;
 
 /**
--- a/tests/test_forward_metrics.c
+++ b/tests/test_forward_metrics.c
@@ -10,7 +10,7 @@
 static char *
 format_metrics (const WcForwardMetrics *metrics, const WcForwarder *forwarder)
 {
-  const WcViewReaderCounters   reader = { 1, 2, 3, 4 };
+  const WcViewReaderCounters   reader = { 1, 2, 3, 4, 5, 6 };
   const WcPacketSocketCounters packets = { 4, 5, 6, 7, 8 };
   const WcForwardGauges        gauges = {
            .forwarder = forwarder, .packets = &packets, .reader = &reader, .view_age_us = 1500000
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -160,7 +160,7 @@
   init_fleet (&fleet);
   run_rounds (&fleet, 30);
   for (uint32_t i = 0; i < INSTANCES; i++)
-    readers += wc_view_source_choose (fleet.tables[i], 0, fleet.now_us).kind == WC_VIEW_SOURCE_STORE;
+    readers += wc_view_source_choose (fleet.tables[i], &(WcViewState){ 0 }, fleet.now_us).kind == WC_VIEW_SOURCE_STORE;
   ck_assert_uint_eq (readers, DOMAINS);
   finish_fleet (&fleet);
 }
@@ -199,7 +199,7 @@
     }
   for (uint32_t i = 0; i < MEMBERS; i++)
     {
-      const WcViewSource source = wc_view_source_choose (tables[i], 0, now_us);
+      const WcViewSource source = wc_view_source_choose (tables[i], &(WcViewState){ 0 }, now_us);
 
       roots += source.kind == WC_VIEW_SOURCE_STORE;
       parents[i] = source.kind == WC_VIEW_SOURCE_STORE ? i : (uint32_t)source.peer.ip[3] - 1;
@@ -227,11 +227,11 @@
 
   init_fleet (&fleet);
   run_rounds (&fleet, 30);
-  source = wc_view_source_choose (fleet.tables[1], 0, fleet.now_us);
+  source = wc_view_source_choose (fleet.tables[1], &(WcViewState){ 0 }, fleet.now_us);
   for (int i = 0; i < INSTANCES && source.kind == WC_VIEW_SOURCE_PEER; i++)
     {
       wc_peer_table_avoid (fleet.tables[1], &source.peer, fleet.now_us + 1000);
-      source = wc_view_source_choose (fleet.tables[1], 0, fleet.now_us);
+      source = wc_view_source_choose (fleet.tables[1], &(WcViewState){ 0 }, fleet.now_us);
     }
   ck_assert_int_eq (source.kind, WC_VIEW_SOURCE_STORE);
   finish_fleet (&fleet);
@@ -251,18 +251,18 @@
 
   init_fleet (&fleet);
   run_rounds (&fleet, 30);
-  failed = wc_view_source_choose (fleet.tables[1], 0, fleet.now_us);
+  failed = wc_view_source_choose (fleet.tables[1], &(WcViewState){ 0 }, fleet.now_us);
   ck_assert_int_eq (failed.kind, WC_VIEW_SOURCE_PEER);
   deadline_us = fleet.now_us + 2000 * 1000;
   wc_peer_table_avoid (fleet.tables[1], &failed.peer, deadline_us);
   while (fleet.now_us < deadline_us)
     {
-      source = wc_view_source_choose (fleet.tables[1], 0, fleet.now_us);
+      source = wc_view_source_choose (fleet.tables[1], &(WcViewState){ 0 }, fleet.now_us);
       ck_assert (source.kind != WC_VIEW_SOURCE_PEER || !wc_address_equal (&source.peer, &failed.peer));
       ck_assert_uint_eq (wc_peer_table_count_avoided (fleet.tables[1], fleet.now_us), 1);
       run_rounds (&fleet, 1);
     }
-  source = wc_view_source_choose (fleet.tables[1], 0, fleet.now_us);
+  source = wc_view_source_choose (fleet.tables[1], &(WcViewState){ 0 }, fleet.now_us);
   ck_assert (source.kind == WC_VIEW_SOURCE_PEER && wc_address_equal (&source.peer, &failed.peer));
   finish_fleet (&fleet);
 }
@@ -296,6 +296,67 @@
 }
 END_TEST
 
+/*
+ * No peer confirms the view, whatever the cause. Guards against an instance that depends on its peers for longer than a
+ * change may take, against all levels of a domain reading the store at once, and against retries in a loop.
+ */
+START_TEST (overdue_view_is_read_from_store)
+{
+  Fleet    fleet;
+  uint64_t checks_us[INSTANCES] = { 0 };
+  uint64_t confirmed_us;
+
+  init_fleet (&fleet);
+  run_rounds (&fleet, 30);
+  confirmed_us = fleet.now_us;
+  for (uint64_t now_us = confirmed_us; now_us < confirmed_us + 3000 * 1000; now_us += 50 * 1000)
+    for (uint32_t i = 0; i < INSTANCES; i++)
+      {
+        const WcViewState  view = { .confirmed_us = confirmed_us };
+        const WcViewSource source = wc_view_source_choose (fleet.tables[i], &view, now_us);
+
+        ck_assert (!source.is_check || source.kind == WC_VIEW_SOURCE_STORE);
+        if (source.is_check && checks_us[i] == 0)
+          checks_us[i] = now_us - confirmed_us;
+      }
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    {
+      const WcViewState  avoided = { .confirmed_us = confirmed_us,
+                                     .check_avoid_deadline_us = confirmed_us + 9000 * 1000 };
+      const WcViewSource source = wc_view_source_choose (fleet.tables[i], &avoided, confirmed_us + 5000 * 1000);
+
+      ck_assert (checks_us[i] == 0 || (checks_us[i] >= 2000 * 1000 && checks_us[i] < 2500 * 1000));
+      ck_assert (!source.is_check);
+      ck_assert (source.kind == WC_VIEW_SOURCE_STORE || source.deadline_us == avoided.check_avoid_deadline_us);
+    }
+  finish_fleet (&fleet);
+}
+END_TEST
+
+/*
+ * Guards against a source that is kept although a newer view is known, and against sources that are given up one after
+ * the other while the store is away from all.
+ */
+START_TEST (source_with_old_view_is_behind_newer_ones)
+{
+  const WcPeerEntry self = entry_of (0, 1);
+  WcPeerTable      *table = wc_peer_table_new (&self);
+  WcGossip          gossip = { .sender = entry_of (4, 2), .view_age_ms = 4000 };
+  uint64_t          now_us = 1000 * 1000 * 1000;
+  uint64_t          old_us = now_us - 4000 * 1000;
+
+  wc_peer_table_receive (table, &gossip, now_us);
+  ck_assert (!wc_view_source_is_behind (table, old_us, old_us, now_us));
+  ck_assert (wc_view_source_is_behind (table, old_us, now_us, now_us));
+  ck_assert (!wc_view_source_is_behind (table, now_us - 1000 * 1000, now_us, now_us));
+  gossip.sender = entry_of (5, 3);
+  gossip.view_age_ms = 300;
+  wc_peer_table_receive (table, &gossip, now_us);
+  ck_assert (wc_view_source_is_behind (table, old_us, old_us, now_us));
+  wc_peer_table_delete (table);
+}
+END_TEST
+
 /* Guards against an instance that cannot read the store and does not read from peers either. */
 START_TEST (most_recent_peer_view_is_read_without_store)
 {
@@ -305,7 +366,9 @@
   uint64_t          now_us = 1000 * 1000 * 1000;
   WcViewSource      source;
 
-  ck_assert_int_eq (wc_view_source_choose (table, now_us + 1000, now_us).kind, WC_VIEW_SOURCE_NONE);
+  ck_assert_int_eq (
+      wc_view_source_choose (table, &(WcViewState){ .store_avoid_deadline_us = now_us + 1000 }, now_us).kind,
+      WC_VIEW_SOURCE_NONE);
   wc_peer_table_receive (table, &gossip, now_us);
   gossip.sender = entry_of (2, 3);
   gossip.view_age_ms = 100;
@@ -313,10 +376,11 @@
   gossip.sender = entry_of (3, 4);
   gossip.view_age_ms = UINT32_MAX;
   wc_peer_table_receive (table, &gossip, now_us);
-  source = wc_view_source_choose (table, now_us + 1000, now_us);
+  source = wc_view_source_choose (table, &(WcViewState){ .store_avoid_deadline_us = now_us + 1000 }, now_us);
   ck_assert_int_eq (source.kind, WC_VIEW_SOURCE_PEER);
   ck_assert_uint_eq (source.peer.ip[3], 3);
-  ck_assert_int_eq (wc_view_source_choose (table, now_us, now_us).kind, WC_VIEW_SOURCE_STORE);
+  ck_assert_int_eq (wc_view_source_choose (table, &(WcViewState){ .store_avoid_deadline_us = now_us }, now_us).kind,
+                    WC_VIEW_SOURCE_STORE);
   wc_peer_table_delete (table);
 }
 END_TEST
@@ -342,13 +406,13 @@
       if (wc_peer_rank (&gossip.sender.address) > wc_peer_rank (&self.address))
         wc_peer_table_receive (table, &gossip, now_us);
     }
-  source = wc_view_source_choose (table, now_us + 1000, now_us);
+  source = wc_view_source_choose (table, &(WcViewState){ .store_avoid_deadline_us = now_us + 1000 }, now_us);
   ck_assert_int_eq (source.kind, WC_VIEW_SOURCE_PEER);
   ck_assert_uint_eq (source.peer.ip[3], 2);
   ck_assert (source.is_other_domain);
   /* An old view of the other domain is no better than the view of the own domain. */
   now_us += 3000 * 1000;
-  source = wc_view_source_choose (table, now_us + 1000, now_us);
+  source = wc_view_source_choose (table, &(WcViewState){ .store_avoid_deadline_us = now_us + 1000 }, now_us);
   ck_assert_int_eq (source.kind, WC_VIEW_SOURCE_PEER);
   ck_assert (!source.is_other_domain);
   wc_peer_table_delete (table);
@@ -419,6 +483,8 @@
   tcase_add_test (tests, readers_form_a_tree);
   tcase_add_test (tests, failed_reader_is_skipped);
   tcase_add_test (tests, failed_source_is_avoided_until_deadline);
+  tcase_add_test (tests, overdue_view_is_read_from_store);
+  tcase_add_test (tests, source_with_old_view_is_behind_newer_ones);
   tcase_add_test (tests, relayed_heartbeat_does_not_revive_failed_source);
   tcase_add_test (tests, most_recent_peer_view_is_read_without_store);
   tcase_add_test (tests, other_domain_is_read_without_store);
--- a/tests/test_view_reader.c
+++ b/tests/test_view_reader.c
@@ -133,6 +133,86 @@
 }
 END_TEST
 
+/*
+ * Four instances of the domain hang, and each is given up only after a timeout. Guards against a delay that grows with
+ * their number: with two of them frozen, requests were handled by an old configuration for 3.5 s.
+ */
+START_TEST (hung_peers_do_not_delay_changes)
+{
+  int         sockets[4];
+  ViewFixture fixture;
+  WcAddress   store;
+  uint64_t    revision;
+  uint64_t    start_us;
+
+  view_fixture_init (&fixture);
+  view_wait_for_revision (&fixture, &fixture.first, 10);
+  wc_emulated_store_get_address (fixture.store, &store);
+  view_fixture_start (&fixture, &fixture.second, 2, "a", &store);
+  view_wait_for_revision (&fixture, &fixture.second, 10);
+  for (size_t i = 0; i < G_N_ELEMENTS (sockets); i++)
+    sockets[i] = view_add_hung_peer (&fixture.second, 10 + i);
+  /* The read of the store that is in progress ends, and the first of them is read from. */
+  view_run_for (&fixture, 1200);
+  revision = wc_emulated_store_put (fixture.store, "op/config", "{}", 2);
+  start_us = wc_clock_monotonic_us ();
+  view_wait_for_revision (&fixture, &fixture.second, revision);
+  ck_assert_uint_lt (wc_clock_monotonic_us () - start_us, 3000 * 1000);
+  for (size_t i = 0; i < G_N_ELEMENTS (sockets); i++)
+    close (sockets[i]);
+  view_fixture_finish (&fixture);
+}
+END_TEST
+
+/*
+ * The first instance of the domain answers its peers, but its view is no longer updated. Guards against a valid answer
+ * that is taken for a current one: a peer was given up only when its view was 3.5 s old, later than a configuration
+ * must be in force.
+ */
+START_TEST (peer_with_old_view_does_not_delay_changes)
+{
+  ViewFixture fixture;
+  WcAddress   store;
+  uint64_t    revision;
+  uint64_t    start_us;
+
+  view_fixture_init (&fixture);
+  view_wait_for_revision (&fixture, &fixture.first, 10);
+  wc_emulated_store_get_address (fixture.store, &store);
+  view_start_follower (&fixture, &store);
+  wc_view_reader_delete (fixture.first.reader);
+  fixture.first.reader = NULL;
+  revision = wc_emulated_store_put (fixture.store, "op/config", "{}", 2);
+  start_us = wc_clock_monotonic_us ();
+  view_wait_for_revision (&fixture, &fixture.second, revision);
+  ck_assert_uint_lt (wc_clock_monotonic_us () - start_us, 3000 * 1000);
+  ck_assert_uint_eq (wc_peer_table_count_avoided (fixture.second.peers, wc_clock_monotonic_us ()), 1);
+  view_fixture_finish (&fixture);
+}
+END_TEST
+
+/*
+ * The store is away. Guards against a call to it by each instance several times a second, because its view is overdue,
+ * and against a source that is given up although no other has a newer view.
+ */
+START_TEST (overdue_view_is_not_checked_in_a_loop)
+{
+  ViewFixture fixture;
+  WcAddress   nobody = view_unused_address ();
+
+  view_fixture_init (&fixture);
+  view_wait_for_revision (&fixture, &fixture.first, 10);
+  view_start_follower (&fixture, &nobody);
+  wc_view_reader_delete (fixture.first.reader);
+  fixture.first.reader = NULL;
+  view_run_for (&fixture, 5000);
+  ck_assert_uint_ge (wc_view_reader_get_counters (fixture.second.reader)->overdue, 1);
+  ck_assert_uint_le (wc_view_reader_get_counters (fixture.second.reader)->overdue, 2);
+  ck_assert_uint_eq (wc_peer_table_count_avoided (fixture.second.peers, wc_clock_monotonic_us ()), 0);
+  view_fixture_finish (&fixture);
+}
+END_TEST
+
 /* Guards against instances that keep waiting for changes from a peer that has lost the store. */
 START_TEST (followers_are_rejected_when_store_is_lost)
 {
@@ -247,6 +327,9 @@
   tcase_add_test (tests, followers_are_rejected_when_store_is_lost);
   tcase_add_test (tests, followers_keep_source_that_reads_another_domain);
   tcase_add_test (tests, domains_do_not_read_through_each_other);
+  tcase_add_test (tests, hung_peers_do_not_delay_changes);
+  tcase_add_test (tests, peer_with_old_view_does_not_delay_changes);
+  tcase_add_test (tests, overdue_view_is_not_checked_in_a_loop);
   tcase_add_test (tests, large_pages_are_read);
   tcase_add_test (tests, consecutive_changes_are_batched);
   tcase_add_test (tests, recovers_from_every_store_fault);
--- a/tests/view_fixture.h
+++ b/tests/view_fixture.h
@@ -9,6 +9,7 @@
 
 #include "edge/clock.h"
 #include "edge/peer_endpoint.h"
+#include "edge/socket.h"
 #include "edge/store_view.h"
 #include "edge/view_reader.h"
 #include "emulator/emulated_store.h"
@@ -283,6 +284,26 @@
   wc_peer_table_receive (instance->peers, &gossip, wc_clock_monotonic_us ());
 }
 
+/*
+ * Adds an instance to the domain of @instance and before it in the peer order, so that it is read from. It accepts
+ * connections and never answers, as a frozen process does. Return: its socket, which the caller closes.
+ */
+static inline int
+view_add_hung_peer (const ViewInstance *instance, uint64_t incarnation)
+{
+  const WcPeerEntry *self = wc_peer_table_get_self (instance->peers);
+  WcGossip           gossip = { .sender = { .incarnation = incarnation, .heartbeat = 1, .domain = self->domain } };
+  int                fd;
+
+  do
+    gossip.sender.address = view_unused_address ();
+  while (wc_peer_rank (&gossip.sender.address) > wc_peer_rank (&self->address));
+  fd = wc_socket_listen (&gossip.sender.address);
+  ck_assert_int_ge (fd, 0);
+  wc_peer_table_receive (instance->peers, &gossip, wc_clock_monotonic_us ());
+  return fd;
+}
+
 /* Starts the second instance in the domain of the first and after it in the peer order, so that it reads through it. */
 static inline void
 view_start_follower (ViewFixture *fixture, const WcAddress *store)
