--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &wc__host_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wc__flow_note__init
+                     (Wc__FlowNote         *message)
+{
+  static const Wc__FlowNote init_value = WC__FLOW_NOTE__INIT;
+  *message = init_value;
+}
+size_t wc__flow_note__get_packed_size
+                     (const Wc__FlowNote *message)
+{
+  assert(message->base.descriptor == &wc__flow_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wc__flow_note__pack
+                     (const Wc__FlowNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wc__flow_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wc__flow_note__pack_to_buffer
+                     (const Wc__FlowNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wc__flow_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wc__FlowNote *
+       wc__flow_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wc__FlowNote *)
+     protobuf_c_message_unpack (&wc__flow_note__descriptor,
+                                allocator, len, data);
+}
+void   wc__flow_note__free_unpacked
+                     (Wc__FlowNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wc__flow_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wc__peer_news__init
                      (Wc__PeerNews         *message)
 {
@@ -2654,7 +2699,123 @@
   (ProtobufCMessageInit) wc__host_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__peer_news__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wc__flow_note__field_descriptors[7] =
+{
+  {
+    "caller_ip",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__FlowNote, caller_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route_ip",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__FlowNote, route_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_port",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__FlowNote, caller_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route_port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__FlowNote, route_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__FlowNote, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cookie",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__FlowNote, cookie),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asks",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wc__FlowNote, asks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wc__flow_note__field_indices_by_name[] = {
+  6,   /* field[6] = asks */
+  0,   /* field[0] = caller_ip */
+  2,   /* field[2] = caller_port */
+  5,   /* field[5] = cookie */
+  1,   /* field[1] = route_ip */
+  3,   /* field[3] = route_port */
+  4,   /* field[4] = sequence */
+};
+static const ProtobufCIntRange wc__flow_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wc__flow_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wc.FlowNote",
+  "FlowNote",
+  "Wc__FlowNote",
+  "wc",
+  sizeof(Wc__FlowNote),
+  7,
+  wc__flow_note__field_descriptors,
+  wc__flow_note__field_indices_by_name,
+  1,  wc__flow_note__number_ranges,
+  (ProtobufCMessageInit) wc__flow_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wc__peer_news__field_descriptors[12] =
 {
   {
     "sender",
@@ -2788,12 +2949,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flows",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wc__PeerNews, n_flows),
+    offsetof(Wc__PeerNews, flows),
+    &wc__flow_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__peer_news__field_indices_by_name[] = {
   7,   /* field[7] = asks */
   10,   /* field[10] = domain_instances */
   8,   /* field[8] = echo_heartbeat */
   9,   /* field[9] = echo_incarnation */
+  11,   /* field[11] = flows */
   5,   /* field[5] = hosts */
   4,   /* field[4] = known */
   6,   /* field[6] = logical */
@@ -2806,7 +2980,7 @@
 {
   { 1, 0 },
   { 10, 8 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wc__peer_news__descriptor =
 {
@@ -2816,7 +2990,7 @@
   "Wc__PeerNews",
   "wc",
   sizeof(Wc__PeerNews),
-  11,
+  12,
   wc__peer_news__field_descriptors,
   wc__peer_news__field_indices_by_name,
   2,  wc__peer_news__number_ranges,
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Wc__PeerFrame Wc__PeerFrame;
 typedef struct Wc__PeerEntry Wc__PeerEntry;
 typedef struct Wc__HostReport Wc__HostReport;
+typedef struct Wc__FlowNote Wc__FlowNote;
 typedef struct Wc__PeerNews Wc__PeerNews;
 typedef struct Wc__ViewChange Wc__ViewChange;
 typedef struct Wc__ViewChanges Wc__ViewChanges;
@@ -350,9 +351,30 @@
 
 
 /*
- * Gossip datagram between instances that forward packets: state of the sender, some of the other instances that it
- *knows, and reports on hosts. 
+ * Question about the host of an open flow, or statement of it. 
  */
+struct  Wc__FlowNote
+{
+  ProtobufCMessage base;
+  uint32_t caller_ip;
+  uint32_t route_ip;
+  uint32_t caller_port;
+  uint32_t route_port;
+  /*
+   * A sequence number of the caller. 
+   */
+  uint32_t sequence;
+  /*
+   * Cookie of the host; 0 in a question, and in the answer of an instance that does not know the flow. 
+   */
+  uint32_t cookie;
+  protobuf_c_boolean asks;
+};
+#define WC__FLOW_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wc__flow_note__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Wc__PeerNews
 {
   ProtobufCMessage base;
@@ -379,10 +401,15 @@
    * Instances of the receiver's domain that the sender remembers; 0 when it does not know the receiver. 
    */
   uint32_t domain_instances;
+  /*
+   * Instances of earlier releases ignore these. 
+   */
+  size_t n_flows;
+  Wc__FlowNote **flows;
 };
 #define WC__PEER_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__peer_news__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -661,6 +688,25 @@
 void   wc__host_report__free_unpacked
                      (Wc__HostReport *message,
                       ProtobufCAllocator *allocator);
+/* Wc__FlowNote methods */
+void   wc__flow_note__init
+                     (Wc__FlowNote         *message);
+size_t wc__flow_note__get_packed_size
+                     (const Wc__FlowNote   *message);
+size_t wc__flow_note__pack
+                     (const Wc__FlowNote   *message,
+                      uint8_t             *out);
+size_t wc__flow_note__pack_to_buffer
+                     (const Wc__FlowNote   *message,
+                      ProtobufCBuffer     *buffer);
+Wc__FlowNote *
+       wc__flow_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wc__flow_note__free_unpacked
+                     (Wc__FlowNote *message,
+                      ProtobufCAllocator *allocator);
 /* Wc__PeerNews methods */
 void   wc__peer_news__init
                      (Wc__PeerNews         *message);
@@ -756,6 +802,9 @@
 typedef void (*Wc__HostReport_Closure)
                  (const Wc__HostReport *message,
                   void *closure_data);
+typedef void (*Wc__FlowNote_Closure)
+                 (const Wc__FlowNote *message,
+                  void *closure_data);
 typedef void (*Wc__PeerNews_Closure)
                  (const Wc__PeerNews *message,
                   void *closure_data);
@@ -787,6 +836,7 @@
 extern const ProtobufCEnumDescriptor    wc__peer_frame__kind__descriptor;
 extern const ProtobufCMessageDescriptor wc__peer_entry__descriptor;
 extern const ProtobufCMessageDescriptor wc__host_report__descriptor;
+extern const ProtobufCMessageDescriptor wc__flow_note__descriptor;
 extern const ProtobufCMessageDescriptor wc__peer_news__descriptor;
 extern const ProtobufCMessageDescriptor wc__view_change__descriptor;
 extern const ProtobufCMessageDescriptor wc__view_changes__descriptor;
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -60,6 +60,9 @@
    * too late, and hosts refused more requests under overload.
    */
   FAILURE_REPORTS_MAX = 8,
+  /* Hosts of flows that are sent to a peer that has started; 16 datagrams. The peer asks for others when it needs them.
+   */
+  JOIN_FLOW_NOTES_MAX = 256,
   /* An instance that has received data neither from the store nor from a peer for this long counts as isolated. */
   ISOLATION_TIMEOUT_US = 3000 * 1000
 };
@@ -101,40 +104,44 @@
   size_t                   next_reported_host;
 };
 
-static uint64_t generate_incarnation (void);
-static bool     open_sockets (WcForwardServer *server, WcError *error);
-static void     start_watchers (WcForwardServer *server);
-static void     forwarder_timer_expired (struct ev_loop *loop, ev_timer *watcher, int events);
-static void     run_forwarder_timers (WcForwardServer *server);
-static void     receive_packet (void *user_data, const WcPacket *packet, uint64_t now_us);
-static void     packet_batch_received (void *user_data, uint64_t now_us);
-static void     forward_packet (void *user_data, const WcPacket *packet, const WcHost *host);
-static void     reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
-static void     log_decision (void *user_data, const WcDecision *decision);
-static void     flow_opened (void *user_data, uint64_t duration_us);
-static void     request_answered (void *user_data, uint64_t duration_us);
-static void     apply_change (void *user_data, const WcStoreChange *change);
-static void     view_updated (void *user_data);
-static void     source_lost (void *user_data);
-static void     indirect_changed (void *user_data, bool is_indirect);
-static uint64_t get_view_age_us (const WcForwardServer *server);
-static bool     is_ready (void *user_data);
-static char    *format_metrics (void *user_data);
-static char    *format_status (void *user_data);
-static char    *format_explanation (void *user_data, const char *route, const char *caller, WcError *error);
-static void     fill_own_state (void *user_data, WcGossip *gossip);
-static void     add_next_host_reports (void *user_data, WcGossip *gossip);
-static void     add_host_reports (void *user_data, uint64_t id, WcGossip *gossip);
-static void     gossip_received (void *user_data, const WcGossip *gossip);
-static void     settings_changed (void *user_data, const WcForwardSettings *settings);
-static void     tick_timer_expired (struct ev_loop *loop, ev_timer *watcher, int events);
-static void     detect_delay (WcForwardServer *server);
-static void     run_gossip_round (WcForwardServer *server);
-static void     query_peers_about_hosts (WcForwardServer *server);
-static void     report_failures (WcForwardServer *server);
-static void     signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
-static void     stop_when_idle (WcForwardServer *server);
-static void     log_state (WcForwardServer *server, const char *event);
+static uint64_t   generate_incarnation (void);
+static bool       open_sockets (WcForwardServer *server, WcError *error);
+static void       start_watchers (WcForwardServer *server);
+static void       forwarder_timer_expired (struct ev_loop *loop, ev_timer *watcher, int events);
+static void       run_forwarder_timers (WcForwardServer *server);
+static void       receive_packet (void *user_data, const WcPacket *packet, uint64_t now_us);
+static void       packet_batch_received (void *user_data, uint64_t now_us);
+static void       forward_packet (void *user_data, const WcPacket *packet, const WcHost *host);
+static void       reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
+static void       log_decision (void *user_data, const WcDecision *decision);
+static void       flow_opened (void *user_data, uint64_t duration_us);
+static void       request_answered (void *user_data, uint64_t duration_us);
+static size_t     send_flow_note (void *user_data, const WcFlowNote *note);
+static void       announce_host (void *user_data, const WcFlowNote *note);
+static void       apply_change (void *user_data, const WcStoreChange *change);
+static void       view_updated (void *user_data);
+static void       source_lost (void *user_data);
+static void       indirect_changed (void *user_data, bool is_indirect);
+static uint64_t   get_view_age_us (const WcForwardServer *server);
+static bool       is_ready (void *user_data);
+static char      *format_metrics (void *user_data);
+static char      *format_status (void *user_data);
+static char      *format_explanation (void *user_data, const char *route, const char *caller, WcError *error);
+static void       fill_own_state (void *user_data, WcGossip *gossip);
+static void       add_next_host_reports (void *user_data, WcGossip *gossip);
+static void       add_host_reports (void *user_data, uint64_t id, WcGossip *gossip);
+static void       gossip_received (void *user_data, const WcGossip *gossip);
+static WcFlowNote answer_flow_note (void *user_data, const WcFlowNote *question);
+static void       peer_joined (void *user_data, const WcPeerEntry *peer);
+static void       settings_changed (void *user_data, const WcForwardSettings *settings);
+static void       tick_timer_expired (struct ev_loop *loop, ev_timer *watcher, int events);
+static void       detect_delay (WcForwardServer *server);
+static void       run_gossip_round (WcForwardServer *server);
+static void       query_peers_about_hosts (WcForwardServer *server);
+static void       report_failures (WcForwardServer *server);
+static void       signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
+static void       stop_when_idle (WcForwardServer *server);
+static void       log_state (WcForwardServer *server, const char *event);
 
 static const WcForwarderOps FORWARDER_OPS = {
   .forward = forward_packet,
@@ -142,6 +149,8 @@
   .decided = log_decision,
   .opened = flow_opened,
   .answered = request_answered,
+  .ask_host = send_flow_note,
+  .announce_host = announce_host,
 };
 
 static const WcStoreReplicaOps REPLICA_OPS = { .apply = apply_change, .compare = wc_store_view_compare };
@@ -155,6 +164,8 @@
   .add_next_reports = add_next_host_reports,
   .add_host_reports = add_host_reports,
   .gossip_received = gossip_received,
+  .answer_flow_note = answer_flow_note,
+  .peer_joined = peer_joined,
 };
 
 static const WcStatusPortOps READY_PORT_OPS = { .ready = is_ready, .metrics = format_metrics };
@@ -385,6 +396,20 @@
   wc_latency_histogram_add (server->metrics.answer, duration_us);
 }
 
+static size_t
+send_flow_note (void *user_data, const WcFlowNote *note)
+{
+  WcForwardServer *server = user_data;
+
+  return wc_peer_endpoint_send_flow_note (server->peer_endpoint, note, server->now_us);
+}
+
+static void
+announce_host (void *user_data, const WcFlowNote *note)
+{
+  (void)send_flow_note (user_data, note);
+}
+
 static void
 apply_change (void *user_data, const WcStoreChange *change)
 {
@@ -565,9 +590,30 @@
   wc_forwarder_apply_domain_load (server->forwarder, gossip->sender.domain,
                                   wc_peer_table_count_in (server->peers, gossip->sender.domain, now_us), gossip->hosts,
                                   gossip->host_count, now_us);
+  for (size_t i = 0; i < gossip->flow_count; i++)
+    if (!gossip->flows[i].asks)
+      wc_forwarder_apply_flow_note (server->forwarder, &gossip->flows[i], now_us);
   wc_packet_socket_flush (server->packet_socket);
 }
 
+static WcFlowNote
+answer_flow_note (void *user_data, const WcFlowNote *question)
+{
+  return wc_forwarder_answer_flow_note (((WcForwardServer *)user_data)->forwarder, question);
+}
+
+/* An instance that has started knows no flow. */
+static void
+peer_joined (void *user_data, const WcPeerEntry *peer)
+{
+  WcForwardServer *server = user_data;
+  WcFlowNote       notes[JOIN_FLOW_NOTES_MAX];
+
+  if (peer->domain == wc_peer_table_get_self (server->peers)->domain)
+    wc_peer_endpoint_send_flow_notes (server->peer_endpoint, &peer->address, notes,
+                                      wc_forwarder_get_flow_notes (server->forwarder, notes, G_N_ELEMENTS (notes)));
+}
+
 static void
 settings_changed (void *user_data, const WcForwardSettings *settings)
 {
--- a/src/edge/peer_endpoint.c
+++ b/src/edge/peer_endpoint.c
@@ -9,6 +9,7 @@
 #include "edge/http_server.h"
 #include "edge/socket_address.h"
 #include "edge/udp_batch.h"
+#include "forward/flow_table.h"
 
 enum
 {
@@ -64,6 +65,7 @@
 static void     query_peers (WcPeerEndpoint *endpoint, uint64_t host, bool failures_only, uint64_t now_us);
 static void     add_host_reports (WcPeerEndpoint *endpoint, uint64_t host, bool failures_only, WcGossip *gossip);
 static void     reply_to_query (WcPeerEndpoint *endpoint, const WcGossip *query);
+static void     reply_to_flow_questions (WcPeerEndpoint *endpoint, const WcGossip *query);
 static void     send_datagram (WcPeerEndpoint *endpoint, WcGossip *gossip, const WcAddress *destination);
 static void     request_received (void *user_data, WcHttpExchange *exchange);
 static void     request_aborted (void *user_data, WcHttpExchange *exchange);
@@ -83,6 +85,7 @@
   assert (loop != NULL && peers != NULL && replica != NULL);
   assert (ops != NULL && ops->fill_own_state != NULL && ops->add_next_reports != NULL);
   assert (ops->add_host_reports != NULL && ops->gossip_received != NULL);
+  assert (ops->answer_flow_note != NULL && ops->peer_joined != NULL);
 
   if (fd < 0)
     return NULL;
@@ -141,6 +144,37 @@
   query_peers (endpoint, host, true, now_us);
 }
 
+size_t
+wc_peer_endpoint_send_flow_note (WcPeerEndpoint *endpoint, const WcFlowNote *note, uint64_t now_us)
+{
+  WcAddress destinations[WC_FLOW_HOLDERS];
+  size_t    count;
+
+  assert (endpoint != NULL && note != NULL);
+
+  count = wc_peer_table_pick_flow_holders (endpoint->peers, wc_flow_key_hash (&note->key), now_us, destinations);
+  for (size_t i = 0; i < count; i++)
+    wc_peer_endpoint_send_flow_notes (endpoint, &destinations[i], note, 1);
+  return count;
+}
+
+void
+wc_peer_endpoint_send_flow_notes (WcPeerEndpoint *endpoint, const WcAddress *destination, const WcFlowNote *notes,
+                                  size_t count)
+{
+  assert (endpoint != NULL && destination != NULL);
+
+  for (size_t first = 0; first < count; first += WC_GOSSIP_MAX_FLOWS)
+    {
+      WcGossip gossip = { .flow_count = MIN (count - first, WC_GOSSIP_MAX_FLOWS) };
+
+      memcpy (gossip.flows, &notes[first], gossip.flow_count * sizeof *notes);
+      wc_peer_table_fill_sender (endpoint->peers, &gossip);
+      send_datagram (endpoint, &gossip, destination);
+    }
+  wc_udp_batch_flush (endpoint->udp_batch);
+}
+
 uint64_t
 wc_peer_endpoint_get_malformed (const WcPeerEndpoint *endpoint)
 {
@@ -225,11 +259,15 @@
       return;
     }
   if (wc_peer_table_receive (endpoint->peers, &gossip, now_us))
-    send_gossip (endpoint, &gossip.sender.address, now_us);
+    {
+      send_gossip (endpoint, &gossip.sender.address, now_us);
+      endpoint->ops.peer_joined (endpoint->user_data, &gossip.sender);
+    }
   wc_event_log_merge_logical_clock (endpoint->log, gossip.logical);
   endpoint->ops.gossip_received (endpoint->user_data, &gossip);
   if (gossip.asks)
     reply_to_query (endpoint, &gossip);
+  reply_to_flow_questions (endpoint, &gossip);
 }
 
 static void
@@ -282,6 +320,18 @@
   send_datagram (endpoint, &gossip, &query->sender.address);
 }
 
+static void
+reply_to_flow_questions (WcPeerEndpoint *endpoint, const WcGossip *query)
+{
+  WcFlowNote answers[WC_GOSSIP_MAX_FLOWS];
+  size_t     count = 0;
+
+  for (size_t i = 0; i < query->flow_count; i++)
+    if (query->flows[i].asks)
+      answers[count++] = endpoint->ops.answer_flow_note (endpoint->user_data, &query->flows[i]);
+  wc_peer_endpoint_send_flow_notes (endpoint, &query->sender.address, answers, count);
+}
+
 static void
 send_datagram (WcPeerEndpoint *endpoint, WcGossip *gossip, const WcAddress *destination)
 {
--- a/src/edge/peer_endpoint.h
+++ b/src/edge/peer_endpoint.h
@@ -22,6 +22,8 @@
  * @add_next_reports: add reports on the next hosts in round-robin order, up to WC_GOSSIP_MAX_HOSTS.
  * @add_host_reports: add the reports on one host.
  * @gossip_received: gossip was received from a peer; the peer table has been updated from it already.
+ * @answer_flow_note: answer a question about the host of a flow.
+ * @peer_joined: a peer has started, or was heard of for the first time.
  */
 typedef struct
 {
@@ -29,6 +31,8 @@
   void (*add_next_reports) (void *user_data, WcGossip *gossip);
   void (*add_host_reports) (void *user_data, uint64_t host, WcGossip *gossip);
   void (*gossip_received) (void *user_data, const WcGossip *gossip);
+  WcFlowNote (*answer_flow_note) (void *user_data, const WcFlowNote *question);
+  void (*peer_joined) (void *user_data, const WcPeerEntry *peer);
 } WcPeerEndpointOps;
 
 /**
@@ -56,6 +60,16 @@
  */
 void wc_peer_endpoint_report_failures (WcPeerEndpoint *endpoint, uint64_t host, uint64_t now_us);
 
+/**
+ * wc_peer_endpoint_send_flow_note() - send a question about the host of a flow, or a statement of it, to the peers that
+ * hold it. Return: number of peers.
+ */
+size_t wc_peer_endpoint_send_flow_note (WcPeerEndpoint *endpoint, const WcFlowNote *note, uint64_t now_us);
+
+/** wc_peer_endpoint_send_flow_notes() - send statements of the hosts of flows to one peer. */
+void wc_peer_endpoint_send_flow_notes (WcPeerEndpoint *endpoint, const WcAddress *destination, const WcFlowNote *notes,
+                                       size_t count);
+
 /** wc_peer_endpoint_get_malformed() - number of received datagrams that could not be decoded. */
 uint64_t wc_peer_endpoint_get_malformed (const WcPeerEndpoint *endpoint);
 
--- a/src/emulator/flow_experiment_fleet.c
+++ b/src/emulator/flow_experiment_fleet.c
@@ -39,7 +39,7 @@
 static void      decided (void *user_data, const WcDecision *decision);
 static void      ignore_duration (void *user_data, uint64_t duration_us);
 
-static const WcForwarderOps FORWARDER_OPS = { forward, reset, decided, ignore_duration, ignore_duration };
+static const WcForwarderOps FORWARDER_OPS = { forward, reset, decided, ignore_duration, ignore_duration, NULL, NULL };
 
 void
 wc_flow_experiment_fleet_init (WcFlowExperiment *experiment)
--- a/src/forward/flow_progress.c
+++ b/src/forward/flow_progress.c
@@ -33,6 +33,24 @@
   flow->last_packet_us = now_us;
 }
 
+void
+wc_flow_learn (WcFlow *flow, const WcFlowNote *note, uint64_t now_us)
+{
+  const WcFlowKey key = flow->key;
+
+  assert (note != NULL && note->cookie != 0 && wc_flow_key_equal (&key, &note->key));
+
+  *flow = (WcFlow){
+    .key = key,
+    .cookie = note->cookie,
+    .sent_end = note->sequence,
+    .state = WC_FLOW_LEARNED,
+    .is_ambiguous = 1,
+    .opened_us = now_us,
+    .last_packet_us = now_us,
+  };
+}
+
 WcFlowProgress
 wc_flow_update (WcFlow *flow, const WcPacket *packet, uint64_t now_us)
 {
@@ -93,6 +111,7 @@
     [WC_FLOW_OPENING] = OPENING_LIFETIME_US,
     [WC_FLOW_OPEN] = idle_us > 0 ? idle_us : UINT64_MAX,
     [WC_FLOW_CLOSING] = CLOSING_LIFETIME_US,
+    [WC_FLOW_LEARNED] = UINT64_MAX,
   };
 
   return now_us - flow->last_packet_us >= limits_us[flow->state] || now_us - flow->opened_us >= lifetime_us;
--- a/src/forward/flow_progress.h
+++ b/src/forward/flow_progress.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "forward/flow_note.h"
 #include "forward/flow_table.h"
 #include "forward/packet.h"
 
@@ -30,6 +31,12 @@
  */
 void wc_flow_start (WcFlow *flow, const WcPacket *packet, uint8_t kind, uint64_t now_us);
 
+/**
+ * wc_flow_learn() - track a flow of which a peer has named the host.
+ * @flow: its key must be that of @note; other state of it is lost.
+ */
+void wc_flow_learn (WcFlow *flow, const WcFlowNote *note, uint64_t now_us);
+
 /** wc_flow_update() - update @flow from a packet that follows the host's answer to the opening. */
 WcFlowProgress wc_flow_update (WcFlow *flow, const WcPacket *packet, uint64_t now_us);
 
--- a/src/forward/flow_table.h
+++ b/src/forward/flow_table.h
@@ -14,11 +14,15 @@
   WC_FLOW_OPENING = 0,
   WC_FLOW_OPEN,
   /* The caller has sent its last data. */
-  WC_FLOW_CLOSING
+  WC_FLOW_CLOSING,
+  /* A peer has named the host of the open flow; no packet of it has arrived here since. */
+  WC_FLOW_LEARNED
 } WcFlowState;
 
 /**
- * struct WcFlow - tracked state of a flow. Losing it costs efficiency, not correctness.
+ * struct WcFlow - tracked state of a flow. An instance that loses it, or never had it, knows the host from a confirmed
+ * cookie in the caller's packets. A caller whose cookie is not confirmed may have that of another host; what then names
+ * the host of the flow is the state of the peers that were told, see forwarder_inquiry.c.
  * @cookie: identifies the host of the flow.
  * @sent_end: sequence number after the last data that the caller has sent.
  * @acknowledged: the caller's latest acknowledgement number.
@@ -30,6 +34,7 @@
  * flow; or the opening was not answered in time.
  * @second_host: the opening was forwarded to a second host because the first did not answer.
  * @failed: the pending request was counted as failed.
+ * @is_ambiguous: more than one host may have answered the opening; peers know which one the caller chose.
  * @unanswered_cookie: identifies the host that left the opening unanswered before it was forwarded to another one; 0
  * for none.
  * @request_id: identifier of the last request; 0 when unknown.
@@ -52,6 +57,7 @@
   uint8_t   moved : 1;
   uint8_t   second_host : 1;
   uint8_t   failed : 1;
+  uint8_t   is_ambiguous : 1;
   uint32_t  unanswered_cookie;
   uint64_t  request_id;
   uint64_t  opened_us;
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -24,7 +24,10 @@
   WALK_SLOTS = 512
 };
 
-static void     receive_open (WcForwarder *forwarder, const WcPacket *packet);
+static void receive_open (WcForwarder *forwarder, const WcPacket *packet);
+static void
+forward_open (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host);
+static bool     is_tracked (const WcFlow *flow);
 static bool     has_lost_host (const WcFlow *flow, const WcHost *host);
 static uint32_t get_cookie (const WcFlow *flow, const WcPacket *packet);
 static void
@@ -49,6 +52,7 @@
   forwarder->hosts = wc_host_table_new (settings->flow_lifetime_us);
   forwarder->evacuation = wc_evacuation_new ();
   forwarder->flows = wc_flow_table_new (settings->max_flows);
+  forwarder->inquiries = wc_flow_inquiries_new ();
   forwarder->openings = wc_opening_queue_new ();
   wc_opening_budget_init (&forwarder->budget, settings->features.attempt_budget);
   if (!forwarder->settings.admission)
@@ -76,6 +80,7 @@
   wc_host_table_delete (forwarder->hosts);
   wc_evacuation_delete (forwarder->evacuation);
   wc_flow_table_delete (forwarder->flows);
+  wc_flow_inquiries_delete (forwarder->inquiries);
   wc_opening_queue_delete (forwarder->openings);
   wc_admission_queue_delete (forwarder->held);
   wc_admission_shares_delete (forwarder->shares);
@@ -175,7 +180,9 @@
 uint64_t
 wc_forwarder_get_deadline_us (const WcForwarder *forwarder)
 {
-  return MIN (wc_opening_queue_get_deadline_us (forwarder->openings), forwarder->admit_deadline_us);
+  uint64_t deadline_us = MIN (wc_opening_queue_get_deadline_us (forwarder->openings), forwarder->admit_deadline_us);
+
+  return MIN (deadline_us, wc_flow_inquiries_get_deadline_us (forwarder->inquiries));
 }
 
 const WcHostTable *
@@ -234,6 +241,16 @@
   wc_flow_table_remove (forwarder->flows, flow);
 }
 
+void
+wc_forwarder_forward_open (WcForwarder *forwarder, const WcPacket *packet)
+{
+  const WcRoute *route = forwarder->routes ? wc_route_table_find (forwarder->routes, &packet->key) : NULL;
+  WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+
+  forward_open (forwarder, route, flow, packet,
+                wc_host_table_find_cookie (forwarder->hosts, get_cookie (flow, packet)));
+}
+
 void
 wc_forwarder_set_flow_host (WcForwarder *forwarder, WcFlow *flow, WcHost *host)
 {
@@ -274,8 +291,16 @@
 {
   const WcRoute *route = wc_route_table_find (forwarder->routes, &packet->key);
   WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet->key);
-  WcHost        *host = wc_host_table_find_cookie (forwarder->hosts, get_cookie (flow, packet));
 
+  if (route && wc_forwarder_inquire (forwarder, flow, packet))
+    return;
+  forward_open (forwarder, route, flow, packet,
+                wc_host_table_find_cookie (forwarder->hosts, get_cookie (flow, packet)));
+}
+
+static void
+forward_open (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host)
+{
   if (!route)
     {
       if (packet->flags & WC_PACKET_RST)
@@ -288,9 +313,9 @@
       wc_forwarder_emit_decision (forwarder, WC_DECISION_DROPPED_UNKNOWN_HOST, &packet->key, NULL);
       return;
     }
-  if (!flow)
+  if (!is_tracked (flow))
     {
-      flow = wc_flow_table_add (forwarder->flows, &packet->key);
+      flow = flow ? flow : wc_flow_table_add (forwarder->flows, &packet->key);
       if (flow)
         wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
     }
@@ -304,6 +329,13 @@
   forwarder->ops.forward (forwarder->user_data, packet, host);
 }
 
+/* Whether packets of the flow have arrived at this instance. */
+static bool
+is_tracked (const WcFlow *flow)
+{
+  return flow && flow->state != WC_FLOW_LEARNED;
+}
+
 /*
  * A host that is no longer published may still serve if only its entry has expired. A request that is still unanswered
  * when the caller retransmits it shows that the host is gone.
@@ -338,7 +370,10 @@
     wc_forwarder_emit_decision (forwarder, WC_DECISION_LINK_LOSSY, &flow->key, host);
   wc_forwarder_record_outcome (forwarder, route, flow, host, &progress, request_us);
   if (progress.opened)
-    record_handshake (forwarder, host, forwarder->now_us - flow->opened_us);
+    {
+      record_handshake (forwarder, host, forwarder->now_us - flow->opened_us);
+      wc_forwarder_announce_choice (forwarder, flow);
+    }
   if (host->record.domain == forwarder->settings.domain)
     wc_admission_shares_record_progress (forwarder->shares, host->record.service, route->priority,
                                          flow->request_us == forwarder->now_us && request_us != forwarder->now_us,
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -8,6 +8,7 @@
 #include "forward/decision.h"
 #include "forward/evacuation.h"
 #include "forward/features.h"
+#include "forward/flow_note.h"
 #include "forward/host_report.h"
 #include "forward/host_table.h"
 #include "forward/opening_budget.h"
@@ -48,6 +49,9 @@
  * @decided: called for each decision, for logs and metrics.
  * @opened: the caller's first packet after an opening arrived @duration_us after the opening was last forwarded.
  * @answered: the caller's acknowledgement of the first part of an answer arrived @duration_us after the request.
+ * @ask_host: ask the peers that may know the host of a flow; NULL when there are no peers. Return: number of peers
+ * asked.
+ * @announce_host: tell these peers the host of a flow; NULL when there are no peers.
  */
 typedef struct
 {
@@ -56,6 +60,8 @@
   void (*decided) (void *user_data, const WcDecision *decision);
   void (*opened) (void *user_data, uint64_t duration_us);
   void (*answered) (void *user_data, uint64_t duration_us);
+  size_t (*ask_host) (void *user_data, const WcFlowNote *question);
+  void (*announce_host) (void *user_data, const WcFlowNote *note);
 } WcForwarderOps;
 
 /**
@@ -63,7 +69,7 @@
  * each call.
  *
  * The cookie in the packets of an open flow identifies its host, so that an instance without state of the flow can
- * forward them as well.
+ * forward them as well. Where the cookie is not confirmed, it asks its peers first.
  */
 typedef struct WcForwarder WcForwarder;
 
@@ -89,6 +95,20 @@
 void wc_forwarder_set_evacuated (WcForwarder *forwarder, uint32_t domain, bool is_evacuated, uint64_t revision,
                                  uint64_t now_us);
 
+/** wc_forwarder_apply_flow_note() - process a peer's statement of a flow's host, or that it does not know the flow. */
+void wc_forwarder_apply_flow_note (WcForwarder *forwarder, const WcFlowNote *note, uint64_t now_us);
+
+/** wc_forwarder_answer_flow_note() - answer a peer's question about the host of a flow. */
+WcFlowNote wc_forwarder_answer_flow_note (const WcForwarder *forwarder, const WcFlowNote *question);
+
+/**
+ * wc_forwarder_get_flow_notes() - the hosts of flows that an instance without state could mistake, for a peer that has
+ * started.
+ *
+ * Return: number of notes written, at most @max.
+ */
+size_t wc_forwarder_get_flow_notes (const WcForwarder *forwarder, WcFlowNote *notes, size_t max);
+
 /** wc_forwarder_set_domain_peers() - set the number of other live instances of this domain. */
 void wc_forwarder_set_domain_peers (WcForwarder *forwarder, uint32_t count);
 
--- /dev/null
+++ b/src/forward/forwarder_inquiry.c
@@ -0,0 +1,208 @@
+#include "forward/forwarder_private.h"
+
+#include <assert.h>
+
+#include <glib.h>
+
+/*
+ * Load pattern: a lossy link, a slow host or a change of the fabric's rotation makes an opening reach two hosts. Both
+ * answer, and the answer that the caller did not choose is retransmitted for seconds and leaves that host's cookie with
+ * the caller. When the flow then moves to an instance that does not know it, because an instance is restarted, frozen
+ * or in rotation again, its next packet goes to a host that resets it.
+ *
+ * The instance that sees which host the caller chose tells a few peers. An instance without state of a flow trusts a
+ * confirmed cookie, and otherwise asks these peers before it forwards a packet.
+ */
+
+enum
+{
+  /* Half of the interval after which the caller retransmits. A peer answers within 1 ms, in another domain within 10.
+   */
+  INQUIRY_TIMEOUT_US = 100 * 1000,
+  /*
+   * How far the sequence number of a packet may be after and before the last one that is known of its flow. The next
+   * flow of the same port starts elsewhere.
+   */
+  SEQUENCE_AFTER_MAX = 1 << 20,
+  SEQUENCE_BEFORE_MAX = 1 << 16
+};
+
+typedef struct
+{
+  WcFlowNote *notes;
+  size_t      max;
+  size_t      count;
+} NoteWalk;
+
+static bool add_note (void *user_data, WcFlow *flow);
+static bool is_same_flow (const WcFlow *flow, uint32_t sequence);
+static void learn_host (WcForwarder *forwarder, const WcFlowNote *note);
+static void forward_held (void *user_data, const WcPacket *packet);
+static void forward_by_cookie (void *user_data, const WcPacket *packet);
+static void announce_flow (WcForwarder *forwarder, const WcFlow *flow);
+
+/*
+ * The first packet after an opening identifies the host that the caller chose: it follows the answer of that host at
+ * once. A packet that is not the first tells no more than its cookie.
+ */
+bool
+wc_forwarder_inquire (WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet)
+{
+  const WcHost *host = wc_host_table_find_cookie (forwarder->hosts, packet->cookie);
+  size_t        asked;
+
+  if (flow && (flow->state != WC_FLOW_OPENING || packet->sequence == flow->sent_end))
+    return false;
+  if ((host && host->cookie == packet->cookie) || !forwarder->ops.ask_host)
+    return false;
+  if (!wc_flow_inquiries_has (forwarder->inquiries, &packet->key))
+    {
+      const WcFlowNote question = { .key = packet->key, .sequence = packet->sequence, .asks = true };
+
+      if (wc_flow_inquiries_is_full (forwarder->inquiries))
+        return false;
+      asked = forwarder->ops.ask_host (forwarder->user_data, &question);
+      if (asked == 0)
+        return false;
+      wc_flow_inquiries_start (forwarder->inquiries, &packet->key, asked, forwarder->now_us + INQUIRY_TIMEOUT_US);
+      wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_ASKED, &packet->key, NULL);
+    }
+  wc_flow_inquiries_hold (forwarder->inquiries, packet);
+  return true;
+}
+
+void
+wc_forwarder_end_inquiries (WcForwarder *forwarder)
+{
+  WcFlowKey key;
+
+  while (wc_flow_inquiries_find_expired (forwarder->inquiries, forwarder->now_us, &key))
+    wc_flow_inquiries_end (forwarder->inquiries, &key, forward_by_cookie, forwarder);
+}
+
+void
+wc_forwarder_announce_choice (WcForwarder *forwarder, const WcFlow *flow)
+{
+  if (!flow->is_ambiguous)
+    return;
+  wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_ANNOUNCED, &flow->key,
+                              wc_host_table_find_cookie (forwarder->hosts, flow->cookie));
+  announce_flow (forwarder, flow);
+}
+
+void
+wc_forwarder_apply_flow_note (WcForwarder *forwarder, const WcFlowNote *note, uint64_t now_us)
+{
+  assert (forwarder != NULL && note != NULL && !note->asks);
+
+  forwarder->now_us = now_us;
+  if (note->cookie != 0)
+    {
+      learn_host (forwarder, note);
+      wc_flow_inquiries_end (forwarder->inquiries, &note->key, forward_held, forwarder);
+    }
+  else if (wc_flow_inquiries_record_unknown (forwarder->inquiries, &note->key))
+    wc_flow_inquiries_end (forwarder->inquiries, &note->key, forward_by_cookie, forwarder);
+}
+
+WcFlowNote
+wc_forwarder_answer_flow_note (const WcForwarder *forwarder, const WcFlowNote *question)
+{
+  WcFlowNote    answer = { .key = question->key, .sequence = question->sequence };
+  const WcFlow *flow;
+
+  assert (forwarder != NULL && question->asks);
+
+  flow = wc_flow_table_find (forwarder->flows, &question->key);
+  if (flow && flow->state != WC_FLOW_OPENING && is_same_flow (flow, question->sequence))
+    answer.cookie = flow->cookie;
+  return answer;
+}
+
+size_t
+wc_forwarder_get_flow_notes (const WcForwarder *forwarder, WcFlowNote *notes, size_t max)
+{
+  NoteWalk walk = { .notes = notes, .max = max };
+
+  assert (forwarder != NULL && notes != NULL);
+
+  wc_flow_table_walk_all (forwarder->flows, add_note, &walk);
+  return walk.count;
+}
+
+/* local functions */
+
+static bool
+add_note (void *user_data, WcFlow *flow)
+{
+  NoteWalk *walk = user_data;
+
+  if (walk->count < walk->max &&
+      (flow->state == WC_FLOW_LEARNED || (flow->state == WC_FLOW_OPEN && flow->is_ambiguous)))
+    walk->notes[walk->count++] = (WcFlowNote){ .key = flow->key, .sequence = flow->sent_end, .cookie = flow->cookie };
+  return true;
+}
+
+static bool
+is_same_flow (const WcFlow *flow, uint32_t sequence)
+{
+  return sequence - flow->sent_end < SEQUENCE_AFTER_MAX || flow->sent_end - sequence < SEQUENCE_BEFORE_MAX;
+}
+
+/* What this instance has seen itself is kept. */
+static void
+learn_host (WcForwarder *forwarder, const WcFlowNote *note)
+{
+  WcFlow *flow = wc_flow_table_find (forwarder->flows, &note->key);
+
+  if (flow && flow->state != WC_FLOW_OPENING && is_same_flow (flow, note->sequence))
+    return;
+  if (flow)
+    wc_forwarder_uncount_flow (forwarder, flow);
+  else
+    flow = wc_flow_table_add (forwarder->flows, &note->key);
+  if (!flow)
+    return;
+  wc_flow_learn (flow, note, forwarder->now_us);
+  wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_LEARNED, &note->key,
+                              wc_host_table_find_cookie (forwarder->hosts, note->cookie));
+}
+
+static void
+forward_held (void *user_data, const WcPacket *packet)
+{
+  wc_forwarder_forward_open (user_data, packet);
+}
+
+/*
+ * No peer knows the flow: it was opened a moment ago, or the cookie is of an earlier release that confirms none. The
+ * cookie is all that is known.
+ */
+static void
+forward_by_cookie (void *user_data, const WcPacket *packet)
+{
+  WcForwarder  *forwarder = user_data;
+  WcFlow       *flow;
+  const WcHost *host = wc_host_table_find_cookie (forwarder->hosts, packet->cookie);
+  bool          is_first;
+
+  flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  is_first = !flow || flow->state == WC_FLOW_OPENING;
+  if (is_first)
+    wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_ASSUMED, &packet->key, host);
+  wc_forwarder_forward_open (forwarder, packet);
+  flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  if (!is_first || !flow || flow->state != WC_FLOW_OPEN)
+    return;
+  flow->is_ambiguous = 1;
+  announce_flow (forwarder, flow);
+}
+
+static void
+announce_flow (WcForwarder *forwarder, const WcFlow *flow)
+{
+  const WcFlowNote note = { .key = flow->key, .sequence = flow->sent_end, .cookie = flow->cookie };
+
+  if (forwarder->ops.announce_host)
+    forwarder->ops.announce_host (forwarder->user_data, &note);
+}
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -91,6 +91,7 @@
       else
         wc_forwarder_uncount_busy (forwarder, flow);
     }
+  wc_forwarder_end_inquiries (forwarder);
   reject_hopeless (forwarder);
   admit_held (forwarder);
 }
@@ -339,6 +340,8 @@
   if (flow)
     {
       wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
+      /* Another instance may have forwarded the first copy. On an opening, this is the number of retransmissions. */
+      flow->is_ambiguous = packet->acknowledged > 0;
       wc_forwarder_set_flow_host (forwarder, flow, host);
       wc_host_failures_record_flow (&host->failures);
       wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_TIMEOUT_US);
@@ -401,6 +404,7 @@
   else if (flow->cookie != host->cookie && !wc_forwarder_is_starting (forwarder))
     flow->unanswered_cookie = flow->cookie;
   wc_host_failures_record_flow (&host->failures);
+  flow->is_ambiguous = flow->state == WC_FLOW_OPENING && (flow->is_ambiguous || flow->cookie != host->cookie);
   flow->second_host = flow->state == WC_FLOW_OPENING && (flow->second_host || flow->cookie != host->cookie);
   wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
   wc_forwarder_set_flow_host (forwarder, flow, host);
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -3,6 +3,7 @@
 
 #include "forward/admission_queue.h"
 #include "forward/domain_balance.h"
+#include "forward/flow_inquiry.h"
 #include "forward/flow_progress.h"
 #include "forward/flow_table.h"
 #include "forward/forwarder.h"
@@ -17,8 +18,8 @@
 /*
  * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows,
  * forwarder_health.c failure detection of hosts, forwarder_failures.c hosts that fail part of their requests,
- * forwarder_evacuation.c evacuated domains, forwarder_warm_up.c cold hosts, and forwarder_balance.c flows that leave
- * the domain.
+ * forwarder_evacuation.c evacuated domains, forwarder_warm_up.c cold hosts, forwarder_balance.c flows that leave the
+ * domain, and forwarder_inquiry.c flows of which only peers know the host.
  */
 
 enum
@@ -36,6 +37,7 @@
 
 /**
  * struct WcForwarder - see forwarder.h.
+ * @inquiries: flows about whose hosts peers were asked.
  * @openings: forwarded openings, each until its answer timeout.
  * @budget: limits and counts forwardings of openings to another host.
  * @held: openings that wait for a host with capacity.
@@ -64,6 +66,7 @@
   WcHostTable        *hosts;
   WcEvacuation       *evacuation;
   WcFlowTable        *flows;
+  WcFlowInquiries    *inquiries;
   WcOpeningQueue     *openings;
   WcOpeningBudget     budget;
   WcAdmissionQueue   *held;
@@ -103,6 +106,24 @@
 /** wc_forwarder_uncount_busy() - remove a flow from the busy flows of its host. */
 void wc_forwarder_uncount_busy (WcForwarder *forwarder, WcFlow *flow);
 
+/** wc_forwarder_forward_open() - forward a packet of an open flow to the host that is known for it. */
+void wc_forwarder_forward_open (WcForwarder *forwarder, const WcPacket *packet);
+
+/**
+ * wc_forwarder_inquire() - ask peers for the host of a flow, if neither the flow's state nor the cookie in its packet
+ * shows it.
+ * @flow: NULL when the flow is not known.
+ *
+ * Return: true when the packet is held until they answer.
+ */
+bool wc_forwarder_inquire (WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet);
+
+/** wc_forwarder_end_inquiries() - forward the packets whose inquiries have expired as their cookies say. */
+void wc_forwarder_end_inquiries (WcForwarder *forwarder);
+
+/** wc_forwarder_announce_choice() - tell peers the host of a flow that was opened, if several may have answered. */
+void wc_forwarder_announce_choice (WcForwarder *forwarder, const WcFlow *flow);
+
 /** wc_forwarder_receive_opening() - process the opening packet of a caller. */
 void wc_forwarder_receive_opening (WcForwarder *forwarder, const WcPacket *packet);
 
--- a/src/forward/gossip.c
+++ b/src/forward/gossip.c
@@ -23,6 +23,8 @@
 static Wc__ViewChanges *uncompress_changes (Wc__ViewChanges *message);
 static void             pack_report (const WcHostReport *report, Wc__HostReport *message);
 static void             unpack_report (const Wc__HostReport *message, WcHostReport *report);
+static void             pack_flow (const WcFlowNote *note, Wc__FlowNote *message);
+static bool             unpack_flow (const Wc__FlowNote *message, WcFlowNote *note);
 
 size_t
 wc_gossip_pack (const WcGossip *gossip, uint8_t out[WC_GOSSIP_MAX_BYTES])
@@ -33,9 +35,12 @@
   Wc__PeerEntry  *entry_list[WC_GOSSIP_MAX_PEERS];
   Wc__HostReport  hosts[WC_GOSSIP_MAX_HOSTS];
   Wc__HostReport *host_list[WC_GOSSIP_MAX_HOSTS];
+  Wc__FlowNote    flows[WC_GOSSIP_MAX_FLOWS];
+  Wc__FlowNote   *flow_list[WC_GOSSIP_MAX_FLOWS];
 
   assert (gossip != NULL);
   assert (gossip->known_count <= WC_GOSSIP_MAX_PEERS && gossip->host_count <= WC_GOSSIP_MAX_HOSTS);
+  assert (gossip->flow_count <= WC_GOSSIP_MAX_FLOWS);
 
   pack_entry (&gossip->sender, &sender);
   for (size_t i = 0; i < gossip->known_count; i++)
@@ -48,6 +53,11 @@
       pack_report (&gossip->hosts[i], &hosts[i]);
       host_list[i] = &hosts[i];
     }
+  for (size_t i = 0; i < gossip->flow_count; i++)
+    {
+      pack_flow (&gossip->flows[i], &flows[i]);
+      flow_list[i] = &flows[i];
+    }
   message.sender = &sender;
   message.revision = gossip->revision;
   message.view_age_ms = gossip->view_age_ms;
@@ -61,6 +71,8 @@
   message.known = entry_list;
   message.n_hosts = gossip->host_count;
   message.hosts = host_list;
+  message.n_flows = gossip->flow_count;
+  message.flows = flow_list;
   if (wc__peer_news__get_packed_size (&message) > WC_GOSSIP_MAX_BYTES)
     return 0;
   return wc__peer_news__pack (&message, out);
@@ -78,13 +90,16 @@
     return WC_STATUS_PARSE;
   memset (gossip, 0, sizeof *gossip);
   if (!message->sender || !unpack_entry (message->sender, &gossip->sender) || message->n_known > WC_GOSSIP_MAX_PEERS ||
-      message->n_hosts > WC_GOSSIP_MAX_HOSTS)
+      message->n_hosts > WC_GOSSIP_MAX_HOSTS || message->n_flows > WC_GOSSIP_MAX_FLOWS)
     status = WC_STATUS_INVALID;
   for (size_t i = 0; status == WC_STATUS_OK && i < message->n_known; i++)
     if (unpack_entry (message->known[i], &gossip->known[gossip->known_count]))
       gossip->known_count++;
   for (size_t i = 0; status == WC_STATUS_OK && i < message->n_hosts; i++)
     unpack_report (message->hosts[i], &gossip->hosts[gossip->host_count++]);
+  for (size_t i = 0; status == WC_STATUS_OK && i < message->n_flows; i++)
+    if (unpack_flow (message->flows[i], &gossip->flows[gossip->flow_count]))
+      gossip->flow_count++;
   gossip->revision = message->revision;
   gossip->view_age_ms = message->view_age_ms;
   gossip->stopping = message->stopping;
@@ -232,6 +247,34 @@
   };
 }
 
+static void
+pack_flow (const WcFlowNote *note, Wc__FlowNote *message)
+{
+  wc__flow_note__init (message);
+  message->caller_ip = note->key.caller_ip;
+  message->route_ip = note->key.route_ip;
+  message->caller_port = note->key.caller_port;
+  message->route_port = note->key.route_port;
+  message->sequence = note->sequence;
+  message->cookie = note->cookie;
+  message->asks = note->asks;
+}
+
+static bool
+unpack_flow (const Wc__FlowNote *message, WcFlowNote *note)
+{
+  if (message->caller_ip == 0 || message->route_ip == 0 || message->caller_port > UINT16_MAX ||
+      message->route_port > UINT16_MAX)
+    return false;
+  *note = (WcFlowNote){
+    .key = { message->caller_ip, message->route_ip, (uint16_t)message->caller_port, (uint16_t)message->route_port },
+    .sequence = message->sequence,
+    .cookie = message->cookie,
+    .asks = message->asks,
+  };
+  return true;
+}
+
 /* Takes ownership of @data. A message that cannot be compressed is sent unchanged. */
 static GBytes *
 compress_changes (uint8_t *data, size_t size_bytes)
--- a/src/forward/gossip.h
+++ b/src/forward/gossip.h
@@ -8,6 +8,7 @@
 #include <wigeoncart/address.h>
 #include <wigeoncart/status.h>
 
+#include "forward/flow_note.h"
 #include "forward/host_report.h"
 #include "forward/store_change.h"
 
@@ -18,6 +19,8 @@
   /* Maximum number of other instances in a datagram; with the host reports it stays below WC_GOSSIP_MAX_BYTES. */
   WC_GOSSIP_MAX_PEERS = 8,
   WC_GOSSIP_MAX_HOSTS = 16,
+  /* Sent in datagrams without host reports. */
+  WC_GOSSIP_MAX_FLOWS = 16,
   WC_PEER_DOMAIN_BYTES = 64
 };
 
@@ -49,6 +52,7 @@
  * receiver.
  * @known: other instances that the sender knows.
  * @hosts: reports on hosts.
+ * @flows: questions about the hosts of flows, answers, and statements without a question.
  */
 typedef struct
 {
@@ -65,6 +69,8 @@
   WcPeerEntry  known[WC_GOSSIP_MAX_PEERS];
   size_t       host_count;
   WcHostReport hosts[WC_GOSSIP_MAX_HOSTS];
+  size_t       flow_count;
+  WcFlowNote   flows[WC_GOSSIP_MAX_FLOWS];
 } WcGossip;
 
 /** wc_gossip_pack() - encode. Return: number of bytes written; 0 when they do not fit. */
--- a/src/forward/host_table.c
+++ b/src/forward/host_table.c
@@ -4,7 +4,7 @@
 
 #include <glib.h>
 
-#include "core/mix.h"
+#include "forward/cookie.h"
 
 const char *const WC_HOST_STATE_STRINGS[WC_HOST_STATE_COUNT] = { "ready", "draining", "gone" };
 
@@ -31,14 +31,14 @@
   GHashTable *by_cookie;
 };
 
-static uint32_t cookie_from_id (uint64_t id);
-static Group   *find_group (WcHostTable *table, const WcHost *host);
-static void     enter_group (WcHostTable *table, WcHost *host);
-static void     leave_group (WcHostTable *table, WcHost *host);
-static void     free_group (gpointer data);
-static void     claim_cookie (WcHostTable *table, WcHost *host);
-static void     reset_health (WcHost *host);
-static void     free_host (gpointer data);
+static Group *find_group (WcHostTable *table, const WcHost *host);
+static void   enter_group (WcHostTable *table, WcHost *host);
+static void   leave_group (WcHostTable *table, WcHost *host);
+static void   free_group (gpointer data);
+static void   claim_cookie (WcHostTable *table, WcHost *host, uint32_t cookie);
+static void   release_cookie (WcHostTable *table, const WcHost *host, uint32_t cookie);
+static void   reset_health (WcHost *host);
+static void   free_host (gpointer data);
 
 int
 wc_host_record_compare (const WcHostRecord *a, const WcHostRecord *b)
@@ -95,10 +95,11 @@
     {
       host = g_new0 (WcHost, 1);
       host->record = *record;
-      host->cookie = cookie_from_id (record->id);
+      host->cookie = wc_cookie_from_host (record->id);
       g_ptr_array_add (table->hosts, host);
       g_hash_table_insert (table->by_id, &host->record.id, host);
-      claim_cookie (table, host);
+      claim_cookie (table, host, host->cookie);
+      claim_cookie (table, host, wc_cookie_get_unconfirmed (host->cookie));
     }
   else
     {
@@ -144,8 +145,8 @@
         continue;
       leave_group (table, host);
       g_hash_table_remove (table->by_id, &host->record.id);
-      if (g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (host->cookie)) == host)
-        g_hash_table_remove (table->by_cookie, GUINT_TO_POINTER (host->cookie));
+      release_cookie (table, host, host->cookie);
+      release_cookie (table, host, wc_cookie_get_unconfirmed (host->cookie));
       g_ptr_array_remove_index_fast (table->hosts, i - 1);
       removed++;
     }
@@ -252,23 +253,14 @@
   g_ptr_array_free (((Group *)data)->hosts, TRUE);
 }
 
-/* An identifier of up to 32 bits is its own cookie, so that only longer ones can collide. */
-static uint32_t
-cookie_from_id (uint64_t id)
-{
-  uint32_t cookie = id <= UINT32_MAX ? (uint32_t)id : (uint32_t)wc_mix64 (id);
-
-  return cookie != 0 ? cookie : 1;
-}
-
 /*
  * Of two hosts with the same cookie, the one with the lower identifier owns it on every instance, regardless of which
  * was added first.
  */
 static void
-claim_cookie (WcHostTable *table, WcHost *host)
+claim_cookie (WcHostTable *table, WcHost *host, uint32_t cookie)
 {
-  WcHost *owner = g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (host->cookie));
+  WcHost *owner = g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (cookie));
 
   if (owner && owner->record.id < host->record.id)
     {
@@ -277,7 +269,14 @@
     }
   if (owner)
     owner->ambiguous = true;
-  g_hash_table_insert (table->by_cookie, GUINT_TO_POINTER (host->cookie), host);
+  g_hash_table_insert (table->by_cookie, GUINT_TO_POINTER (cookie), host);
+}
+
+static void
+release_cookie (WcHostTable *table, const WcHost *host, uint32_t cookie)
+{
+  if (g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (cookie)) == host)
+    g_hash_table_remove (table->by_cookie, GUINT_TO_POINTER (cookie));
 }
 
 /* A host that restarted under the same identifier has no state from before, so earlier evidence does not apply. */
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -81,7 +81,7 @@
 
 /**
  * struct WcHost - a host with the local state of this instance.
- * @cookie: identifies the host in the packets of its flows; never 0.
+ * @cookie: identifies the host in the packets of its flows, see cookie.h; never 0.
  * @ambiguous: another host with the same cookie owns it, so this host receives no new flows.
  * @evacuated: the host's domain is evacuated, so it receives no new flows; maintained by the forwarder.
  * @revision: store revision at which the record was written.
--- a/src/forward/packet.h
+++ b/src/forward/packet.h
@@ -25,7 +25,8 @@
 
 /**
  * struct WcPacket - parsed header of a caller's packet, and its bytes.
- * @cookie: identifies the host; the caller echoes the value that it last received in this field. 0 on a SYN.
+ * @cookie: identifies the host, see cookie.h; the caller echoes the value that it last received in this field. 0 on a
+ * SYN.
  * @acknowledged: acknowledgement number, the next byte that the caller expects; on a SYN, the number of
  * retransmissions.
  * @data_bytes: length of the data after the header.
--- a/src/forward/peer_table.c
+++ b/src/forward/peer_table.c
@@ -50,11 +50,13 @@
   uint32_t       domain_instances;
 };
 
-static WcPeer *add_peer (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
-static void    record_echo (WcPeerTable *table, WcPeer *peer, const WcGossip *gossip);
-static void    record_heartbeat (WcPeer *peer, uint64_t now_us);
-static void    merge_entry (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
-static void    add_lowest_ranks (const WcPeerTable *table, WcGossip *gossip, uint64_t now_us);
+static const WcPeer *find_holder (const WcPeerTable *table, uint32_t domain, uint64_t flow, uint64_t now_us);
+static bool          contains_domain (const uint32_t *domains, size_t count, uint32_t domain);
+static WcPeer       *add_peer (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
+static void          record_echo (WcPeerTable *table, WcPeer *peer, const WcGossip *gossip);
+static void          record_heartbeat (WcPeer *peer, uint64_t now_us);
+static void          merge_entry (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us);
+static void          add_lowest_ranks (const WcPeerTable *table, WcGossip *gossip, uint64_t now_us);
 static void add_random_peers (WcPeerTable *table, WcGossip *gossip, bool own_domain, size_t max_count, uint64_t now_us);
 static bool is_fresh (const WcPeer *peer, uint64_t now_us);
 static uint64_t next_random (WcPeerTable *table);
@@ -234,6 +236,27 @@
   return count;
 }
 
+size_t
+wc_peer_table_pick_flow_holders (const WcPeerTable *table, uint64_t flow, uint64_t now_us,
+                                 WcAddress targets[WC_FLOW_HOLDERS])
+{
+  uint32_t domains[WC_FLOW_HOLDERS - WC_HOST_WITNESSES];
+  size_t   domain_count = 0;
+  size_t   count = wc_peer_table_pick_witnesses (table, flow, now_us, targets);
+
+  for (guint i = 0; i < table->peers->len && domain_count < G_N_ELEMENTS (domains); i++)
+    {
+      const uint32_t domain = ((const WcPeer *)table->peers->pdata[i])->entry.domain;
+      const WcPeer  *holder = find_holder (table, domain, flow, now_us);
+
+      if (domain == table->self.domain || !holder || contains_domain (domains, domain_count, domain))
+        continue;
+      domains[domain_count++] = domain;
+      targets[count++] = holder->entry.address;
+    }
+  return count;
+}
+
 void
 wc_peer_table_evict (WcPeerTable *table, uint64_t now_us)
 {
@@ -386,6 +409,35 @@
 
 /* local functions */
 
+/* Return: the live instance of a domain that all others choose for a flow, or NULL. */
+static const WcPeer *
+find_holder (const WcPeerTable *table, uint32_t domain, uint64_t flow, uint64_t now_us)
+{
+  const WcPeer *holder = NULL;
+  uint64_t      holder_rank = UINT64_MAX;
+
+  for (guint i = 0; i < table->peers->len; i++)
+    {
+      const WcPeer *peer = table->peers->pdata[i];
+      uint64_t      rank = wc_mix64 (flow ^ wc_peer_rank (&peer->entry.address));
+
+      if (peer->entry.domain != domain || !wc_peer_is_live (peer, now_us) || rank >= holder_rank)
+        continue;
+      holder = peer;
+      holder_rank = rank;
+    }
+  return holder;
+}
+
+static bool
+contains_domain (const uint32_t *domains, size_t count, uint32_t domain)
+{
+  for (size_t i = 0; i < count; i++)
+    if (domains[i] == domain)
+      return true;
+  return false;
+}
+
 static WcPeer *
 add_peer (WcPeerTable *table, const WcPeerEntry *entry, uint64_t now_us)
 {
--- a/src/forward/peer_table.h
+++ b/src/forward/peer_table.h
@@ -10,7 +10,9 @@
 enum
 {
   /* Maximum number of datagrams that an instance sends per gossip round. */
-  WC_GOSSIP_FANOUT = 2
+  WC_GOSSIP_FANOUT = 2,
+  /* Instances of the own domain and of others that are told the host of a flow. */
+  WC_FLOW_HOLDERS = WC_HOST_WITNESSES + 4
 };
 
 /**
@@ -94,6 +96,17 @@
 size_t wc_peer_table_pick_witnesses (const WcPeerTable *table, uint64_t host, uint64_t now_us,
                                      WcAddress targets[WC_HOST_WITNESSES]);
 
+/**
+ * wc_peer_table_pick_flow_holders() - choose the live instances that are told the hosts of flows, and asked for them:
+ * of the own domain, and one of each other domain, in case all of the own domain fail. Instances that know the same
+ * peers choose the same ones.
+ * @flow: hash of the flow's key.
+ *
+ * Return: number of addresses written.
+ */
+size_t wc_peer_table_pick_flow_holders (const WcPeerTable *table, uint64_t flow, uint64_t now_us,
+                                        WcAddress targets[WC_FLOW_HOLDERS]);
+
 /** wc_peer_table_evict() - remove instances whose heartbeat has not increased for a minute. */
 void wc_peer_table_evict (WcPeerTable *table, uint64_t now_us);
 
--- a/tests/forward_fixture.h
+++ b/tests/forward_fixture.h
@@ -7,7 +7,10 @@
 
 #include "forward/forwarder.h"
 
-/* Runs a forwarder without sockets: its actions are recorded, and packets of callers are synthesized. */
+/*
+ * Runs a forwarder without sockets: its actions are recorded, and packets of callers are synthesized. It has no peers
+ * unless a test sets their number.
+ */
 
 enum
 {
@@ -44,6 +47,11 @@
   uint64_t       last_other_expected_us;
   uint32_t       opened;
   uint32_t       answered;
+  size_t         peers;
+  uint32_t       questions;
+  WcFlowNote     last_question;
+  uint32_t       announcements;
+  WcFlowNote     last_announcement;
 } ForwardFixture;
 
 static void
@@ -91,6 +99,25 @@
   ((ForwardFixture *)user_data)->answered++;
 }
 
+static size_t
+fixture_ask_host (void *user_data, const WcFlowNote *question)
+{
+  ForwardFixture *fixture = user_data;
+
+  fixture->questions++;
+  fixture->last_question = *question;
+  return fixture->peers;
+}
+
+static void
+fixture_announce_host (void *user_data, const WcFlowNote *note)
+{
+  ForwardFixture *fixture = user_data;
+
+  fixture->announcements++;
+  fixture->last_announcement = *note;
+}
+
 static inline WcRouteTable *
 fixture_routes (uint64_t version)
 {
@@ -119,8 +146,8 @@
 static inline void
 fixture_init_with (ForwardFixture *fixture, const WcForwarderSettings *settings)
 {
-  static const WcForwarderOps ops = { fixture_forward, fixture_reset, fixture_decided, fixture_opened,
-                                      fixture_answered };
+  static const WcForwarderOps ops = { fixture_forward,  fixture_reset,    fixture_decided,      fixture_opened,
+                                      fixture_answered, fixture_ask_host, fixture_announce_host };
 
   memset (fixture, 0, sizeof *fixture);
   fixture->now_us = 1000 * 1000 * 1000;
--- /dev/null
+++ b/tests/test_forwarder_inquiry.c
@@ -0,0 +1,232 @@
+#include "test_main.h"
+
+#include "forward/cookie.h"
+#include "forward_fixture.h"
+
+/* A packet of a caller whose last cookie is that of a host that has only answered the opening. */
+static void
+send_unconfirmed (ForwardFixture *fixture, uint16_t caller, uint32_t offset, uint64_t host)
+{
+  fixture_packet (fixture, caller, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, 1001 + offset, 5001, 200,
+                  wc_cookie_get_unconfirmed (fixture_find_host (fixture, host)->cookie));
+}
+
+static void
+init_with_hosts (ForwardFixture *fixture)
+{
+  fixture_init (fixture);
+  fixture_put_host (fixture, 1, "a", WC_HOST_READY);
+  fixture_put_host (fixture, 2, "a", WC_HOST_READY);
+  fixture->peers = 2;
+}
+
+/* Opens a flow at a second host because the first one does not answer in time. Return: the second host. */
+static uint64_t
+open_at_second_host (ForwardFixture *fixture, uint16_t caller)
+{
+  uint64_t first;
+
+  fixture_syn (fixture, caller, FIXTURE_ROUTE_PORT, 0);
+  first = fixture_last_host (fixture);
+  fixture_advance (fixture, 50 * 1000);
+  ck_assert_uint_eq (fixture_last_host (fixture), 3 - first);
+  send_unconfirmed (fixture, caller, 0, 3 - first);
+  ck_assert_uint_eq (fixture_last_host (fixture), 3 - first);
+  return 3 - first;
+}
+
+/*
+ * A flow was opened at a second host, and the answer of the first one left its cookie with the caller. Guards against
+ * an instance without the flow, such as one that was restarted, that sends the next request to the first host, which
+ * resets the flow.
+ */
+START_TEST (restarted_instance_finds_host_of_flow)
+{
+  static ForwardFixture opener;
+  static ForwardFixture restarted;
+  uint64_t              host;
+  WcFlowNote            answer;
+
+  init_with_hosts (&opener);
+  init_with_hosts (&restarted);
+  host = open_at_second_host (&opener, 100);
+  send_unconfirmed (&restarted, 100, 200, 3 - host);
+  send_unconfirmed (&restarted, 100, 400, 3 - host);
+  ck_assert_uint_eq (restarted.forward_count, 0);
+  ck_assert_uint_eq (restarted.questions, 1);
+  answer = wc_forwarder_answer_flow_note (opener.forwarder, &restarted.last_question);
+  wc_forwarder_apply_flow_note (restarted.forwarder, &answer, restarted.now_us);
+  ck_assert_uint_eq (restarted.forward_count, 2);
+  ck_assert_uint_eq (restarted.forwards[0].host, host);
+  ck_assert_uint_eq (restarted.forwards[1].host, host);
+  send_unconfirmed (&restarted, 100, 600, 3 - host);
+  ck_assert_uint_eq (fixture_last_host (&restarted), host);
+  ck_assert_uint_eq (restarted.questions, 1);
+  fixture_finish (&opener);
+  fixture_finish (&restarted);
+}
+END_TEST
+
+/*
+ * The instance that opened a flow at a second host dies. Guards against a flow whose host nobody knows any more: the
+ * peers that were told before, and those that they tell when they start, know it until the flow ends.
+ */
+START_TEST (announced_host_outlives_instance)
+{
+  static ForwardFixture opener;
+  static ForwardFixture peer;
+  static ForwardFixture started;
+  WcFlowNote            notes[4];
+  uint64_t              host;
+
+  init_with_hosts (&opener);
+  init_with_hosts (&peer);
+  init_with_hosts (&started);
+  host = open_at_second_host (&opener, 100);
+  ck_assert_uint_eq (opener.announcements, 1);
+  wc_forwarder_apply_flow_note (peer.forwarder, &opener.last_announcement, peer.now_us);
+  fixture_finish (&opener);
+  /* Longer than the idle timeout. */
+  fixture_advance (&peer, 20 * 1000 * 1000);
+  ck_assert_uint_eq (wc_forwarder_get_flow_notes (peer.forwarder, notes, G_N_ELEMENTS (notes)), 1);
+  wc_forwarder_apply_flow_note (started.forwarder, &notes[0], started.now_us);
+  send_unconfirmed (&started, 100, 200, 3 - host);
+  ck_assert_uint_eq (fixture_last_host (&started), host);
+  ck_assert_uint_eq (fixture_find_host (&peer, host)->flows, 0);
+  ck_assert_uint_eq (fixture_find_host (&started, host)->flows, 1);
+  fixture_advance (&peer, 60 * 1000 * 1000);
+  ck_assert_uint_eq (wc_forwarder_get_flow_count (peer.forwarder), 0);
+  fixture_finish (&peer);
+  fixture_finish (&started);
+}
+END_TEST
+
+/* Guards against a delay and a datagram for each flow that moves: a host confirms its cookie with the first answer. */
+START_TEST (confirmed_cookie_is_trusted)
+{
+  static ForwardFixture fixture;
+
+  init_with_hosts (&fixture);
+  fixture_request (&fixture, 100, FIXTURE_ROUTE_PORT, 0, 0, 1);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 1);
+  fixture_syn (&fixture, 101, FIXTURE_ROUTE_PORT, 0);
+  send_unconfirmed (&fixture, 101, 0, fixture_last_host (&fixture));
+  ck_assert_uint_eq (fixture.questions, 0);
+  ck_assert_uint_eq (fixture.announcements, 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/* Guards against packets that are held for ever or lost, and against a wait for peers that have answered already. */
+START_TEST (unknown_flow_follows_cookie)
+{
+  static ForwardFixture fixture;
+  WcFlowNote            unknown;
+
+  init_with_hosts (&fixture);
+  send_unconfirmed (&fixture, 100, 0, 2);
+  fixture_advance (&fixture, 90 * 1000);
+  ck_assert_uint_eq (fixture.forward_count, 0);
+  fixture_advance (&fixture, 20 * 1000);
+  ck_assert_uint_eq (fixture.forward_count, 1);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 2);
+  send_unconfirmed (&fixture, 101, 0, 1);
+  unknown = fixture.last_question;
+  unknown.asks = false;
+  wc_forwarder_apply_flow_note (fixture.forwarder, &unknown, fixture.now_us);
+  ck_assert_uint_eq (fixture.forward_count, 1);
+  wc_forwarder_apply_flow_note (fixture.forwarder, &unknown, fixture.now_us);
+  ck_assert_uint_eq (fixture.forward_count, 2);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 1);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_HOST_ASSUMED], 2);
+  /* Without peers there is nobody to ask. */
+  fixture.peers = 0;
+  send_unconfirmed (&fixture, 102, 0, 1);
+  ck_assert_uint_eq (fixture.forward_count, 3);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/*
+ * An instance placed a late opening before it heard that the flow is open elsewhere. Guards against packets that follow
+ * the answer to the late opening.
+ */
+START_TEST (announcement_replaces_opening)
+{
+  static ForwardFixture fixture;
+  WcFlowNote            note = { .key = { 0x64400007, FIXTURE_ROUTE_IP, 100, FIXTURE_ROUTE_PORT }, .sequence = 1001 };
+  uint64_t              late;
+
+  init_with_hosts (&fixture);
+  fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 0);
+  late = fixture_last_host (&fixture);
+  note.cookie = wc_cookie_from_host (3 - late);
+  wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
+  ck_assert_uint_eq (fixture_find_host (&fixture, late)->flows, 0);
+  send_unconfirmed (&fixture, 100, 200, late);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 3 - late);
+  /* What this instance has seen itself is not replaced. */
+  note.cookie = wc_cookie_from_host (late);
+  wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
+  send_unconfirmed (&fixture, 100, 400, late);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 3 - late);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/*
+ * The opening came as a retransmission, so that another instance may have forwarded the first copy. Guards against
+ * peers that are not told the host of such a flow, and against an instance that trusts the cookie in the middle of a
+ * flow that it saw only being opened.
+ */
+START_TEST (retransmitted_opening_is_ambiguous)
+{
+  static ForwardFixture fixture;
+  uint64_t              host;
+
+  init_with_hosts (&fixture);
+  fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 1);
+  host = fixture_last_host (&fixture);
+  send_unconfirmed (&fixture, 100, 0, host);
+  ck_assert_uint_eq (fixture.announcements, 1);
+  ck_assert_uint_eq (fixture.last_announcement.cookie, wc_cookie_from_host (host));
+  fixture_syn (&fixture, 101, FIXTURE_ROUTE_PORT, 0);
+  send_unconfirmed (&fixture, 101, 200, 1);
+  ck_assert_uint_eq (fixture.questions, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/* Guards against the host of an earlier flow that used the same port. */
+START_TEST (answer_is_for_the_same_flow)
+{
+  static ForwardFixture fixture;
+  WcFlowNote            question = { .sequence = 1401, .asks = true };
+
+  init_with_hosts (&fixture);
+  fixture_request (&fixture, 100, FIXTURE_ROUTE_PORT, 0, 0, 1);
+  question.key = fixture.forwards[0].key;
+  ck_assert_uint_eq (wc_forwarder_answer_flow_note (fixture.forwarder, &question).cookie, wc_cookie_from_host (1));
+  question.sequence = 900 * 1000 * 1000;
+  ck_assert_uint_eq (wc_forwarder_answer_flow_note (fixture.forwarder, &question).cookie, 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, restarted_instance_finds_host_of_flow);
+  tcase_add_test (tests, announced_host_outlives_instance);
+  tcase_add_test (tests, confirmed_cookie_is_trusted);
+  tcase_add_test (tests, unknown_flow_follows_cookie);
+  tcase_add_test (tests, announcement_replaces_opening);
+  tcase_add_test (tests, retransmitted_opening_is_ambiguous);
+  tcase_add_test (tests, answer_is_for_the_same_flow);
+}
+
+int
+main (void)
+{
+  return wc_test_run ("forwarder_inquiry", add_tests);
+}
--- a/tests/test_opening_fate.c
+++ b/tests/test_opening_fate.c
@@ -226,7 +226,7 @@
 static void
 run_seed (uint32_t seed, const WcAdmissionPolicy *policy, WcForwardFeatures features)
 {
-  static const WcForwarderOps ops = { forward, reset, decided, ignore_duration, ignore_duration };
+  static const WcForwarderOps ops = { forward, reset, decided, ignore_duration, ignore_duration, NULL, NULL };
   const WcForwarderSettings   settings = {
       .domain = g_quark_from_string ("a"),
       .incarnation = 1,
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -270,7 +270,7 @@
 static Simulation *
 new_simulation (void)
 {
-  static const WcForwarderOps ops = { forward, reset, decided, ignore_time, ignore_time };
+  static const WcForwarderOps ops = { forward, reset, decided, ignore_time, ignore_time, NULL, NULL };
   const WcForwarderSettings   settings = {
       .domain = g_quark_from_string ("a"),
       .incarnation = 1,
--- a/tests/test_peer_endpoint.c
+++ b/tests/test_peer_endpoint.c
@@ -24,6 +24,8 @@
   WcPeerEndpoint *endpoint;
   uint32_t        queries;
   uint32_t        replies;
+  uint32_t        joined;
+  uint32_t        flow_answers;
   WcGossip        last_gossip;
 } Instance;
 
@@ -60,9 +62,28 @@
     instance->queries++;
   else if (gossip->host_count > 0)
     instance->replies++;
+  if (gossip->flow_count > 0 && !gossip->flows[0].asks)
+    instance->flow_answers++;
   instance->last_gossip = *gossip;
 }
 
+/* Knows every flow, at the host with its own incarnation as cookie. */
+static WcFlowNote
+answer_flow_note (void *user_data, const WcFlowNote *question)
+{
+  const Instance *instance = user_data;
+
+  return (
+      WcFlowNote){ .key = question->key, .sequence = question->sequence, .cookie = (uint32_t)instance->incarnation };
+}
+
+static void
+peer_joined (void *user_data, const WcPeerEntry *peer)
+{
+  (void)peer;
+  ((Instance *)user_data)->joined++;
+}
+
 static void
 apply (void *user_data, const WcStoreChange *change)
 {
@@ -74,7 +95,8 @@
 start (Instance *instance, struct ev_loop *loop, uint64_t incarnation)
 {
   static const WcStoreReplicaOps replica_ops = { .apply = apply, .compare = wc_store_view_compare };
-  static const WcPeerEndpointOps ops = { fill_own_state, add_next_reports, add_host_reports, gossip_received };
+  static const WcPeerEndpointOps ops = { fill_own_state,  add_next_reports, add_host_reports,
+                                         gossip_received, answer_flow_note, peer_joined };
   const WcPeerEntry              self = {
                  .address = { .ip = { 127, 0, 0, 1 },
                               .family = 4,
@@ -260,9 +282,37 @@
 }
 END_TEST
 
+/* Guards against questions about the hosts of flows that are not answered, and peers that are not told of flows. */
+START_TEST (flow_question_is_answered)
+{
+  struct ev_loop  *loop = ev_loop_new (0);
+  const WcFlowNote question = { .key = { 0x64400007, 0xc6120001, 40001, 443 }, .sequence = 77, .asks = true };
+  Instance         a;
+  Instance         b;
+
+  start (&a, loop, 1);
+  start (&b, loop, 2);
+  wc_peer_table_set_seeds (a.peers, &b.address, 1);
+  wc_peer_endpoint_send_gossip (a.endpoint, wc_clock_monotonic_us ());
+  run_until (loop, &a.joined, 1);
+  ck_assert_uint_eq (a.joined, 1);
+  ck_assert_uint_eq (b.joined, 1);
+  ck_assert_uint_eq (wc_peer_endpoint_send_flow_note (a.endpoint, &question, wc_clock_monotonic_us ()), 1);
+  run_until (loop, &a.flow_answers, 1);
+  ck_assert_uint_eq (a.flow_answers, 1);
+  ck_assert_uint_eq (a.last_gossip.flows[0].cookie, 2);
+  ck_assert_uint_eq (a.last_gossip.flows[0].sequence, 77);
+  ck_assert_uint_eq (a.last_gossip.flows[0].key.caller_port, 40001);
+  finish (&a);
+  finish (&b);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
+  tcase_add_test (tests, flow_question_is_answered);
   tcase_add_test (tests, query_is_answered_once);
   tcase_add_test (tests, failure_reports_are_marked);
   tcase_add_test (tests, malformed_datagrams_are_counted);
--- a/tests/view_fixture.h
+++ b/tests/view_fixture.h
@@ -105,6 +105,20 @@
   (void)gossip;
 }
 
+static inline WcFlowNote
+view_answer_flow_note (void *user_data, const WcFlowNote *question)
+{
+  (void)user_data;
+  return (WcFlowNote){ .key = question->key, .sequence = question->sequence };
+}
+
+static inline void
+view_peer_joined (void *user_data, const WcPeerEntry *peer)
+{
+  (void)user_data;
+  (void)peer;
+}
+
 static inline void
 view_gossip_received (void *user_data, const WcGossip *gossip)
 {
@@ -136,8 +150,8 @@
   WcPeerEntry                    self = { .address = view_unused_address (),
                                           .incarnation = incarnation,
                                           .domain = g_quark_from_string (domain) };
-  static const WcPeerEndpointOps peer_ops = { view_fill_own_state, view_add_next_reports, view_add_host_reports,
-                                              view_gossip_received };
+  static const WcPeerEndpointOps peer_ops = { view_fill_own_state,  view_add_next_reports, view_add_host_reports,
+                                              view_gossip_received, view_answer_flow_note, view_peer_joined };
   static const WcStoreReplicaOps replica_ops = { .apply = view_apply, .compare = wc_store_view_compare };
   static const WcViewReaderOps   ops = { .view_updated = view_was_updated,
                                          .source_lost = view_source_lost,
