Drop openings that waited in the socket during a pause

Cause: an instance that continues after a pause reads what was sent to it meanwhile, and nothing told it how old that is. The age of an opening was derived from its number of retransmissions alone. So it placed openings whose callers had given them up, and those that their callers had sent again through another instance, which had opened the flow at another host. It even placed each copy of an opening at another host, since none was answered within 40 ms. The same happens to a single copy that the network delays until after its flow was opened.

Fix: the packet socket tells how long an opening waited, at most. The kernel records the arrival of each datagram; the time since the socket was last known to be empty is the limit, so that a change of the wall clock does not matter, and the answer where there are no timestamps. A poll that returns without events after a pause is no proof of an empty socket: SIGSTOP and SIGCONT interrupt it. The forwarder drops an opening that waited longer than 0.5 s, the least time in which the fabric takes an instance out of rotation, and longer than until the next copy of its caller, or until the caller gives up. A copy that arrives after its flow was opened is dropped too; it was placed as a new flow before. Packets are read before timers, so that an opening that was answered during the pause is not forwarded again.

Dropping all openings after a pause would lose those that arrived last.

--- a/src/edge/packet_socket.c
+++ b/src/edge/packet_socket.c
@@ -11,6 +11,17 @@
 #include "forward/cookie.h"
 #include "packet_wire.h"
 
+enum
+{
+  /* The loop polls every 100 ms, and a CPU quota can throttle the process for up to 90 ms of each 100 ms. */
+  PAUSE_MIN_US = 250 * 1000
+};
+
+/*
+ * @poll_us: when the loop last asked the kernel for events.
+ * @empty_us: all packets that are read now arrived later than this.
+ * @is_behind: packets of before the last poll may still be in the kernel.
+ */
 struct WcPacketSocket
 {
   struct ev_loop        *loop;
@@ -19,14 +30,20 @@
   void                  *user_data;
   WcUdpBatch            *batch;
   ev_io                  readable;
+  ev_check               polled;
+  uint64_t               poll_us;
+  uint64_t               empty_us;
+  bool                   is_behind;
   uint64_t               now_us;
   uint64_t               last_received_us;
   WcPacketSocketCounters counters;
 };
 
-static void datagrams_readable (struct ev_loop *loop, ev_io *watcher, int events);
-static void receive_datagram (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes);
-static void set_address (WcAddress *address, uint32_t ip, uint16_t port);
+static void     loop_polled (struct ev_loop *loop, ev_check *watcher, int events);
+static void     datagrams_readable (struct ev_loop *loop, ev_io *watcher, int events);
+static void     receive_datagram (void *user_data, const WcAddress *source, const uint8_t *data, size_t size_bytes);
+static uint64_t get_waited_us (const WcPacketSocket *sock);
+static void     set_address (WcAddress *address, uint32_t ip, uint16_t port);
 
 WcPacketSocket *
 wc_packet_socket_new (struct ev_loop *loop, const WcAddress *address, const WcPacketSocketOps *ops, void *user_data,
@@ -49,6 +66,17 @@
   sock->batch = wc_udp_batch_new (fd);
   ev_io_init (&sock->readable, datagrams_readable, fd, EV_READ);
   sock->readable.data = sock;
+  /* Packets are read before timers act on what is known of their flows. */
+  ev_set_priority (&sock->readable, EV_MAXPRI - 1);
+  ev_check_init (&sock->polled, loop_polled);
+  ev_set_priority (&sock->polled, EV_MAXPRI);
+  sock->polled.data = sock;
+  ev_check_start (loop, &sock->polled);
+  sock->poll_us = wc_clock_monotonic_us ();
+  sock->empty_us = sock->poll_us;
+  sock->is_behind = true;
+  /* Without timestamps, all packets of a batch count as the oldest possible. */
+  (void)wc_udp_batch_enable_timestamps (sock->batch);
   return sock;
 }
 
@@ -58,6 +86,7 @@
   if (!sock)
     return;
   ev_io_stop (sock->loop, &sock->readable);
+  ev_check_stop (sock->loop, &sock->polled);
   wc_udp_batch_delete (sock->batch);
   g_free (sock);
 }
@@ -66,6 +95,8 @@
 wc_packet_socket_start (WcPacketSocket *sock)
 {
   ev_io_start (sock->loop, &sock->readable);
+  /* Reads at once, which shows whether packets have been waiting. */
+  ev_feed_event (sock->loop, &sock->readable, EV_READ);
 }
 
 void
@@ -111,6 +142,29 @@
 
 /* local functions */
 
+/*
+ * What the socket contained at the last poll was read since then, unless a batch was full. The loop polls at least
+ * every 100 ms while the process runs. A poll during which the process was stopped and continued returns without
+ * events, which says nothing about the socket.
+ */
+static void
+loop_polled (struct ev_loop *loop, ev_check *watcher, int events)
+{
+  WcPacketSocket *sock = watcher->data;
+  uint64_t        now_us = wc_clock_monotonic_us ();
+
+  (void)events;
+  if (now_us - sock->poll_us > PAUSE_MIN_US)
+    {
+      sock->is_behind = true;
+      if (ev_is_active (&sock->readable))
+        ev_feed_event (loop, &sock->readable, EV_READ);
+    }
+  else if (!sock->is_behind)
+    sock->empty_us = sock->poll_us;
+  sock->poll_us = now_us;
+}
+
 static void
 datagrams_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -120,8 +174,8 @@
   (void)events;
   sock->now_us = wc_clock_monotonic_us ();
   sock->last_received_us = sock->now_us;
-  if (wc_udp_batch_receive (sock->batch, receive_datagram, sock) == WC_UDP_BATCH_DATAGRAMS)
-    sock->counters.full_batches++;
+  sock->is_behind = wc_udp_batch_receive (sock->batch, receive_datagram, sock) == WC_UDP_BATCH_DATAGRAMS;
+  sock->counters.full_batches += sock->is_behind;
   sock->ops.batch_received (sock->user_data, sock->now_us);
   wc_udp_batch_flush (sock->batch);
 }
@@ -134,10 +188,28 @@
 
   (void)source;
   sock->counters.received++;
-  if (wc_packet_wire_decode (data, size_bytes, &packet))
-    sock->ops.received (sock->user_data, &packet, sock->now_us);
-  else
-    sock->counters.malformed++;
+  if (!wc_packet_wire_decode (data, size_bytes, &packet))
+    {
+      sock->counters.malformed++;
+      return;
+    }
+  packet.waited_us = packet.flags & WC_PACKET_SYN ? get_waited_us (sock) : 0;
+  sock->ops.received (sock->user_data, &packet, sock->now_us);
+}
+
+/* Return: how long the datagram that is being received waited in the kernel, at most. */
+static uint64_t
+get_waited_us (const WcPacketSocket *sock)
+{
+  uint64_t arrival_us = wc_udp_batch_get_arrival_us (sock->batch);
+  uint64_t limit_us = sock->now_us - sock->empty_us;
+  uint64_t wall_us;
+
+  if (arrival_us == 0)
+    return limit_us;
+  /* The wall clock may have been set since the arrival; the limit does not depend on it. */
+  wall_us = wc_clock_wall_us ();
+  return wall_us > arrival_us ? MIN (wall_us - arrival_us, limit_us) : 0;
 }
 
 static void
--- a/src/edge/udp_batch.c
+++ b/src/edge/udp_batch.c
@@ -5,15 +5,24 @@
 #include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "edge/socket_address.h"
 
 enum
 {
-  DATAGRAM_MAX_BYTES = 1536
+  DATAGRAM_MAX_BYTES = 1536,
+  CONTROL_BYTES = CMSG_SPACE (sizeof (struct timespec))
 };
 
+/* Ancillary data of a datagram. */
+typedef union
+{
+  struct cmsghdr header;
+  uint8_t        bytes[CONTROL_BYTES];
+} Control;
+
 typedef struct
 {
   struct mmsghdr          headers[WC_UDP_BATCH_DATAGRAMS];
@@ -22,15 +31,19 @@
   uint8_t                 data[WC_UDP_BATCH_DATAGRAMS][DATAGRAM_MAX_BYTES];
 } Buffers;
 
+/* @controls: ancillary data of the datagrams in @in; NULL without timestamps. */
 struct WcUdpBatch
 {
   int      fd;
   unsigned queued;
   Buffers  in;
   Buffers  out;
+  Control *controls;
+  uint64_t arrival_us;
 };
 
-static void init_buffers (Buffers *buffers);
+static uint64_t find_arrival_us (struct msghdr *header);
+static void     init_buffers (Buffers *buffers);
 
 WcUdpBatch *
 wc_udp_batch_new (int fd)
@@ -51,6 +64,7 @@
   if (!batch)
     return;
   close (batch->fd);
+  g_free (batch->controls);
   g_free (batch);
 }
 
@@ -60,6 +74,26 @@
   return batch->fd;
 }
 
+bool
+wc_udp_batch_enable_timestamps (WcUdpBatch *batch)
+{
+  const int enabled = 1;
+
+  assert (batch != NULL);
+
+  if (setsockopt (batch->fd, SOL_SOCKET, SO_TIMESTAMPNS, &enabled, sizeof enabled) != 0)
+    return false;
+  if (!batch->controls)
+    batch->controls = g_new0 (Control, WC_UDP_BATCH_DATAGRAMS);
+  return true;
+}
+
+uint64_t
+wc_udp_batch_get_arrival_us (const WcUdpBatch *batch)
+{
+  return batch->arrival_us;
+}
+
 unsigned
 wc_udp_batch_receive (WcUdpBatch *batch, WcUdpReceive receive, void *user_data)
 {
@@ -67,7 +101,11 @@
   int      count;
 
   for (unsigned i = 0; i < WC_UDP_BATCH_DATAGRAMS; i++)
-    in->headers[i].msg_hdr.msg_namelen = sizeof in->addresses[i];
+    {
+      in->headers[i].msg_hdr.msg_namelen = sizeof in->addresses[i];
+      in->headers[i].msg_hdr.msg_control = batch->controls ? &batch->controls[i] : NULL;
+      in->headers[i].msg_hdr.msg_controllen = batch->controls ? CONTROL_BYTES : 0;
+    }
   count = recvmmsg (batch->fd, in->headers, WC_UDP_BATCH_DATAGRAMS, MSG_DONTWAIT, NULL);
   if (count <= 0)
     return 0;
@@ -79,6 +117,7 @@
       if ((in->headers[i].msg_hdr.msg_flags & MSG_TRUNC) ||
           !wc_socket_address_from_sockaddr (&in->addresses[i], &source))
         continue;
+      batch->arrival_us = batch->controls ? find_arrival_us (&in->headers[i].msg_hdr) : 0;
       receive (user_data, &source, in->data[i], in->headers[i].msg_len);
     }
   return (unsigned)count;
@@ -122,6 +161,20 @@
 
 /* local functions */
 
+static uint64_t
+find_arrival_us (struct msghdr *header)
+{
+  for (struct cmsghdr *control = CMSG_FIRSTHDR (header); control; control = CMSG_NXTHDR (header, control))
+    if (control->cmsg_level == SOL_SOCKET && control->cmsg_type == SCM_TIMESTAMPNS)
+      {
+        struct timespec arrival;
+
+        memcpy (&arrival, CMSG_DATA (control), sizeof arrival);
+        return (uint64_t)arrival.tv_sec * 1000000 + (uint64_t)arrival.tv_nsec / 1000;
+      }
+  return 0;
+}
+
 static void
 init_buffers (Buffers *buffers)
 {
--- a/src/edge/udp_batch.h
+++ b/src/edge/udp_batch.h
@@ -1,6 +1,7 @@
 #ifndef WC_EDGE_UDP_BATCH_H
 #define WC_EDGE_UDP_BATCH_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -26,6 +27,18 @@
 /** wc_udp_batch_receive() - receive one batch. Return: number of datagrams received, 0 for none or an error. */
 unsigned wc_udp_batch_receive (WcUdpBatch *batch, WcUdpReceive receive, void *user_data);
 
+/**
+ * wc_udp_batch_enable_timestamps() - let the kernel record when datagrams arrive. Return: false when it does not
+ * support this.
+ */
+bool wc_udp_batch_enable_timestamps (WcUdpBatch *batch);
+
+/**
+ * wc_udp_batch_get_arrival_us() - when the datagram arrived for which WcUdpReceive is being called, by the wall clock;
+ * 0 when not known.
+ */
+uint64_t wc_udp_batch_get_arrival_us (const WcUdpBatch *batch);
+
 /**
  * wc_udp_batch_send() - queue a datagram; a full queue is flushed first.
  *
--- a/src/forward/forwarder_inquiry.c
+++ b/src/forward/forwarder_inquiry.c
@@ -90,6 +90,17 @@
   announce_flow (forwarder, flow);
 }
 
+/*
+ * A flow is opened only once its caller has an answer, so that a copy of its opening that arrives later was delayed,
+ * for example in the socket of a frozen process. It would otherwise open the flow at another host.
+ */
+bool
+wc_forwarder_is_late_opening (const WcFlow *flow, const WcPacket *packet)
+{
+  return (flow->state == WC_FLOW_OPEN || flow->state == WC_FLOW_LEARNED) &&
+         flow->sent_end - (packet->sequence + 1) < SEQUENCE_BEFORE_MAX;
+}
+
 void
 wc_forwarder_apply_flow_note (WcForwarder *forwarder, const WcFlowNote *note, uint64_t now_us)
 {
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -49,6 +49,11 @@
   WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet->key);
   WcHost        *host;
 
+  if (wc_opening_is_late (packet) || (flow && wc_forwarder_is_late_opening (flow, packet)))
+    {
+      wc_forwarder_emit_decision (forwarder, WC_DECISION_DROPPED_LATE_OPENING, &packet->key, NULL);
+      return;
+    }
   if (!route)
     {
       wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_ROUTE, NULL);
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -124,6 +124,9 @@
 /** wc_forwarder_announce_choice() - tell peers the host of a flow that was opened, if several may have answered. */
 void wc_forwarder_announce_choice (WcForwarder *forwarder, const WcFlow *flow);
 
+/** wc_forwarder_is_late_opening() - whether an opening is a delayed copy of the one with which @flow was opened. */
+bool wc_forwarder_is_late_opening (const WcFlow *flow, const WcPacket *packet);
+
 /** wc_forwarder_receive_opening() - process the opening packet of a caller. */
 void wc_forwarder_receive_opening (WcForwarder *forwarder, const WcPacket *packet);
 
--- a/src/forward/opening.h
+++ b/src/forward/opening.h
@@ -30,4 +30,10 @@
  */
 uint64_t wc_opening_get_sent_us (const WcPacket *packet, uint64_t now_us);
 
+/**
+ * wc_opening_is_late() - whether an opening waited so long at this instance that its caller has sent it again, perhaps
+ * through another instance, or has given it up.
+ */
+bool wc_opening_is_late (const WcPacket *packet);
+
 #endif
--- a/src/forward/packet.h
+++ b/src/forward/packet.h
@@ -33,6 +33,7 @@
  * @flags: combination of WcPacketFlag.
  * @request_id: identifier of the request that begins in the data; 0 for none. For logs only.
  * @size_bytes: length of the whole packet.
+ * @waited_us: for an opening, how long it waited in the socket of this instance, at most.
  * @bytes: the whole packet as received.
  */
 typedef struct
@@ -45,6 +46,7 @@
   uint8_t        flags;
   uint64_t       request_id;
   uint16_t       size_bytes;
+  uint64_t       waited_us;
   const uint8_t *bytes;
 } WcPacket;
 
--- a/tests/forward_fixture.h
+++ b/tests/forward_fixture.h
@@ -235,6 +235,31 @@
   fixture_packet (fixture, caller, route_port, WC_PACKET_SYN, 1000, retransmissions, 0, 0);
 }
 
+/* The same for an opening that waited in the socket of this instance. */
+static inline void
+fixture_late_syn (ForwardFixture *fixture, uint16_t caller, uint32_t retransmissions, uint64_t waited_us)
+{
+  static const uint8_t bytes[FIXTURE_HEADER_BYTES];
+  const WcPacket       packet = {
+          .key = { 0x64400007, FIXTURE_ROUTE_IP, caller, FIXTURE_ROUTE_PORT },
+          .sequence = 1000,
+          .acknowledged = retransmissions,
+          .flags = WC_PACKET_SYN,
+          .size_bytes = FIXTURE_HEADER_BYTES,
+          .waited_us = waited_us,
+          .bytes = bytes,
+  };
+
+  wc_forwarder_receive (fixture->forwarder, &packet, fixture->now_us);
+}
+
+/* The same for another flow of the same port, which starts at another sequence number. */
+static inline void
+fixture_syn_again (ForwardFixture *fixture, uint16_t caller, uint16_t route_port, uint32_t retransmissions)
+{
+  fixture_packet (fixture, caller, route_port, WC_PACKET_SYN, 900 * 1000 * 1000, retransmissions, 0, 0);
+}
+
 /* A request or its retransmission: 200 bytes at @offset of the caller's data, after @received bytes of answers. */
 static inline void
 fixture_request (ForwardFixture *fixture, uint16_t caller, uint16_t route_port, uint32_t offset, uint32_t received,
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -454,7 +454,7 @@
   fixture_put_host (&fixture, 2, "a", WC_HOST_READY);
   for (int i = 0; i < 2; i++)
     {
-      fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 0);
+      fixture_syn_again (&fixture, 100, FIXTURE_ROUTE_PORT, 0);
       ck_assert_uint_eq (fixture_last_host (&fixture), 2);
     }
   ck_assert_uint_eq (fixture.decisions[WC_DECISION_LINK_LOSSY], 0);
@@ -548,6 +548,32 @@
 }
 END_TEST
 
+/*
+ * A process was frozen, and its callers have opened their flows through other instances. Guards against openings of
+ * before the freeze that are placed as new ones, at a second host, or forwarded again as retransmissions.
+ */
+START_TEST (openings_of_before_a_pause_are_dropped)
+{
+  static ForwardFixture fixture;
+
+  fixture_init (&fixture);
+  fixture_put_host (&fixture, 1, "a", WC_HOST_READY);
+  fixture_put_host (&fixture, 2, "a", WC_HOST_READY);
+  fixture_late_syn (&fixture, 100, 0, 3000 * 1000);
+  fixture_late_syn (&fixture, 100, 1, 2800 * 1000);
+  ck_assert_uint_eq (fixture.forward_count, 0);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_DROPPED_LATE_OPENING], 2);
+  fixture_syn (&fixture, 101, FIXTURE_ROUTE_PORT, 0);
+  fixture_late_syn (&fixture, 101, 1, 2800 * 1000);
+  ck_assert_uint_eq (fixture.forward_count, 1);
+  /* The last copies of openings that their callers still wait for. */
+  fixture_late_syn (&fixture, 102, 2, 700 * 1000);
+  fixture_late_syn (&fixture, 103, 0, 400 * 1000);
+  ck_assert_uint_eq (fixture.forward_count, 3);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /* Guards against flow counts that drift, so that placement avoids an idle host. */
 START_TEST (host_flow_counts_return_to_zero)
 {
@@ -730,6 +756,7 @@
   tcase_add_test (tests, evidence_before_delay_is_discarded);
   tcase_add_test (tests, requests_read_late_are_not_evidence);
   tcase_add_test (tests, flow_of_gone_host_is_reset_on_retransmission);
+  tcase_add_test (tests, openings_of_before_a_pause_are_dropped);
   tcase_add_test (tests, host_flow_counts_return_to_zero);
   tcase_add_test (tests, opening_is_held_while_hosts_are_full);
   tcase_add_test (tests, held_opening_keeps_its_service);
--- a/tests/test_forwarder_inquiry.c
+++ b/tests/test_forwarder_inquiry.c
@@ -147,6 +147,32 @@
 }
 END_TEST
 
+/*
+ * A copy of an opening is read after the flow was opened through another instance, for example when a frozen process
+ * continues. Guards against a second host for an open flow.
+ */
+START_TEST (late_opening_is_dropped)
+{
+  static ForwardFixture fixture;
+  const WcFlowNote      note = { .key = { 0x64400007, FIXTURE_ROUTE_IP, 100, FIXTURE_ROUTE_PORT },
+                                 .sequence = 1201,
+                                 .cookie = wc_cookie_from_host (1) };
+
+  init_with_hosts (&fixture);
+  wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
+  fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 0);
+  ck_assert_uint_eq (fixture.forward_count, 0);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_DROPPED_LATE_OPENING], 1);
+  fixture_request (&fixture, 101, FIXTURE_ROUTE_PORT, 0, 0, 2);
+  fixture_syn (&fixture, 101, FIXTURE_ROUTE_PORT, 1);
+  ck_assert_uint_eq (fixture.forward_count, 1);
+  /* The caller uses its port for another flow. */
+  fixture_syn_again (&fixture, 100, FIXTURE_ROUTE_PORT, 0);
+  ck_assert_uint_eq (fixture.forward_count, 2);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /*
  * An instance placed a late opening before it heard that the flow is open elsewhere. Guards against packets that follow
  * the answer to the late opening.
@@ -220,6 +246,7 @@
   tcase_add_test (tests, announced_host_outlives_instance);
   tcase_add_test (tests, confirmed_cookie_is_trusted);
   tcase_add_test (tests, unknown_flow_follows_cookie);
+  tcase_add_test (tests, late_opening_is_dropped);
   tcase_add_test (tests, announcement_replaces_opening);
   tcase_add_test (tests, retransmitted_opening_is_ambiguous);
   tcase_add_test (tests, answer_is_for_the_same_flow);
--- a/tests/test_held_opening.c
+++ b/tests/test_held_opening.c
@@ -19,6 +19,43 @@
 }
 END_TEST
 
+/* Guards against openings that count as new although they waited in the socket of a paused process. */
+START_TEST (sent_time_includes_wait_in_socket)
+{
+  const WcPacket packet = { .flags = WC_PACKET_SYN, .acknowledged = 1, .waited_us = 150 * MS };
+
+  ck_assert_uint_eq (wc_opening_get_sent_us (&packet, NOW_US), NOW_US - 350 * MS);
+}
+END_TEST
+
+/*
+ * Guards against openings that are placed although their callers have sent them again or given them up, and against the
+ * loss of openings after a pause that is too short for that.
+ */
+START_TEST (late_openings_are_recognized)
+{
+  static const struct
+  {
+    uint32_t retransmissions;
+    uint64_t waited_us;
+    bool     is_late;
+  } cases[] = {
+    { 0, 0, false },        { 0, 300 * MS, false }, { 0, 501 * MS, true },
+    { 1, 500 * MS, false }, { 1, 501 * MS, true },  { 2, 799 * MS, false },
+    { 2, 801 * MS, true },  { 9, 801 * MS, true },  { 0, UINT64_MAX, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const WcPacket packet = { .flags = WC_PACKET_SYN,
+                                .acknowledged = cases[i].retransmissions,
+                                .waited_us = cases[i].waited_us };
+
+      ck_assert_msg (wc_opening_is_late (&packet) == cases[i].is_late, "case %zu", i);
+    }
+}
+END_TEST
+
 /*
  * Guards against openings that are held beyond the callers' time limit, or, on a route without a time limit, beyond the
  * time after which a caller gives up an opening.
@@ -74,6 +111,8 @@
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, sent_time_follows_retransmission_count);
+  tcase_add_test (tests, sent_time_includes_wait_in_socket);
+  tcase_add_test (tests, late_openings_are_recognized);
   tcase_add_test (tests, hold_deadline_follows_time_limit);
   tcase_add_test (tests, absurd_routes_have_sane_deadlines);
   tcase_add_test (tests, in_time_includes_the_answer);
