Leave out odd entries of lists and keep the sound ones in use

The operators' report: an entry of another writer in the list of hosts, nested very deeply, with a number too large or a port out of range, ended the machines that read the list, or they stopped following it.

Fix: what cannot be used is left out at the level of the entry, logged with its reason and counted: hosts, routes, services of a split, items of an answer, entries of the list of instances. Numbers that are too large for the decoder are rejected, where json-c returns the largest that it knows; so are strings with a NUL character, which were cut there, and text after the object.

Looked at and left: the published register is accepted or rejected as a whole, by design, with place and reason; datagrams of peers come from instances only.

--- a/include/wigeoncart/counters.h
+++ b/include/wigeoncart/counters.h
@@ -44,6 +44,7 @@
   X (REPORTS_SENT, "reports_sent_total", "Backlog reports sent to owners in other domains.")                           \
   X (REPORT_BYTES_SENT, "report_bytes_sent_total", "Bytes of backlog reports sent, with UDP and IPv4 headers.")        \
   X (REPORTS_RECEIVED, "reports_received_total", "Backlog reports received.")                                          \
+  X (INSTANCES_REJECTED, "instances_rejected_total", "Malformed entries in the platform's list of instances.")         \
   X (REPORTS_REJECTED, "reports_rejected_total", "Backlog reports that were forged, stale or not of the owner.")       \
   X (PACKETS_PASSED_ON, "packets_passed_on_total", "Requests and ticket requests passed on to another domain.")        \
   X (PAUSES_DETECTED, "pauses_detected_total", "Gaps in the process's own clock that made it reconfirm its view.")     \
--- a/src/edge/control_thread.c
+++ b/src/edge/control_thread.c
@@ -724,12 +724,13 @@
 {
   WcError   error;
   size_t    count;
+  size_t    rejected;
   WcMember *members;
 
   /* Names of removed instances stay in the table, so it is cleared when it has grown too large. */
   if (g_hash_table_size (thread->names) > NAMES_MAX)
     g_hash_table_remove_all (thread->names);
-  members = wc_instance_list_parse (body, size_bytes, thread->names, &count, &error);
+  members = wc_instance_list_parse (body, size_bytes, thread->names, &count, &rejected, &error);
 
   if (!members)
     {
@@ -738,6 +739,13 @@
       wc_control_list_failed (thread->control, wc_clock_monotonic_us ());
       return;
     }
+  if (rejected > 0)
+    {
+      wc_counters_add (&thread->counters, WC_COUNTER_INSTANCES_REJECTED, rejected);
+      wc_log_ratelimited (WC_LOG_WARNING, "platform",
+                          "The platform's list of instances has %zu malformed entries, which are left out: %s.",
+                          rejected, error.message);
+    }
   wc_control_list_received (thread->control, wc_clock_monotonic_us (), members, count, size_bytes);
   g_free (members);
 }
--- a/src/edge/forward_metrics.c
+++ b/src/edge/forward_metrics.c
@@ -52,6 +52,13 @@
                gauges->reader->expired);
   add_counter (text, "view_overdue_reads_total", "Reads of the store because peers did not confirm the view in time.",
                gauges->reader->overdue);
+  add_counter (text, "view_items_rejected_total", "Items in answers of the store that could not be used.",
+               gauges->reader->rejected);
+  add_counter (text, "hosts_rejected_total", "Entries of hosts that could not be used.", gauges->view->hosts_rejected);
+  add_counter (text, "routes_rejected_total", "Routes, services of routes and rates that could not be used.",
+               gauges->view->routes_rejected);
+  add_counter (text, "configs_rejected_total", "Configurations that could not be used.",
+               gauges->view->configs_rejected);
   add_counter (text, "view_peers_behind_total", "Peers given up because their view was older than one known elsewhere.",
                gauges->reader->behind);
   add_counter (text, "peer_datagrams_malformed_total", "Datagrams that are no news of a peer.",
--- a/src/edge/forward_metrics.h
+++ b/src/edge/forward_metrics.h
@@ -6,6 +6,7 @@
 #include "edge/event_log.h"
 #include "edge/latency_histogram.h"
 #include "edge/packet_socket.h"
+#include "edge/store_view.h"
 #include "edge/view_reader.h"
 #include "forward/decision.h"
 #include "forward/forwarder.h"
@@ -38,6 +39,7 @@
 
 /**
  * struct WcForwardGauges - current state, exported together with the counters.
+ * @view: entries of the store that could not be used.
  * @held_changes: changes of a restored store that are held back.
  * @view_age_us: time since the store confirmed the view; UINT64_MAX when it never did.
  * @peers: number of other live instances.
@@ -47,6 +49,7 @@
   const WcForwarder            *forwarder;
   const WcPacketSocketCounters *packets;
   const WcViewReaderCounters   *reader;
+  const WcStoreViewCounters    *view;
   uint64_t                      view_era;
   uint64_t                      view_revision;
   size_t                        held_changes;
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -91,6 +91,7 @@
   WcStatusPort            *operators_port;
   WcSettingsWatch         *settings_watch;
   WcForwardMetrics         metrics;
+  WcStoreViewCounters      view_counters;
   ev_timer                 tick_timer;
   ev_timer                 forwarder_timer;
   ev_signal                signals[3];
@@ -416,7 +417,7 @@
   WcForwardServer *server = user_data;
 
   server->now_us = wc_clock_monotonic_us ();
-  wc_store_view_apply (server->forwarder, server->log, change, server->now_us);
+  wc_store_view_apply (server->forwarder, server->log, change, server->now_us, &server->view_counters);
 }
 
 static void
@@ -478,6 +479,7 @@
      .forwarder = server->forwarder,
      .packets = wc_packet_socket_get_counters (server->packet_socket),
      .reader = wc_view_reader_get_counters (server->reader),
+     .view = &server->view_counters,
      .view_era = wc_store_replica_get_version (server->replica).era,
      .held_changes = wc_store_replica_get_held (server->replica),
      .view_revision = wc_store_replica_get_version (server->replica).revision,
--- a/src/edge/instance_list.h
+++ b/src/edge/instance_list.h
@@ -11,11 +11,12 @@
  * @names: receives the identifier and name of each instance, as allocated keys and values.
  * @count: set to the number of members returned.
  *
- * Malformed entries are skipped, so that one of them does not hide the other instances.
+ * @rejected: set to the number of entries that were left out because they are malformed, so that one of them does not
+ * hide the other instances; @error is then set to the reason of the last.
  *
  * Return: the members, freed with g_free(); or NULL with @error set when @text is not a list of instances.
  */
-WcMember *
-wc_instance_list_parse (const char *text, size_t size_bytes, GHashTable *names, size_t *count, WcError *error);
+WcMember *wc_instance_list_parse (const char *text, size_t size_bytes, GHashTable *names, size_t *count,
+                                  size_t *rejected, WcError *error);
 
 #endif
--- a/src/edge/store_view.h
+++ b/src/edge/store_view.h
@@ -5,6 +5,19 @@
 #include "forward/forwarder.h"
 #include "forward/store_change.h"
 
+/**
+ * struct WcStoreViewCounters - entries that could not be used, since the start.
+ * @hosts_rejected: entries of hosts.
+ * @routes_rejected: parts of configurations: routes, services of routes, rates of services.
+ * @configs_rejected: whole configurations.
+ */
+typedef struct
+{
+  uint64_t hosts_rejected;
+  uint64_t routes_rejected;
+  uint64_t configs_rejected;
+} WcStoreViewCounters;
+
 /**
  * wc_store_view_apply() - decode a change of the store and apply it to the forwarder.
  *
@@ -12,7 +25,8 @@
  * force, is rejected, and the previous one stays in force. A domain is evacuated while its key is present. Other items
  * are ignored.
  */
-void wc_store_view_apply (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us);
+void wc_store_view_apply (WcForwarder *forwarder, WcEventLog *log, const WcStoreChange *change, uint64_t now_us,
+                          WcStoreViewCounters *counters);
 
 /**
  * wc_store_view_compare() - order two values of a key by what their writer put into them: configurations by version,
--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -361,10 +361,15 @@
       return;
     }
   wc_store_reply_init (&reply);
-  if (decode_reply (reader, version, body, size_bytes, &reply, &origin, &error))
-    reply_received (reader, read, &reply, &origin);
-  else
+  if (!decode_reply (reader, version, body, size_bytes, &reply, &origin, &error))
     handle_read_failure (reader, error.message);
+  else
+    {
+      reader->counters.rejected += reply.rejected;
+      if (reply.rejected > 0)
+        log_state (reader, "item_rejected", error.message);
+      reply_received (reader, read, &reply, &origin);
+    }
   wc_store_reply_finish (&reply);
 }
 
--- a/src/edge/view_reader.h
+++ b/src/edge/view_reader.h
@@ -19,6 +19,7 @@
  * @failures: reads that failed, of either source.
  * @expired: reads whose source no longer knew the requested revision.
  * @overdue: reads of the store because the view was overdue although a peer was available.
+ * @rejected: items in answers of the store that could not be used.
  * @behind: peers that were given up because their view was older than one known elsewhere.
  */
 typedef struct
@@ -28,6 +29,7 @@
   uint64_t failures;
   uint64_t expired;
   uint64_t overdue;
+  uint64_t rejected;
   uint64_t behind;
 } WcViewReaderCounters;
 
--- a/src/forward/placement.c
+++ b/src/forward/placement.c
@@ -428,7 +428,7 @@
       capacity->busy += estimate_busy (host, placement, now_us);
       capacity->own_busy += host->busy_flows;
       capacity->slots += host->record.slots;
-      capacity->served_per_s += host->record.slots * SECOND_US / get_service_time_us (host);
+      capacity->served_per_s += (uint64_t)host->record.slots * SECOND_US / get_service_time_us (host);
     }
 }
 
--- a/src/forward/store_sync.c
+++ b/src/forward/store_sync.c
@@ -90,7 +90,7 @@
   g_free (sync->after_key);
   sync->after_key = NULL;
   if (!sync->full_read_done)
-    sync->after_key = g_strdup (g_array_index (reply->changes, WcStoreChange, reply->changes->len - 1).key);
+    sync->after_key = g_strdup (reply->last_key);
   return true;
 }
 
--- a/tests/test_evacuation_view.c
+++ b/tests/test_evacuation_view.c
@@ -37,7 +37,9 @@
 {
   Instance *instance = user_data;
 
-  wc_store_view_apply (instance->fixture.forwarder, instance->log, change, instance->fixture.now_us);
+  WcStoreViewCounters counters = { 0 };
+
+  wc_store_view_apply (instance->fixture.forwarder, instance->log, change, instance->fixture.now_us, &counters);
 }
 
 static void
--- a/tests/test_forward_metrics.c
+++ b/tests/test_forward_metrics.c
@@ -10,10 +10,11 @@
 static char *
 format_metrics (const WcForwardMetrics *metrics, const WcForwarder *forwarder)
 {
-  const WcViewReaderCounters   reader = { 1, 2, 3, 4, 5, 6 };
+  const WcViewReaderCounters   reader = { 1, 2, 3, 4, 5, 6, 7 };
+  const WcStoreViewCounters    view = { 1, 2, 3 };
   const WcPacketSocketCounters packets = { 4, 5, 6, 7, 8 };
   const WcForwardGauges        gauges = {
-           .forwarder = forwarder, .packets = &packets, .reader = &reader, .view_age_us = 1500000
+           .forwarder = forwarder, .packets = &packets, .reader = &reader, .view = &view, .view_age_us = 1500000
   };
 
   return wc_forward_metrics_format (metrics, &gauges);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -283,9 +283,28 @@
 }
 END_TEST
 
+/*
+ * Guards against an overflow with a number of slots that an entry may have: the capacity of all hosts of the service
+ * would be wrong.
+ */
+START_TEST (many_slots_do_not_overflow)
+{
+  WcHostTable *table = wc_host_table_new (1000);
+  WcPlacement  flow = new_flow (1);
+  WcHost      *host = add_host (table, 1, "a");
+  uint64_t     few;
+
+  few = wc_placement_get_capacity (table, &flow, 10 * 1000 * 1000, 1);
+  host->record.slots = 4096;
+  ck_assert_uint_ge (wc_placement_get_capacity (table, &flow, 10 * 1000 * 1000, 1), few * 4096 / SLOTS);
+  wc_host_table_delete (table);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
+  tcase_add_test (tests, many_slots_do_not_overflow);
   tcase_add_test (tests, low_load_stays_in_domain_evenly);
   tcase_add_test (tests, burst_spills_before_queues_are_full);
   tcase_add_test (tests, slow_host_gets_less);
--- a/tests/test_store_view.c
+++ b/tests/test_store_view.c
@@ -13,8 +13,9 @@
 {
   GBytes             *value = g_bytes_new (text, strlen (text));
   const WcStoreChange change = { (char *)key, value, { 1, revision } };
+  WcStoreViewCounters counters = { 0 };
 
-  wc_store_view_apply (fixture->forwarder, log, &change, fixture->now_us);
+  wc_store_view_apply (fixture->forwarder, log, &change, fixture->now_us, &counters);
   g_bytes_unref (value);
 }
 
--- a/tests/test_store_wire.c
+++ b/tests/test_store_wire.c
@@ -61,6 +61,33 @@
 }
 END_TEST
 
+/*
+ * Guards against one odd item that hides the others of its response, so that the view is no longer updated, and against
+ * a page that is read again and again because the key after which the next one begins is not known.
+ */
+START_TEST (odd_items_are_left_out)
+{
+  static const char    text[] = "{\"items\":[{\"key\":\"a\",\"value\":\"bm9k\",\"mod-rev\":1},7,null,"
+                                "{\"key\":\"b\",\"value\":\"bm9k\",\"mod-rev\":99999999999999999999},"
+                                "{\"key\":\"b\\u0000x\",\"value\":\"bm9k\",\"mod-rev\":2},"
+                                "{\"key\":\"c\",\"value\":\"bm9k\",\"mod-rev\":3},"
+                                "{\"key\":\"d\",\"value\":\"bm9k\"}],\"has-more\":true,\"as-of\":9}";
+  const WcStoreChange *change;
+  WcStoreReply         reply;
+  WcError              error;
+
+  wc_store_reply_init (&reply);
+  ck_assert_int_eq (wc_store_wire_decode (text, strlen (text), 7, &reply, &error), WC_STATUS_OK);
+  ck_assert_uint_eq (reply.changes->len, 2);
+  change = &g_array_index (reply.changes, WcStoreChange, 1);
+  ck_assert_str_eq (change->key, "c");
+  ck_assert_uint_eq (reply.rejected, 5);
+  ck_assert_str_eq (reply.last_key, "d");
+  ck_assert_ptr_nonnull (strstr (error.message, "item d"));
+  wc_store_reply_finish (&reply);
+}
+END_TEST
+
 /* Guards against unescaped keys that truncate or extend the query of a request path. */
 START_TEST (store_paths_escape_keys)
 {
@@ -82,6 +109,7 @@
 {
   tcase_add_test (tests, store_replies_are_decoded);
   tcase_add_test (tests, malformed_store_replies_are_rejected);
+  tcase_add_test (tests, odd_items_are_left_out);
   tcase_add_test (tests, store_paths_escape_keys);
 }
 
