Do not give up a long response because the view is overdue

Cause: when the view becomes overdue, the read from a peer is given up for the store. If that read is receiving a configuration of several hundred kilobytes over a slow link, all of it would be sent again, uncompressed, and each instance of the domain would ask the store for it.

Fix: a response of which a part was received is left to end. The client gives it up itself when it stalls for 0.4 s, or after 5 s.

--- a/src/edge/platform_client.c
+++ b/src/edge/platform_client.c
@@ -221,6 +221,18 @@
   read->active = false;
 }
 
+bool
+wc_platform_client_is_receiving (const WcPlatformClient *client)
+{
+  assert (client != NULL);
+
+  for (size_t i = 0; i < WC_PLATFORM_READ_COUNT; i++)
+    if (client->reads[i].active && client->reads[i].in_progress && client->reads[i].body &&
+        client->reads[i].body->len > 0)
+      return true;
+  return false;
+}
+
 void
 wc_platform_client_set_blocked (WcPlatformClient *client, bool blocked)
 {
--- a/src/edge/platform_client.h
+++ b/src/edge/platform_client.h
@@ -76,6 +76,9 @@
 
 void wc_platform_client_cancel (WcPlatformClient *client, WcPlatformRead read);
 
+/** wc_platform_client_is_receiving() - whether a part of the body of a response was received, and more is awaited. */
+bool wc_platform_client_is_receiving (const WcPlatformClient *client);
+
 /** wc_platform_client_set_blocked() - make all reads fail while @blocked is set (fault injection). */
 void wc_platform_client_set_blocked (WcPlatformClient *client, bool blocked);
 
--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -37,6 +37,9 @@
    */
   CHECK_RETRY_MIN_US = 250 * 1000,
   CHECK_RETRY_US = 4000 * 1000,
+  /* Pause before an overdue read of a long response is examined again; the client gives up a stalled one after 0.4 s.
+   */
+  OVERDUE_RECHECK_US = 100 * 1000,
   /* How long a peer is not read from after a failed read. */
   PEER_AVOID_US = 2000 * 1000,
   /*
@@ -306,14 +309,22 @@
   read_next (watcher->data);
 }
 
-/* The peer that is read from has not confirmed the view in time. */
+/*
+ * The peer that is read from has not confirmed the view in time. A long response that is being received is not given
+ * up: the whole would be read again, and over slow links would never be complete.
+ */
 static void
 overdue_expired (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   WcViewReader *reader = watcher->data;
 
-  (void)loop;
   (void)events;
+  if (wc_platform_client_is_receiving (reader->peer_client))
+    {
+      ev_timer_set (watcher, (double)OVERDUE_RECHECK_US / 1e6, 0.0);
+      ev_timer_start (loop, watcher);
+      return;
+    }
   cancel_reads (reader);
   read_next (reader);
 }
--- a/tests/test_platform_client.c
+++ b/tests/test_platform_client.c
@@ -375,6 +375,35 @@
 }
 END_TEST
 
+/* Guards against a long response that is given up while it is being received, and against one that counts for ever. */
+START_TEST (response_in_progress_is_visible)
+{
+  static const char bytes[] = "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"
+                              "123456789012345678901234567890";
+  struct ev_loop   *loop = ev_loop_new (EVFLAG_AUTO);
+  ReadResult        outcome = { 0 };
+  Server            server;
+  WcPlatformClient *client;
+
+  server_open (&server, loop, bytes);
+  server.part_bytes = 60;
+  server.pause_us = 100 * 1000;
+  client = wc_platform_client_new (loop, &server.address, 1, read_finished, &outcome);
+  wc_platform_client_get (client, WC_PLATFORM_READ_STORE_CHANGES, "/changes", 0);
+  ck_assert (!wc_platform_client_is_receiving (client));
+  while (!wc_platform_client_is_receiving (client))
+    ev_run (loop, EVRUN_ONCE);
+  ck_assert_uint_eq (outcome.calls, 0);
+  run_until_finished (loop, &outcome);
+  ck_assert_int_eq (outcome.result, WC_PLATFORM_RESULT_OK);
+  ck_assert (!wc_platform_client_is_receiving (client));
+  g_free (outcome.body);
+  wc_platform_client_delete (client);
+  server_close (&server, loop);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -386,6 +415,7 @@
   tcase_add_loop_test (cases, response_size_limit, 0, 4);
   tcase_add_test (cases, cancel_and_block);
   tcase_add_loop_test (cases, stalled_body_times_out_but_slow_body_does_not, 0, 2);
+  tcase_add_test (cases, response_in_progress_is_visible);
   tcase_add_loop_test (cases, second_copy_of_response_is_not_used, 0, 2);
   return wc_test_run_case ("platform_client", cases);
 }
