Let the soak see open flows that reach a host which does not hold them

Cause: the hosts of the soak answered an opening once and were silent on packets of flows that another host had opened, and its callers ignored resets of other hosts than the flow's.

Change: hosts repeat their answer to an opening until it is acknowledged, and reset data of a flow that they accepted but that was opened elsewhere. Callers take such a reset as what it is. It is counted (foreign_resets), and a violation when nothing has a fault. One caller in six pauses for 5 to 9 s between two requests, so that cookies grow old.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -202,13 +202,15 @@
           ",\"starts\":%" G_GUINT64_FORMAT ",\"requests\":%" G_GUINT64_FORMAT ",\"done\":%" G_GUINT64_FORMAT
           ",\"failed\":%" G_GUINT64_FORMAT ",\"system_resets\":%" G_GUINT64_FORMAT
           ",\"checked_openings\":%" G_GUINT64_FORMAT ",\"checked_drains\":%" G_GUINT64_FORMAT
-          ",\"checked_resets\":%" G_GUINT64_FORMAT ",\"checked_rollbacks\":%" G_GUINT64_FORMAT
-          ",\"evacuations\":%" G_GUINT64_FORMAT ",\"checked_evacuations\":%" G_GUINT64_FORMAT
-          ",\"restores\":%" G_GUINT64_FORMAT ",\"wrong_host\":%" G_GUINT64_FORMAT ",\"store_calls\":%" G_GUINT64_FORMAT
-          ",\"stalls\":%" G_GUINT64_FORMAT "}\n",
+          ",\"foreign_resets\":%" G_GUINT64_FORMAT ",\"checked_resets\":%" G_GUINT64_FORMAT
+          ",\"checked_rollbacks\":%" G_GUINT64_FORMAT ",\"evacuations\":%" G_GUINT64_FORMAT
+          ",\"checked_evacuations\":%" G_GUINT64_FORMAT ",\"restores\":%" G_GUINT64_FORMAT
+          ",\"wrong_host\":%" G_GUINT64_FORMAT ",\"store_calls\":%" G_GUINT64_FORMAT ",\"stalls\":%" G_GUINT64_FORMAT
+          "}\n",
           soak->seed, soak->violations, recovered ? "true" : "false", counts->faults, counts->starts, counts->requests,
           counts->done, counts->failed, counts->system_resets, counts->checked_openings, counts->checked_drains,
-          counts->checked_resets, counts->checked_rollbacks, counts->evacuations, counts->checked_evacuations,
-          counts->restores, counts->wrong_host, wc_emulated_store_get_calls (soak->store), counts->stalls);
+          counts->foreign_resets, counts->checked_resets, counts->checked_rollbacks, counts->evacuations,
+          counts->checked_evacuations, counts->restores, counts->wrong_host, wc_emulated_store_get_calls (soak->store),
+          counts->stalls);
   return soak->violations == 0 && recovered ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -186,6 +186,8 @@
   uint64_t recovery_requests;
   uint64_t recovery_done;
   uint64_t system_resets;
+  /* Resets of open flows by hosts that do not hold them, whether counted as violations or not. */
+  uint64_t foreign_resets;
   /* Checks made while the instance and the system were stable. */
   uint64_t checked_openings;
   uint64_t checked_drains;
@@ -272,6 +274,8 @@
 
 /* Hosts and configuration. */
 bool soak_hosts_start (Soak *soak);
+/** soak_host_has_open_flow() - whether @host is still the one with identifier @id, and the flow is open there. */
+bool soak_host_has_open_flow (const SoakHost *host, uint64_t id, const WcFlowKey *key);
 void soak_host_publish (SoakHost *host);
 /** soak_host_publish_again() - write the entry again that was published last. */
 void soak_host_publish_again (SoakHost *host);
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -69,6 +69,7 @@
 
 static void             readable (struct ev_loop *loop, ev_io *watcher, int events);
 static void             receive (User *user, const WcPacket *packet, SoakHost *host);
+static void             check_host_reset (const User *user, const SoakHost *host);
 static void             receive_system_reset (User *user, const WcPacket *packet, const SoakInstance *instance);
 static User            *find_user (Caller *caller, const WcPacket *packet);
 static void             start_request (User *user);
@@ -171,7 +172,9 @@
 {
   if (packet->flags & WC_PACKET_RST)
     {
-      if (user->state == USER_OPENING || (user->host_id != 0 && user->host_id == host->id))
+      if (user->state != USER_OPENING && user->host_id != 0 && user->host_id != host->id)
+        check_host_reset (user, host);
+      if (user->state == USER_OPENING || user->host_id != 0)
         attempt_failed (user, user->state == USER_REQUESTING);
       return;
     }
@@ -198,6 +201,27 @@
     end_request (user, true);
 }
 
+/* A host resets what it does not hold, so that an open flow must not reach another host than its own. */
+static void
+check_host_reset (const User *user, const SoakHost *host)
+{
+  Soak *soak = user->caller->soak;
+  bool  is_stable = soak_is_stable (soak);
+
+  /* A flow whose host has not received the end of the handshake is not open. */
+  if (!soak_host_has_open_flow (user->host, user->host_id, &user->key))
+    return;
+  soak->counts.foreign_resets++;
+  soak_trace (soak, "host %d reset flow %u>%u, which is open at host %d", host->number, user->key.caller_port,
+              user->key.route_port, user->host->number);
+  for (int i = 0; i < SOAK_INSTANCES; i++)
+    is_stable = is_stable && soak_instance_is_stable (&soak->instances[i]);
+  if (is_stable && user->host->state != SOAK_HOST_UNRESPONSIVE &&
+      soak->now_us > user->host->faults_end_us + SOAK_STABLE_US && soak->now_us > host->faults_end_us + SOAK_STABLE_US)
+    soak_report_violation (soak, "open flows", "host %d reset a flow that is open at host %d, which is serving",
+                           host->number, user->host->number);
+}
+
 /* A system reset may end an open flow only if its host or a link has a fault or its route was removed. */
 static void
 receive_system_reset (User *user, const WcPacket *packet, const SoakInstance *instance)
@@ -343,7 +367,8 @@
   soak->counts.failed += !done;
   soak->counts.recovery_done += done && user->is_recovery;
   user->state = USER_IDLE;
-  user->due_us = soak->now_us + (uint64_t)soak_random_range (soak, 50e3, 300e3);
+  user->due_us = soak->now_us + (uint64_t)(user == user->caller->users ? soak_random_range (soak, 5000e3, 9000e3)
+                                                                       : soak_random_range (soak, 50e3, 300e3));
   if (done && user->host_id != 0 && soak_random_range (soak, 0, 1) < 0.3)
     {
       send_packet (user, WC_PACKET_ACK | WC_PACKET_FIN, user->sequence, user->acknowledged, NULL, 0);
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -13,7 +13,11 @@
 {
   HOST_ID_BYTES = 8,
   ANSWER_BYTES = 700,
-  DATAGRAM_BYTES = 2048
+  DATAGRAM_BYTES = 2048,
+  /* An answer to an opening is sent again after 200 ms, then after twice the time before, eight times at most. */
+  RESEND_MIN_US = 200 * 1000,
+  RESEND_MAX_US = 1600 * 1000,
+  RESENDS_MAX = 8
 };
 
 /*
@@ -21,6 +25,8 @@
  * @expected: next expected sequence number.
  * @answered: sequence number up to which the caller's data has been answered.
  * @due_us: when the answer to the current request is sent; 0 for none.
+ * @resend_us: when the answer to the opening is sent again, while the flow is not open; 0 for never.
+ * @resends: how often it was sent again.
  */
 typedef struct
 {
@@ -30,6 +36,8 @@
   uint32_t  expected;
   uint32_t  answered;
   uint64_t  due_us;
+  uint64_t  resend_us;
+  uint32_t  resends;
   uint64_t  request_id;
   bool      is_open;
 } HostFlow;
@@ -42,6 +50,7 @@
                              size_t size_bytes);
 static void  check_rollback (Soak *soak, SoakInstance *instance, const SoakRoute *route);
 static char *format_key (uint64_t id);
+static void  answer_opening (SoakHost *host, HostFlow *flow);
 static void  run_request (SoakHost *host, HostFlow *flow);
 static void  send_answer (SoakHost *host, HostFlow *flow);
 static void  send_packet (SoakHost *host, const HostFlow *flow, uint8_t flags, uint32_t sequence, uint16_t data_bytes);
@@ -184,10 +193,20 @@
 
           if (flow->due_us > 0 && soak->now_us >= flow->due_us)
             send_answer (host, flow);
+          if (flow->resend_us > 0 && soak->now_us >= flow->resend_us)
+            answer_opening (host, flow);
         }
     }
 }
 
+bool
+soak_host_has_open_flow (const SoakHost *host, uint64_t id, const WcFlowKey *key)
+{
+  const HostFlow *flow = g_hash_table_lookup (host->flows, key);
+
+  return host->id == id && flow && flow->is_open;
+}
+
 void
 soak_hosts_stop (Soak *soak)
 {
@@ -265,9 +284,14 @@
     }
   /* A flow opens at the host whose sequence number the caller acknowledges first, and at no other that accepted it. */
   if (!flow->is_open && packet->acknowledged != flow->sequence)
-    return;
+    {
+      if (packet->data_bytes > 0)
+        send_packet (host, flow, WC_PACKET_RST, packet->acknowledged, 0);
+      return;
+    }
   flow->cookie = packet->cookie;
   flow->is_open = true;
+  flow->resend_us = 0;
   if (packet->data_bytes > 0 && packet->sequence == flow->expected && flow->due_us == 0)
     {
       flow->expected += packet->data_bytes;
@@ -300,7 +324,17 @@
       g_hash_table_insert (host->flows, &flow->key, flow);
     }
   flow->cookie = packet->cookie;
+  flow->resends = 0;
+  answer_opening (host, flow);
+}
+
+static void
+answer_opening (SoakHost *host, HostFlow *flow)
+{
+  uint64_t pause_us = MIN (RESEND_MIN_US << flow->resends, RESEND_MAX_US);
+
   send_packet (host, flow, WC_PACKET_SYN | WC_PACKET_ACK, flow->sequence, 0);
+  flow->resend_us = !flow->is_open && flow->resends++ < RESENDS_MAX ? host->soak->now_us + pause_us : 0;
 }
 
 static void
