Review the notes on hosts of flows: other flows of a port, room, cost

From reading the diff as a whole: - A statement about an earlier flow of the same port replaced what the instance had seen itself of the flow that is open now. It is ignored. - Flows that are known only from peers could fill the flow table in an overload; they leave half of it. - The choice of the peers that are told looked through all instances for each instance.

answer_is_for_the_same_flow failed before for the first; learned_flows_leave_room and instances_pick_same_flow_holders are new.

--- a/src/edge/instance_list.c
+++ b/src/edge/instance_list.c
@@ -71,7 +71,7 @@
 
 /*
  * The decoder gives up a text that is nested too deeply, and would with it give up all entries. An entry that is nested
- * too deeply is replaced by null. Return: a copy of the same length.
+ * too deeply is replaced by a number, which is no entry. Return: a copy of the same length.
  */
 static char *
 copy_without_deep_entries (const char *text, size_t size_bytes)
@@ -102,7 +102,7 @@
       else if ((copy[i] == '}' || copy[i] == ']') && depth > 0 && depth-- == ENTRY_DEPTH && is_deep)
         {
           memset (copy + entry_start, ' ', i + 1 - entry_start);
-          memcpy (copy + entry_start, "null", 4);
+          copy[entry_start] = '0';
           is_deep = false;
         }
     }
--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -267,18 +267,18 @@
   bool is_same = source->kind == reader->source.kind &&
                  (source->kind != WC_VIEW_SOURCE_PEER || wc_address_equal (&source->peer, &reader->source.peer));
 
-  if (source->is_check)
-    {
-      reader->counters.overdue++;
-      reader->has_overdue_peer = reader->source.kind == WC_VIEW_SOURCE_PEER;
-      reader->overdue_peer = reader->source.peer;
-    }
   reader->source.is_other_domain = source->is_other_domain;
   reader->source.is_check = source->is_check;
   if (source->is_other_domain)
     set_indirect (reader, true);
   if (is_same)
     return;
+  if (source->is_check)
+    {
+      reader->counters.overdue++;
+      reader->has_overdue_peer = reader->source.kind == WC_VIEW_SOURCE_PEER;
+      reader->overdue_peer = reader->source.peer;
+    }
   if (source->kind == WC_VIEW_SOURCE_PEER)
     {
       wc_platform_client_delete (reader->peer_client);
--- a/src/forward/forwarder_inquiry.c
+++ b/src/forward/forwarder_inquiry.c
@@ -24,7 +24,9 @@
    * flow of the same port starts elsewhere.
    */
   SEQUENCE_AFTER_MAX = 1 << 20,
-  SEQUENCE_BEFORE_MAX = 1 << 16
+  SEQUENCE_BEFORE_MAX = 1 << 16,
+  /* Flows that are known only from peers leave this part of the flow table to the instance's own. */
+  OWN_FLOWS_DIVISOR = 2
 };
 
 typedef struct
@@ -36,6 +38,7 @@
 
 static bool add_note (void *user_data, WcFlow *flow);
 static bool is_same_flow (const WcFlow *flow, uint32_t sequence);
+static bool may_replace (const WcFlow *flow, const WcFlowNote *note);
 static void learn_host (WcForwarder *forwarder, const WcFlowNote *note);
 static void forward_held (void *user_data, const WcPacket *packet);
 static void forward_by_cookie (void *user_data, const WcPacket *packet);
@@ -160,17 +163,28 @@
   return sequence - flow->sent_end < SEQUENCE_AFTER_MAX || flow->sent_end - sequence < SEQUENCE_BEFORE_MAX;
 }
 
-/* What this instance has seen itself is kept. */
+/*
+ * What this instance has seen itself is kept. Of an opening it has seen nothing of the caller's choice; a note about
+ * another flow of the same port says nothing about it, and may be the older or the newer one.
+ */
+static bool
+may_replace (const WcFlow *flow, const WcFlowNote *note)
+{
+  bool is_same = is_same_flow (flow, note->sequence);
+
+  return flow->state == WC_FLOW_OPENING ? is_same : flow->state == WC_FLOW_LEARNED && !is_same;
+}
+
 static void
 learn_host (WcForwarder *forwarder, const WcFlowNote *note)
 {
   WcFlow *flow = wc_flow_table_find (forwarder->flows, &note->key);
 
-  if (flow && flow->state != WC_FLOW_OPENING && is_same_flow (flow, note->sequence))
+  if (flow && !may_replace (flow, note))
     return;
   if (flow)
     wc_forwarder_uncount_flow (forwarder, flow);
-  else
+  else if (wc_flow_table_get_count (forwarder->flows) < forwarder->settings.max_flows / OWN_FLOWS_DIVISOR)
     flow = wc_flow_table_add (forwarder->flows, &note->key);
   if (!flow)
     return;
--- a/src/forward/peer_table.c
+++ b/src/forward/peer_table.c
@@ -247,12 +247,14 @@
   for (guint i = 0; i < table->peers->len && domain_count < G_N_ELEMENTS (domains); i++)
     {
       const uint32_t domain = ((const WcPeer *)table->peers->pdata[i])->entry.domain;
-      const WcPeer  *holder = find_holder (table, domain, flow, now_us);
+      const WcPeer  *holder;
 
-      if (domain == table->self.domain || !holder || contains_domain (domains, domain_count, domain))
+      if (domain == table->self.domain || contains_domain (domains, domain_count, domain))
         continue;
       domains[domain_count++] = domain;
-      targets[count++] = holder->entry.address;
+      holder = find_holder (table, domain, flow, now_us);
+      if (holder)
+        targets[count++] = holder->entry.address;
     }
   return count;
 }
--- a/tests/test_forwarder_inquiry.c
+++ b/tests/test_forwarder_inquiry.c
@@ -235,6 +235,33 @@
   ck_assert_uint_eq (wc_forwarder_answer_flow_note (fixture.forwarder, &question).cookie, wc_cookie_from_host (1));
   question.sequence = 900 * 1000 * 1000;
   ck_assert_uint_eq (wc_forwarder_answer_flow_note (fixture.forwarder, &question).cookie, 0);
+  /* A late statement about that flow does not replace the one that is opened or open now. */
+  question.asks = false;
+  question.cookie = wc_cookie_from_host (2);
+  wc_forwarder_apply_flow_note (fixture.forwarder, &question, fixture.now_us);
+  fixture_request (&fixture, 100, FIXTURE_ROUTE_PORT, 400, 0, 1);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 1);
+  fixture_syn (&fixture, 101, FIXTURE_ROUTE_PORT, 0);
+  question.key.caller_port = 101;
+  wc_forwarder_apply_flow_note (fixture.forwarder, &question, fixture.now_us);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_HOST_LEARNED], 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/* Guards against flows of peers that fill the table, so that this instance no longer tracks its own. */
+START_TEST (learned_flows_leave_room)
+{
+  static ForwardFixture fixture;
+  WcFlowNote            note = { .sequence = 1001, .cookie = wc_cookie_from_host (1) };
+
+  init_with_hosts (&fixture);
+  for (uint32_t i = 0; i < 8192; i++)
+    {
+      note.key = (WcFlowKey){ 0x64400000 + i, FIXTURE_ROUTE_IP, 100, FIXTURE_ROUTE_PORT };
+      wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
+    }
+  ck_assert_uint_eq (wc_forwarder_get_flow_count (fixture.forwarder), 2048);
   fixture_finish (&fixture);
 }
 END_TEST
@@ -250,6 +277,7 @@
   tcase_add_test (tests, announcement_replaces_opening);
   tcase_add_test (tests, retransmitted_opening_is_ambiguous);
   tcase_add_test (tests, answer_is_for_the_same_flow);
+  tcase_add_test (tests, learned_flows_leave_room);
 }
 
 int
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -474,6 +474,33 @@
 }
 END_TEST
 
+/*
+ * Guards against instances that ask others for the host of a flow than those that were told, and against a flow whose
+ * host is known in one domain only.
+ */
+START_TEST (instances_pick_same_flow_holders)
+{
+  Fleet     fleet;
+  WcAddress first[WC_FLOW_HOLDERS];
+  WcAddress second[WC_FLOW_HOLDERS];
+  size_t    first_count;
+  size_t    second_count;
+  uint32_t  shared = 0;
+
+  init_fleet (&fleet);
+  run_rounds (&fleet, 30);
+  first_count = wc_peer_table_pick_flow_holders (fleet.tables[0], 12345, fleet.now_us, first);
+  second_count = wc_peer_table_pick_flow_holders (fleet.tables[DOMAINS], 12345, fleet.now_us, second);
+  ck_assert_uint_eq (first_count, WC_HOST_WITNESSES + DOMAINS - 1);
+  ck_assert_uint_eq (second_count, WC_HOST_WITNESSES + DOMAINS - 1);
+  for (size_t i = 0; i < WC_HOST_WITNESSES; i++)
+    for (size_t k = 0; k < WC_HOST_WITNESSES; k++)
+      shared += wc_address_equal (&first[i], &second[k]);
+  ck_assert_uint_ge (shared, WC_HOST_WITNESSES - 2);
+  finish_fleet (&fleet);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -482,6 +509,7 @@
   tcase_add_test (tests, one_instance_of_a_domain_reads_the_store);
   tcase_add_test (tests, readers_form_a_tree);
   tcase_add_test (tests, failed_reader_is_skipped);
+  tcase_add_test (tests, instances_pick_same_flow_holders);
   tcase_add_test (tests, failed_source_is_avoided_until_deadline);
   tcase_add_test (tests, overdue_view_is_read_from_store);
   tcase_add_test (tests, source_with_old_view_is_behind_newer_ones);
