--- a/src/edge/view_reader.c
+++ b/src/edge/view_reader.c
@@ -349,7 +349,7 @@
   WcViewReader *reader = user_data;
   WcStoreReply  reply;
   WcViewOrigin  origin = { 0 };
-  WcError       error;
+  WcError       error = { 0 };
 
   if (reader->source.kind == WC_VIEW_SOURCE_STORE)
     set_store_era (reader, version);
