Do not answer waiting peers for a confirmation that is none

Cause: since confirmations without changes are passed on, an instance answers its peers when the time of its last confirmation increases. Instances that read from each other while the store is away confirm nothing, but the times differ by the delay of their answers and by rounding, so that each answer could cause the next one at once, and the view never seemed to grow old.

Fix: a confirmation is passed on when it is at least 0.5 s newer than the last one, and the age of a view is rounded up in answers.

confirmations_are_passed_on failed with any increase passed on.

--- a/src/edge/peer_endpoint.c
+++ b/src/edge/peer_endpoint.c
@@ -16,7 +16,9 @@
   /* Upper bound for the wait that a peer may request; peers request less. */
   LONG_POLL_MAX_MS = 5000,
   /* How long an encoded response is reused; the view age in a reused response is too low by up to this value. */
-  RESPONSE_CACHE_LIFETIME_US = 50 * 1000
+  RESPONSE_CACHE_LIFETIME_US = 50 * 1000,
+  /* Half of the interval at which the store confirms the view. */
+  CONFIRMATION_STEP_US = 500 * 1000
 };
 
 /*
@@ -183,15 +185,17 @@
 
 /*
  * A confirmation without changes is passed on as well: if each level of the tree answered only after its own wait, the
- * view would be older by up to a second at each of them.
+ * view would be older by up to a second at each of them. Instances that read from each other because the store is away
+ * confirm nothing: the times differ by the delay of their answers, and must not make them answer in a loop.
  */
 void
 wc_peer_endpoint_view_changed (WcPeerEndpoint *endpoint)
 {
   uint64_t confirmed_us = wc_store_replica_get_confirmed_us (endpoint->replica);
-  bool     is_confirmed = confirmed_us > endpoint->relayed_confirmation_us;
+  bool     is_confirmed = confirmed_us >= endpoint->relayed_confirmation_us + CONFIRMATION_STEP_US;
 
-  endpoint->relayed_confirmation_us = confirmed_us;
+  if (is_confirmed)
+    endpoint->relayed_confirmation_us = confirmed_us;
   respond_to_waiters (endpoint, wc_store_replica_get_version (endpoint->replica), is_confirmed ? UINT64_MAX : 0);
 }
 
@@ -424,7 +428,8 @@
   uint64_t             confirmed_us = wc_store_replica_get_confirmed_us (endpoint->replica);
   uint64_t             age_us = now_us - confirmed_us;
   WcViewOrigin         origin = {
-            .age_ms = (uint32_t)MIN (age_us / 1000, UINT32_MAX),
+            /* Rounded up: relayed many times, a view must not seem newer than it is. */
+            .age_ms = (uint32_t)MIN (age_us / 1000 + 1, UINT32_MAX),
             .logical = wc_event_log_get_logical_clock (endpoint->log),
             .is_indirect = endpoint->is_indirect,
   };
--- a/tests/test_peer_endpoint.c
+++ b/tests/test_peer_endpoint.c
@@ -309,10 +309,65 @@
 }
 END_TEST
 
+static void
+confirm (Instance *instance, uint64_t age_us)
+{
+  WcStoreReply reply;
+
+  wc_store_reply_init (&reply);
+  reply.version = (WcStoreVersion){ 1, 7 };
+  wc_store_replica_add_changes (instance->replica, &reply, age_us, wc_clock_monotonic_us ());
+  wc_peer_endpoint_view_changed (instance->endpoint);
+  wc_store_reply_finish (&reply);
+}
+
+static void
+count_answer (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version, const char *body,
+              size_t size_bytes)
+{
+  (void)read;
+  (void)version;
+  (void)body;
+  (void)size_bytes;
+  ck_assert_int_eq (result, WC_PLATFORM_RESULT_OK);
+  ++*(uint32_t *)user_data;
+}
+
+/*
+ * A peer waits for changes. Guards against a confirmation by the store that is not passed on, and against an answer to
+ * a confirmation that is only a few milliseconds newer, with which two instances would answer each other in a loop.
+ */
+START_TEST (confirmations_are_passed_on)
+{
+  struct ev_loop   *loop = ev_loop_new (0);
+  uint32_t          answers = 0;
+  uint32_t          never = 0;
+  Instance          a;
+  WcPlatformClient *client;
+
+  start (&a, loop, 1);
+  confirm (&a, 2000 * 1000);
+  client = wc_platform_client_new (loop, &a.address, 1, count_answer, &answers);
+  wc_platform_client_get (client, WC_PLATFORM_READ_STORE_CHANGES, "/changes?era=1&after=7&wait_ms=5000", 5000);
+  run_until (loop, &never, 1);
+  confirm (&a, 2900 * 1000);
+  confirm (&a, 2800 * 1000);
+  run_until (loop, &never, 1);
+  ck_assert_uint_eq (answers, 0);
+  confirm (&a, 0);
+  run_until (loop, &answers, 1);
+  ck_assert_uint_eq (answers, 1);
+  wc_platform_client_delete (client);
+  finish (&a);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, flow_question_is_answered);
+  tcase_add_test (tests, confirmations_are_passed_on);
   tcase_add_test (tests, query_is_answered_once);
   tcase_add_test (tests, failure_reports_are_marked);
   tcase_add_test (tests, malformed_datagrams_are_counted);
--- a/tests/test_view_reader.c
+++ b/tests/test_view_reader.c
@@ -213,6 +213,36 @@
 }
 END_TEST
 
+/*
+ * Two instances have lost the store and read from each other. Guards against answers at once to each other's reads,
+ * which take all processor time, and make an old view count as confirmed.
+ */
+START_TEST (instances_without_store_do_not_answer_in_a_loop)
+{
+  ViewFixture   fixture;
+  WcAddress     nobody = view_unused_address ();
+  ViewInstance *instances[] = { &fixture.first, &fixture.second };
+  uint64_t      reads[2];
+
+  view_fixture_init (&fixture);
+  view_wait_for_revision (&fixture, &fixture.first, 10);
+  view_start_follower (&fixture, &nobody);
+  view_add_peer (&fixture.first, &fixture.second);
+  wc_tcp_relay_set_fault (fixture.relay, WC_RELAY_CUTS);
+  view_run_for (&fixture, 2000);
+  for (size_t i = 0; i < 2; i++)
+    reads[i] = wc_view_reader_get_counters (instances[i]->reader)->peer_reads;
+  view_run_for (&fixture, 2000);
+  for (size_t i = 0; i < 2; i++)
+    {
+      ck_assert_uint_le (wc_view_reader_get_counters (instances[i]->reader)->peer_reads - reads[i], 20);
+      ck_assert_uint_ge (wc_clock_monotonic_us () - wc_store_replica_get_confirmed_us (instances[i]->replica),
+                         2500 * 1000);
+    }
+  view_fixture_finish (&fixture);
+}
+END_TEST
+
 /* Guards against instances that keep waiting for changes from a peer that has lost the store. */
 START_TEST (followers_are_rejected_when_store_is_lost)
 {
@@ -330,6 +360,7 @@
   tcase_add_test (tests, hung_peers_do_not_delay_changes);
   tcase_add_test (tests, peer_with_old_view_does_not_delay_changes);
   tcase_add_test (tests, overdue_view_is_not_checked_in_a_loop);
+  tcase_add_test (tests, instances_without_store_do_not_answer_in_a_loop);
   tcase_add_test (tests, large_pages_are_read);
   tcase_add_test (tests, consecutive_changes_are_batched);
   tcase_add_test (tests, recovers_from_every_store_fault);
