Correct the cookie at hosts that a caller did not choose, and follow no unproven one

Cause: an opening that goes to a second host leaves a host that repeats its answer, with its own cookie, for 9 s. An instance whose peers did not know the flow followed the cookie. After a kill of all nobody knows a flow, and the cookies that are still unconfirmed then are mostly those of hosts that were not chosen.

Resets of instances, hosts with one cookie, late copies of openings and lost flows were ruled out (docs/incidents/flows-after-kill-of-all.md).

Fix: the instance that sees the caller's choice sends the other hosts the opening again with the cookie of the chosen host. Hosts repeat the cookie that they received last, so that the caller's cookie is right when the memory of the instances is lost. The cookie of an opening can be read with the first packet after it only. A packet whose host neither cookie nor peers show is dropped; the first packet of a flow whose opening went to one host still follows its cookie, so that openings in progress are not lost with the instances. docs/design/host-of-a-flow.md weighs the ways.

--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -112,7 +112,7 @@
 static void       run_forwarder_timers (WcForwardServer *server);
 static void       receive_packet (void *user_data, const WcPacket *packet, uint64_t now_us);
 static void       packet_batch_received (void *user_data, uint64_t now_us);
-static void       forward_packet (void *user_data, const WcPacket *packet, const WcHost *host);
+static void       forward_packet (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie);
 static void       reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
 static void       log_decision (void *user_data, const WcDecision *decision);
 static void       flow_opened (void *user_data, uint64_t duration_us);
@@ -355,9 +355,9 @@
 }
 
 static void
-forward_packet (void *user_data, const WcPacket *packet, const WcHost *host)
+forward_packet (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie)
 {
-  wc_packet_socket_send_packet (((WcForwardServer *)user_data)->packet_socket, packet, host);
+  wc_packet_socket_send_packet (((WcForwardServer *)user_data)->packet_socket, packet, host, cookie);
 }
 
 static void
--- a/src/edge/packet_socket.c
+++ b/src/edge/packet_socket.c
@@ -8,7 +8,6 @@
 #include "edge/clock.h"
 #include "edge/socket_address.h"
 #include "edge/udp_batch.h"
-#include "forward/cookie.h"
 #include "packet_wire.h"
 
 enum
@@ -100,11 +99,10 @@
 }
 
 void
-wc_packet_socket_send_packet (WcPacketSocket *sock, const WcPacket *packet, const WcHost *host)
+wc_packet_socket_send_packet (WcPacketSocket *sock, const WcPacket *packet, const WcHost *host, uint32_t cookie)
 {
   uint8_t data[WC_PACKET_WIRE_HOST_ID_BYTES + WC_PACKET_WIRE_MAX_BYTES];
-  size_t  size_bytes = wc_packet_wire_encode_forwarded (packet, host->record.id,
-                                                        wc_cookie_for_packet (host->cookie, packet->flags), data);
+  size_t  size_bytes = wc_packet_wire_encode_forwarded (packet, host->record.id, cookie, data);
 
   sock->counters.forwarded++;
   wc_udp_batch_send (sock->batch, &host->record.address, data, size_bytes);
--- a/src/edge/packet_socket.h
+++ b/src/edge/packet_socket.h
@@ -55,8 +55,8 @@
 /** wc_packet_socket_start() - start reading; packets that arrived earlier are still in the kernel's receive buffer. */
 void wc_packet_socket_start (WcPacketSocket *sock);
 
-/** wc_packet_socket_send_packet() - queue a packet for sending to a host. */
-void wc_packet_socket_send_packet (WcPacketSocket *sock, const WcPacket *packet, const WcHost *host);
+/** wc_packet_socket_send_packet() - queue a packet for sending to a host, with @cookie in its header. */
+void wc_packet_socket_send_packet (WcPacketSocket *sock, const WcPacket *packet, const WcHost *host, uint32_t cookie);
 
 /** wc_packet_socket_send_reset() - queue a reset for sending to the caller of a flow. */
 void wc_packet_socket_send_reset (WcPacketSocket *sock, const WcFlowKey *key, uint32_t sequence);
--- a/src/emulator/flow_experiment_fleet.c
+++ b/src/emulator/flow_experiment_fleet.c
@@ -34,7 +34,7 @@
 static WcFlowKey key_of (const WcFlowExperiment *experiment, uint32_t request);
 static uint32_t  request_of (const WcFlowExperiment *experiment, const WcFlowKey *key);
 static void      send_to_host (WcFlowExperiment *experiment, uint32_t index, uint32_t host, uint64_t delay_us);
-static void      forward (void *user_data, const WcPacket *packet, const WcHost *host);
+static void      forward (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie);
 static void      reset (void *user_data, const WcFlowKey *key, uint32_t sequence);
 static void      decided (void *user_data, const WcDecision *decision);
 static void      ignore_duration (void *user_data, uint64_t duration_us);
@@ -385,7 +385,7 @@
 }
 
 static void
-forward (void *user_data, const WcPacket *packet, const WcHost *host)
+forward (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie)
 {
   WcFlowInstance   *instance = user_data;
   WcFlowExperiment *experiment = instance->experiment;
@@ -394,6 +394,7 @@
   WcFlowRequest    *request;
   uint64_t          delay_us;
 
+  (void)cookie;
   if (index == NO_REQUEST)
     return;
   request = wc_flow_experiment_request (experiment, index);
--- a/src/forward/cookie.c
+++ b/src/forward/cookie.c
@@ -1,7 +1,11 @@
 #include "forward/cookie.h"
 
+#include <assert.h>
+
 #include "core/mix.h"
-#include "forward/packet.h"
+#include "forward/flow_table.h"
+
+static uint32_t get_mask (const WcFlowKey *key, uint32_t opening_sequence, WcCookieRank rank);
 
 /* An identifier of up to 32 bits is its own cookie, so that only longer ones can collide. */
 uint32_t
@@ -11,17 +15,35 @@
 
   if (cookie == 0)
     return 1;
+  /* Earlier releases need a cookie whose complement is not 0. */
   return cookie == UINT32_MAX ? UINT32_MAX - 1 : cookie;
 }
 
 uint32_t
-wc_cookie_get_unconfirmed (uint32_t cookie)
+wc_cookie_for_opening (uint32_t cookie, const WcPacket *opening, WcCookieRank rank)
 {
-  return ~cookie;
+  assert (opening != NULL && (opening->flags & WC_PACKET_SYN));
+
+  return cookie ^ get_mask (&opening->key, opening->sequence, rank);
 }
 
+/* An opening takes one sequence number. */
 uint32_t
-wc_cookie_for_packet (uint32_t cookie, uint8_t flags)
+wc_cookie_from_first_packet (const WcPacket *packet, WcCookieRank rank)
 {
-  return flags & WC_PACKET_SYN ? wc_cookie_get_unconfirmed (cookie) : cookie;
+  assert (packet != NULL);
+
+  return packet->cookie ^ get_mask (&packet->key, packet->sequence - 1, rank);
+}
+
+/* local functions */
+
+/* Return: never 0, so that no opening form is the confirmed form of the same host. */
+static uint32_t
+get_mask (const WcFlowKey *key, uint32_t opening_sequence, WcCookieRank rank)
+{
+  uint32_t mask =
+      (uint32_t)wc_mix64 (wc_flow_key_hash (key) ^ ((uint64_t)opening_sequence * WC_COOKIE_RANK_COUNT + rank));
+
+  return mask != 0 ? mask : 1;
 }
--- a/src/forward/decision.h
+++ b/src/forward/decision.h
@@ -24,11 +24,13 @@
   X (RESET_HOST_GONE, "reset_host_gone", "Open flows reset because their host has left.")                              \
   X (RESET_HOST_SILENT, "reset_host_silent", "Open flows reset because their host does not answer.")                   \
   X (DROPPED_UNKNOWN_HOST, "dropped_unknown_host", "Packets dropped because their host is not known.")                 \
+  X (DROPPED_UNRESOLVED, "dropped_unresolved", "Packets dropped because neither cookie nor peers show their host.")    \
   X (DROPPED_LATE_OPENING, "dropped_late_opening", "Delayed copies of openings of flows that are open.")               \
   X (HOST_ASKED, "host_asked", "Flows about whose hosts peers were asked.")                                            \
   X (HOST_LEARNED, "host_learned", "Flows whose hosts peers have named.")                                              \
   X (HOST_ASSUMED, "host_assumed", "Flows forwarded by an unconfirmed cookie, because no peer knew them.")             \
   X (HOST_ANNOUNCED, "host_announced", "Flows whose hosts were named to peers.")                                       \
+  X (COOKIE_CORRECTED, "cookie_corrected", "Hosts not chosen by a caller that were sent the cookie of the chosen.")    \
   X (HOST_READY, "host_ready", "Hosts that became ready.")                                                             \
   X (HOST_DRAINING, "host_draining", "Hosts that began to drain.")                                                     \
   X (HOST_GONE, "host_gone", "Hosts that are no longer published.")                                                    \
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -27,9 +27,8 @@
 static void receive_open (WcForwarder *forwarder, const WcPacket *packet);
 static void
 forward_open (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host);
-static bool     is_tracked (const WcFlow *flow);
-static bool     has_lost_host (const WcFlow *flow, const WcHost *host);
-static uint32_t get_cookie (const WcFlow *flow, const WcPacket *packet);
+static bool is_tracked (const WcFlow *flow);
+static bool has_lost_host (const WcFlow *flow, const WcHost *host);
 static void
 update_flow (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host);
 static void record_answer_time (WcForwarder *forwarder, const WcRoute *route, WcHost *host, uint64_t duration_us);
@@ -54,6 +53,7 @@
   forwarder->flows = wc_flow_table_new (settings->max_flows);
   forwarder->inquiries = wc_flow_inquiries_new ();
   forwarder->openings = wc_opening_queue_new ();
+  forwarder->copies = wc_opening_copies_new ();
   wc_opening_budget_init (&forwarder->budget, settings->features.attempt_budget);
   if (!forwarder->settings.admission)
     forwarder->settings.admission = settings->features.urgency ? &WC_ADMISSION_WEIGHTED : &WC_ADMISSION_DEADLINE;
@@ -82,6 +82,7 @@
   wc_flow_table_delete (forwarder->flows);
   wc_flow_inquiries_delete (forwarder->inquiries);
   wc_opening_queue_delete (forwarder->openings);
+  wc_opening_copies_delete (forwarder->copies);
   wc_admission_queue_delete (forwarder->held);
   wc_admission_shares_delete (forwarder->shares);
   wc_domain_balance_delete (forwarder->balance);
@@ -242,13 +243,11 @@
 }
 
 void
-wc_forwarder_forward_open (WcForwarder *forwarder, const WcPacket *packet)
+wc_forwarder_forward_open (WcForwarder *forwarder, const WcPacket *packet, WcHost *host)
 {
   const WcRoute *route = forwarder->routes ? wc_route_table_find (forwarder->routes, &packet->key) : NULL;
-  WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet->key);
 
-  forward_open (forwarder, route, flow, packet,
-                wc_host_table_find_cookie (forwarder->hosts, get_cookie (flow, packet)));
+  forward_open (forwarder, route, wc_flow_table_find (forwarder->flows, &packet->key), packet, host);
 }
 
 void
@@ -292,10 +291,12 @@
   const WcRoute *route = wc_route_table_find (forwarder->routes, &packet->key);
   WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet->key);
 
-  if (route && wc_forwarder_inquire (forwarder, flow, packet))
-    return;
-  forward_open (forwarder, route, flow, packet,
-                wc_host_table_find_cookie (forwarder->hosts, get_cookie (flow, packet)));
+  WcHost *host = wc_forwarder_find_host (forwarder, flow, packet);
+
+  if (host || !route || (flow && flow->state != WC_FLOW_OPENING))
+    forward_open (forwarder, route, flow, packet, host);
+  else if (!wc_forwarder_inquire (forwarder, packet))
+    wc_forwarder_handle_unresolved (forwarder, packet);
 }
 
 static void
@@ -326,7 +327,11 @@
       wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_RESET_HOST_GONE, host);
       return;
     }
-  forwarder->ops.forward (forwarder->user_data, packet, host);
+  forwarder->ops.forward (forwarder->user_data, packet, host, host->cookie);
+  if (packet->flags & (WC_PACKET_FIN | WC_PACKET_RST))
+    wc_opening_copies_remove (forwarder->copies, &packet->key);
+  else if (packet->cookie != host->cookie)
+    wc_forwarder_correct_sender (forwarder, packet, host->cookie);
 }
 
 /* Whether packets of the flow have arrived at this instance. */
@@ -347,16 +352,6 @@
          flow->unanswered_us > host->evidence_start_us && flow->kind != WC_TRAFFIC_ONCE;
 }
 
-/*
- * The first packet after an opening identifies the host that the caller chose. If a second host answered the opening as
- * well, the caller's later packets may carry the second host's cookie until the chosen host answers again.
- */
-static uint32_t
-get_cookie (const WcFlow *flow, const WcPacket *packet)
-{
-  return flow && flow->state != WC_FLOW_OPENING ? flow->cookie : packet->cookie;
-}
-
 /* Updates flow, host and link state from a packet of an open flow. */
 static void
 update_flow (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host)
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -43,7 +43,7 @@
 
 /**
  * struct WcForwarderOps - callbacks of a forwarder.
- * @forward: send a packet to @host, with the host's cookie in its header.
+ * @forward: send a packet to @host, with @cookie in its header.
  * @reset: send a reset to the caller of a flow; @sequence is the caller's latest acknowledgement number, or for an
  * opening its number of retransmissions.
  * @decided: called for each decision, for logs and metrics.
@@ -55,7 +55,7 @@
  */
 typedef struct
 {
-  void (*forward) (void *user_data, const WcPacket *packet, const WcHost *host);
+  void (*forward) (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie);
   void (*reset) (void *user_data, const WcFlowKey *key, uint32_t sequence);
   void (*decided) (void *user_data, const WcDecision *decision);
   void (*opened) (void *user_data, uint64_t duration_us);
@@ -69,7 +69,8 @@
  * each call.
  *
  * The cookie in the packets of an open flow identifies its host, so that an instance without state of the flow can
- * forward them as well. Where the cookie is not confirmed, it asks its peers first.
+ * forward them as well. Where the cookie does not prove it, the instance asks its peers, and drops the packet if none
+ * of them knows the flow either: a host that does not have the flow would reset it.
  */
 typedef struct WcForwarder WcForwarder;
 
--- a/src/forward/forwarder_inquiry.c
+++ b/src/forward/forwarder_inquiry.c
@@ -5,13 +5,13 @@
 #include <glib.h>
 
 /*
- * Load pattern: a lossy link, a slow host or a change of the fabric's rotation makes an opening reach two hosts. Both
- * answer, and the answer that the caller did not choose is retransmitted for seconds and leaves that host's cookie with
- * the caller. When the flow then moves to an instance that does not know it, because an instance is restarted, frozen
- * or in rotation again, its next packet goes to a host that resets it.
+ * Load pattern: a flow moves to an instance that does not know it, because an instance is restarted, frozen or in
+ * rotation again, and the cookie in its packet is from a host that answered the opening without being chosen
+ * (forwarder_cookies.c). That host would reset the flow.
  *
- * The instance that sees which host the caller chose tells a few peers. An instance without state of a flow trusts a
- * confirmed cookie, and otherwise asks these peers before it forwards a packet.
+ * The instance that sees which host the caller chose tells a few peers. An instance that neither knows the host of a
+ * flow nor has a cookie that proves it asks these peers before it forwards a packet. When none knows, it drops the
+ * packet: silence costs the caller a retransmission or its time limit, a reset costs the open flow.
  */
 
 enum
@@ -36,27 +36,26 @@
   size_t      count;
 } NoteWalk;
 
+/* @cookie: cookie of the host that a peer has stated; 0 for none. */
+typedef struct
+{
+  WcForwarder *forwarder;
+  uint32_t     cookie;
+} Release;
+
 static bool add_note (void *user_data, WcFlow *flow);
 static bool is_same_flow (const WcFlow *flow, uint32_t sequence);
 static bool may_replace (const WcFlow *flow, const WcFlowNote *note);
 static void learn_host (WcForwarder *forwarder, const WcFlowNote *note);
-static void forward_held (void *user_data, const WcPacket *packet);
-static void forward_by_cookie (void *user_data, const WcPacket *packet);
+static void handle_held (void *user_data, const WcPacket *packet);
 static void announce_flow (WcForwarder *forwarder, const WcFlow *flow);
 
-/*
- * The first packet after an opening identifies the host that the caller chose: it follows the answer of that host at
- * once. A packet that is not the first tells no more than its cookie.
- */
 bool
-wc_forwarder_inquire (WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet)
+wc_forwarder_inquire (WcForwarder *forwarder, const WcPacket *packet)
 {
-  const WcHost *host = wc_host_table_find_cookie (forwarder->hosts, packet->cookie);
-  size_t        asked;
+  size_t asked;
 
-  if (flow && (flow->state != WC_FLOW_OPENING || packet->sequence == flow->sent_end))
-    return false;
-  if ((host && host->cookie == packet->cookie) || !forwarder->ops.ask_host)
+  if (!forwarder->ops.ask_host)
     return false;
   if (!wc_flow_inquiries_has (forwarder->inquiries, &packet->key))
     {
@@ -74,18 +73,44 @@
   return true;
 }
 
+/*
+ * The first packet after an opening goes to the host of its cookie if that was the first host that got the opening: it
+ * is the host of the flow, unless another one was chosen while all who saw that have ended, within the 200 ms in which
+ * the caller waits for an answer. Without this, the openings in progress while instances end would be lost.
+ */
+void
+wc_forwarder_handle_unresolved (WcForwarder *forwarder, const WcPacket *packet)
+{
+  WcHost *host = wc_forwarder_find_opening_host (forwarder, packet);
+  WcFlow *flow;
+
+  if (!host)
+    {
+      wc_forwarder_emit_decision (forwarder, WC_DECISION_DROPPED_UNRESOLVED, &packet->key, NULL);
+      return;
+    }
+  wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_ASSUMED, &packet->key, host);
+  wc_forwarder_forward_open (forwarder, packet, host);
+  flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  if (!flow || flow->state != WC_FLOW_OPEN)
+    return;
+  flow->is_ambiguous = 1;
+  announce_flow (forwarder, flow);
+}
+
 void
 wc_forwarder_end_inquiries (WcForwarder *forwarder)
 {
   WcFlowKey key;
 
   while (wc_flow_inquiries_find_expired (forwarder->inquiries, forwarder->now_us, &key))
-    wc_flow_inquiries_end (forwarder->inquiries, &key, forward_by_cookie, forwarder);
+    wc_flow_inquiries_end (forwarder->inquiries, &key, handle_held, &(Release){ .forwarder = forwarder });
 }
 
 void
 wc_forwarder_announce_choice (WcForwarder *forwarder, const WcFlow *flow)
 {
+  wc_forwarder_correct_cookies (forwarder, &flow->key, flow->cookie);
   if (!flow->is_ambiguous)
     return;
   wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_ANNOUNCED, &flow->key,
@@ -111,12 +136,11 @@
 
   forwarder->now_us = now_us;
   if (note->cookie != 0)
-    {
-      learn_host (forwarder, note);
-      wc_flow_inquiries_end (forwarder->inquiries, &note->key, forward_held, forwarder);
-    }
-  else if (wc_flow_inquiries_record_unknown (forwarder->inquiries, &note->key))
-    wc_flow_inquiries_end (forwarder->inquiries, &note->key, forward_by_cookie, forwarder);
+    learn_host (forwarder, note);
+  else if (!wc_flow_inquiries_record_unknown (forwarder->inquiries, &note->key))
+    return;
+  wc_flow_inquiries_end (forwarder->inquiries, &note->key, handle_held,
+                         &(Release){ .forwarder = forwarder, .cookie = note->cookie });
 }
 
 WcFlowNote
@@ -189,38 +213,29 @@
   if (!flow)
     return;
   wc_flow_learn (flow, note, forwarder->now_us);
+  wc_forwarder_correct_cookies (forwarder, &note->key, note->cookie);
   wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_LEARNED, &note->key,
                               wc_host_table_find_cookie (forwarder->hosts, note->cookie));
 }
 
-static void
-forward_held (void *user_data, const WcPacket *packet)
-{
-  wc_forwarder_forward_open (user_data, packet);
-}
-
 /*
- * No peer knows the flow: it was opened a moment ago, or the cookie is of an earlier release that confirms none. The
- * cookie is all that is known.
+ * What a peer has stated, or the packets before this one, may show the host by now. A statement is used as well when
+ * the flow table had no room for it.
  */
 static void
-forward_by_cookie (void *user_data, const WcPacket *packet)
-{
-  WcForwarder  *forwarder = user_data;
-  WcFlow       *flow;
-  const WcHost *host = wc_host_table_find_cookie (forwarder->hosts, packet->cookie);
-  bool          is_first;
-
-  flow = wc_flow_table_find (forwarder->flows, &packet->key);
-  is_first = !flow || flow->state == WC_FLOW_OPENING;
-  if (is_first)
-    wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_ASSUMED, &packet->key, host);
-  wc_forwarder_forward_open (forwarder, packet);
-  flow = wc_flow_table_find (forwarder->flows, &packet->key);
-  if (!is_first || !flow || flow->state != WC_FLOW_OPEN)
-    return;
-  flow->is_ambiguous = 1;
-  announce_flow (forwarder, flow);
+handle_held (void *user_data, const WcPacket *packet)
+{
+  const Release *release = user_data;
+  WcForwarder   *forwarder = release->forwarder;
+  const WcFlow  *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  WcHost        *host = wc_forwarder_find_host (forwarder, flow, packet);
+
+  if (!host && !flow)
+    host = wc_host_table_find_cookie (forwarder->hosts, release->cookie);
+  if (host)
+    wc_forwarder_forward_open (forwarder, packet, host);
+  else
+    wc_forwarder_handle_unresolved (forwarder, packet);
 }
 
 static void
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -9,6 +9,7 @@
 #include "forward/forwarder.h"
 #include "forward/link_quality.h"
 #include "forward/opening_budget.h"
+#include "forward/opening_copies.h"
 #include "forward/opening_queue.h"
 #include "forward/placement.h"
 #include "forward/retry_cache.h"
@@ -19,7 +20,7 @@
  * Shared by the source files of the forwarder: forwarder.c handles open flows, forwarder_openings.c new flows,
  * forwarder_health.c failure detection of hosts, forwarder_failures.c hosts that fail part of their requests,
  * forwarder_evacuation.c evacuated domains, forwarder_warm_up.c cold hosts, forwarder_balance.c flows that leave the
- * domain, and forwarder_inquiry.c flows of which only peers know the host.
+ * domain, forwarder_inquiry.c flows of which only peers know the host, and forwarder_cookies.c what cookies prove.
  */
 
 enum
@@ -39,6 +40,7 @@
  * struct WcForwarder - see forwarder.h.
  * @inquiries: flows about whose hosts peers were asked.
  * @openings: forwarded openings, each until its answer timeout.
+ * @copies: forwarded openings with the hosts that have them, until one is chosen.
  * @budget: limits and counts forwardings of openings to another host.
  * @held: openings that wait for a host with capacity.
  * @shares: loads of priorities and callers; NULL unless the admission policy uses them.
@@ -68,6 +70,7 @@
   WcFlowTable        *flows;
   WcFlowInquiries    *inquiries;
   WcOpeningQueue     *openings;
+  WcOpeningCopies    *copies;
   WcOpeningBudget     budget;
   WcAdmissionQueue   *held;
   WcAdmissionShares  *shares;
@@ -106,19 +109,48 @@
 /** wc_forwarder_uncount_busy() - remove a flow from the busy flows of its host. */
 void wc_forwarder_uncount_busy (WcForwarder *forwarder, WcFlow *flow);
 
-/** wc_forwarder_forward_open() - forward a packet of an open flow to the host that is known for it. */
-void wc_forwarder_forward_open (WcForwarder *forwarder, const WcPacket *packet);
+/** wc_forwarder_forward_open() - forward a packet of an open flow to @host, or drop it when that is NULL. */
+void wc_forwarder_forward_open (WcForwarder *forwarder, const WcPacket *packet, WcHost *host);
 
 /**
- * wc_forwarder_inquire() - ask peers for the host of a flow, if neither the flow's state nor the cookie in its packet
- * shows it.
+ * wc_forwarder_find_host() - the host of a packet of an open flow, as this instance knows it or the cookie proves it.
  * @flow: NULL when the flow is not known.
  *
- * Return: true when the packet is held until they answer.
+ * Return: NULL when neither shows it, or when the host is not known.
  */
-bool wc_forwarder_inquire (WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet);
+WcHost *wc_forwarder_find_host (const WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet);
 
-/** wc_forwarder_end_inquiries() - forward the packets whose inquiries have expired as their cookies say. */
+/**
+ * wc_forwarder_find_opening_host() - the host that the opening before @packet was sent to as its first host, if the
+ * cookie is from that opening. It is the host of the flow unless another instance sent the opening to a second one.
+ */
+WcHost *wc_forwarder_find_opening_host (const WcForwarder *forwarder, const WcPacket *packet);
+
+/**
+ * wc_forwarder_correct_cookies() - let the hosts that have the opening of a flow and were not chosen repeat the cookie
+ * of the chosen one.
+ * @chosen: cookie of the chosen host.
+ */
+void wc_forwarder_correct_cookies (WcForwarder *forwarder, const WcFlowKey *key, uint32_t chosen);
+
+/** wc_forwarder_correct_sender() - the same for the host whose cookie @packet carries, if that is not the chosen one.
+ */
+void wc_forwarder_correct_sender (WcForwarder *forwarder, const WcPacket *packet, uint32_t chosen);
+
+/**
+ * wc_forwarder_inquire() - ask peers for the host of a flow that neither the flow's state nor the cookie in its packet
+ * shows.
+ *
+ * Return: true when the packet is held until they answer; false when they cannot be asked.
+ */
+bool wc_forwarder_inquire (WcForwarder *forwarder, const WcPacket *packet);
+
+/**
+ * wc_forwarder_handle_unresolved() - forward or drop a packet whose host no peer knows.
+ */
+void wc_forwarder_handle_unresolved (WcForwarder *forwarder, const WcPacket *packet);
+
+/** wc_forwarder_end_inquiries() - forward or drop the packets whose inquiries have expired. */
 void wc_forwarder_end_inquiries (WcForwarder *forwarder);
 
 /** wc_forwarder_announce_choice() - tell peers the host of a flow that was opened, if several may have answered. */
--- a/src/forward/host_table.c
+++ b/src/forward/host_table.c
@@ -35,8 +35,8 @@
 static void   enter_group (WcHostTable *table, WcHost *host);
 static void   leave_group (WcHostTable *table, WcHost *host);
 static void   free_group (gpointer data);
-static void   claim_cookie (WcHostTable *table, WcHost *host, uint32_t cookie);
-static void   release_cookie (WcHostTable *table, const WcHost *host, uint32_t cookie);
+static void   claim_cookie (WcHostTable *table, WcHost *host);
+static void   release_cookie (WcHostTable *table, const WcHost *host);
 static void   reset_health (WcHost *host);
 static void   free_host (gpointer data);
 
@@ -98,8 +98,7 @@
       host->cookie = wc_cookie_from_host (record->id);
       g_ptr_array_add (table->hosts, host);
       g_hash_table_insert (table->by_id, &host->record.id, host);
-      claim_cookie (table, host, host->cookie);
-      claim_cookie (table, host, wc_cookie_get_unconfirmed (host->cookie));
+      claim_cookie (table, host);
     }
   else
     {
@@ -145,8 +144,7 @@
         continue;
       leave_group (table, host);
       g_hash_table_remove (table->by_id, &host->record.id);
-      release_cookie (table, host, host->cookie);
-      release_cookie (table, host, wc_cookie_get_unconfirmed (host->cookie));
+      release_cookie (table, host);
       g_ptr_array_remove_index_fast (table->hosts, i - 1);
       removed++;
     }
@@ -258,9 +256,9 @@
  * was added first.
  */
 static void
-claim_cookie (WcHostTable *table, WcHost *host, uint32_t cookie)
+claim_cookie (WcHostTable *table, WcHost *host)
 {
-  WcHost *owner = g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (cookie));
+  WcHost *owner = g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (host->cookie));
 
   if (owner && owner->record.id < host->record.id)
     {
@@ -269,14 +267,14 @@
     }
   if (owner)
     owner->ambiguous = true;
-  g_hash_table_insert (table->by_cookie, GUINT_TO_POINTER (cookie), host);
+  g_hash_table_insert (table->by_cookie, GUINT_TO_POINTER (host->cookie), host);
 }
 
 static void
-release_cookie (WcHostTable *table, const WcHost *host, uint32_t cookie)
+release_cookie (WcHostTable *table, const WcHost *host)
 {
-  if (g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (cookie)) == host)
-    g_hash_table_remove (table->by_cookie, GUINT_TO_POINTER (cookie));
+  if (g_hash_table_lookup (table->by_cookie, GUINT_TO_POINTER (host->cookie)) == host)
+    g_hash_table_remove (table->by_cookie, GUINT_TO_POINTER (host->cookie));
 }
 
 /* A host that restarted under the same identifier has no state from before, so earlier evidence does not apply. */
--- a/src/forward/host_table.h
+++ b/src/forward/host_table.h
@@ -81,7 +81,7 @@
 
 /**
  * struct WcHost - a host with the local state of this instance.
- * @cookie: identifies the host in the packets of its flows, see cookie.h; never 0.
+ * @cookie: identifies the host in the packets of its flows, in confirmed form, see cookie.h; never 0.
  * @ambiguous: another host with the same cookie owns it, so this host receives no new flows.
  * @evacuated: the host's domain is evacuated, so it receives no new flows; maintained by the forwarder.
  * @revision: store revision at which the record was written.
@@ -164,6 +164,8 @@
 size_t wc_host_table_evict (WcHostTable *table, uint64_t now_us);
 
 WcHost *wc_host_table_find (const WcHostTable *table, uint64_t id);
+
+/** wc_host_table_find_cookie() - look up a cookie in confirmed form. Return: the host, or NULL. */
 WcHost *wc_host_table_find_cookie (const WcHostTable *table, uint32_t cookie);
 
 /**
--- a/tests/forward_fixture.h
+++ b/tests/forward_fixture.h
@@ -55,12 +55,12 @@
 } ForwardFixture;
 
 static void
-fixture_forward (void *user_data, const WcPacket *packet, const WcHost *host)
+fixture_forward (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie)
 {
   ForwardFixture *fixture = user_data;
 
   fixture->forwards[fixture->forward_count++ % FIXTURE_RECORDS] =
-      (FixtureForward){ packet->key, host->record.id, host->cookie };
+      (FixtureForward){ packet->key, host->record.id, cookie };
 }
 
 static void
--- a/tests/test_forwarder_inquiry.c
+++ b/tests/test_forwarder_inquiry.c
@@ -3,12 +3,42 @@
 #include "forward/cookie.h"
 #include "forward_fixture.h"
 
-/* A packet of a caller whose last cookie is that of a host that has only answered the opening. */
+/*
+ * A packet of a caller, @offset bytes after the first one, whose last cookie is from the answer of a host to the
+ * opening. @rank: that of the host when it got the opening.
+ */
 static void
-send_unconfirmed (ForwardFixture *fixture, uint16_t caller, uint32_t offset, uint64_t host)
+send_with_opening_cookie (ForwardFixture *fixture, uint16_t caller, uint32_t offset, uint64_t host, WcCookieRank rank)
 {
+  const WcPacket opening = { .key = { 0x64400007, FIXTURE_ROUTE_IP, caller, FIXTURE_ROUTE_PORT },
+                             .sequence = 1000,
+                             .flags = WC_PACKET_SYN };
+
   fixture_packet (fixture, caller, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, 1001 + offset, 5001, 200,
-                  wc_cookie_get_unconfirmed (fixture_find_host (fixture, host)->cookie));
+                  wc_cookie_for_opening (fixture_find_host (fixture, host)->cookie, &opening, rank));
+}
+
+/* The cookie that a host has received last, and repeats in its answers. */
+static uint32_t
+last_cookie_of (const ForwardFixture *fixture, uint64_t host)
+{
+  uint32_t cookie = 0;
+
+  for (size_t i = 0; i < fixture->forward_count; i++)
+    if (fixture->forwards[i].host == host)
+      cookie = fixture->forwards[i].cookie;
+  return cookie;
+}
+
+/* The peers that were asked answer that they do not know the flow. */
+static void
+answer_unknown (ForwardFixture *fixture)
+{
+  WcFlowNote unknown = fixture->last_question;
+
+  unknown.asks = false;
+  for (size_t i = 0; i < fixture->peers; i++)
+    wc_forwarder_apply_flow_note (fixture->forwarder, &unknown, fixture->now_us);
 }
 
 static void
@@ -30,7 +60,9 @@
   first = fixture_last_host (fixture);
   fixture_advance (fixture, 50 * 1000);
   ck_assert_uint_eq (fixture_last_host (fixture), 3 - first);
-  send_unconfirmed (fixture, caller, 0, 3 - first);
+  send_with_opening_cookie (fixture, caller, 0, 3 - first, WC_COOKIE_FURTHER_HOST);
+  ck_assert_uint_eq (fixture->decisions[WC_DECISION_COOKIE_CORRECTED], 1);
+  ck_assert_uint_eq (fixture->forwards[fixture->forward_count - 2].host, first);
   ck_assert_uint_eq (fixture_last_host (fixture), 3 - first);
   return 3 - first;
 }
@@ -50,8 +82,8 @@
   init_with_hosts (&opener);
   init_with_hosts (&restarted);
   host = open_at_second_host (&opener, 100);
-  send_unconfirmed (&restarted, 100, 200, 3 - host);
-  send_unconfirmed (&restarted, 100, 400, 3 - host);
+  send_with_opening_cookie (&restarted, 100, 200, 3 - host, WC_COOKIE_FIRST_HOST);
+  send_with_opening_cookie (&restarted, 100, 400, 3 - host, WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (restarted.forward_count, 0);
   ck_assert_uint_eq (restarted.questions, 1);
   answer = wc_forwarder_answer_flow_note (opener.forwarder, &restarted.last_question);
@@ -59,7 +91,7 @@
   ck_assert_uint_eq (restarted.forward_count, 2);
   ck_assert_uint_eq (restarted.forwards[0].host, host);
   ck_assert_uint_eq (restarted.forwards[1].host, host);
-  send_unconfirmed (&restarted, 100, 600, 3 - host);
+  send_with_opening_cookie (&restarted, 100, 600, 3 - host, WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (fixture_last_host (&restarted), host);
   ck_assert_uint_eq (restarted.questions, 1);
   fixture_finish (&opener);
@@ -90,7 +122,7 @@
   fixture_advance (&peer, 20 * 1000 * 1000);
   ck_assert_uint_eq (wc_forwarder_get_flow_notes (peer.forwarder, notes, G_N_ELEMENTS (notes)), 1);
   wc_forwarder_apply_flow_note (started.forwarder, &notes[0], started.now_us);
-  send_unconfirmed (&started, 100, 200, 3 - host);
+  send_with_opening_cookie (&started, 100, 200, 3 - host, WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (fixture_last_host (&started), host);
   ck_assert_uint_eq (fixture_find_host (&peer, host)->flows, 0);
   ck_assert_uint_eq (fixture_find_host (&started, host)->flows, 1);
@@ -110,43 +142,187 @@
   fixture_request (&fixture, 100, FIXTURE_ROUTE_PORT, 0, 0, 1);
   ck_assert_uint_eq (fixture_last_host (&fixture), 1);
   fixture_syn (&fixture, 101, FIXTURE_ROUTE_PORT, 0);
-  send_unconfirmed (&fixture, 101, 0, fixture_last_host (&fixture));
+  send_with_opening_cookie (&fixture, 101, 0, fixture_last_host (&fixture), WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (fixture.questions, 0);
   ck_assert_uint_eq (fixture.announcements, 0);
   fixture_finish (&fixture);
 }
 END_TEST
 
-/* Guards against packets that are held for ever or lost, and against a wait for peers that have answered already. */
-START_TEST (unknown_flow_follows_cookie)
+/*
+ * Guards against packets that are held for ever, against a wait for peers that have answered already, and against
+ * openings in progress that are lost with the instances: the first packet of a flow proves that its cookie is from the
+ * opening, and the first host that got it is the host of the flow.
+ */
+START_TEST (first_packet_follows_first_host)
 {
   static ForwardFixture fixture;
-  WcFlowNote            unknown;
 
   init_with_hosts (&fixture);
-  send_unconfirmed (&fixture, 100, 0, 2);
+  send_with_opening_cookie (&fixture, 100, 0, 2, WC_COOKIE_FIRST_HOST);
   fixture_advance (&fixture, 90 * 1000);
   ck_assert_uint_eq (fixture.forward_count, 0);
   fixture_advance (&fixture, 20 * 1000);
   ck_assert_uint_eq (fixture.forward_count, 1);
   ck_assert_uint_eq (fixture_last_host (&fixture), 2);
-  send_unconfirmed (&fixture, 101, 0, 1);
-  unknown = fixture.last_question;
-  unknown.asks = false;
-  wc_forwarder_apply_flow_note (fixture.forwarder, &unknown, fixture.now_us);
+  ck_assert_uint_eq (fixture.announcements, 1);
+  send_with_opening_cookie (&fixture, 101, 0, 1, WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (fixture.forward_count, 1);
-  wc_forwarder_apply_flow_note (fixture.forwarder, &unknown, fixture.now_us);
+  answer_unknown (&fixture);
   ck_assert_uint_eq (fixture.forward_count, 2);
   ck_assert_uint_eq (fixture_last_host (&fixture), 1);
   ck_assert_uint_eq (fixture.decisions[WC_DECISION_HOST_ASSUMED], 2);
   /* Without peers there is nobody to ask. */
   fixture.peers = 0;
-  send_unconfirmed (&fixture, 102, 0, 1);
+  send_with_opening_cookie (&fixture, 102, 0, 1, WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (fixture.forward_count, 3);
   fixture_finish (&fixture);
 }
 END_TEST
 
+/*
+ * All instances are killed after a caller chose one of two hosts that answered its opening; the other one repeats its
+ * answer. Guards against the next request going to the other host, which resets the flow (case 7 of the second review):
+ * nobody but the cookie can tell the host of the flow then.
+ */
+START_TEST (cookie_names_chosen_host_after_kill_of_all)
+{
+  static ForwardFixture opener;
+  static ForwardFixture started;
+  uint64_t              host;
+
+  init_with_hosts (&opener);
+  init_with_hosts (&started);
+  host = open_at_second_host (&opener, 100);
+  fixture_packet (&started, 100, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, 1201, 5001, 200,
+                  last_cookie_of (&opener, 3 - host));
+  answer_unknown (&started);
+  ck_assert_uint_eq (fixture_last_host (&started), host);
+  fixture_finish (&opener);
+  fixture_finish (&started);
+}
+END_TEST
+
+/*
+ * Guards against a reset by a host that only answered the opening, whose cookie could not be corrected: a packet whose
+ * host neither cookie nor peers show is dropped, whether peers answer or not, and whether there are peers or not.
+ */
+START_TEST (unproven_cookie_is_not_followed)
+{
+  static ForwardFixture fixture;
+
+  init_with_hosts (&fixture);
+  /* A later packet: the caller has had packets of its host since the opening. */
+  send_with_opening_cookie (&fixture, 100, 200, 1, WC_COOKIE_FIRST_HOST);
+  answer_unknown (&fixture);
+  send_with_opening_cookie (&fixture, 101, 200, 1, WC_COOKIE_FIRST_HOST);
+  fixture_advance (&fixture, 110 * 1000);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_DROPPED_UNRESOLVED], 2);
+  /* The first packet, but another host may have been chosen before this one answered. */
+  send_with_opening_cookie (&fixture, 102, 0, 1, WC_COOKIE_FURTHER_HOST);
+  answer_unknown (&fixture);
+  /* Of an earlier release. */
+  fixture_packet (&fixture, 103, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, 1001, 5001, 200,
+                  ~fixture_find_host (&fixture, 1)->cookie);
+  answer_unknown (&fixture);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_DROPPED_UNRESOLVED], 4);
+  for (uint16_t caller = 200; caller < 300; caller++)
+    send_with_opening_cookie (&fixture, caller, 200, 1, WC_COOKIE_FIRST_HOST);
+  fixture_advance (&fixture, 110 * 1000);
+  fixture.peers = 0;
+  send_with_opening_cookie (&fixture, 104, 200, 1, WC_COOKIE_FIRST_HOST);
+  fixture_advance (&fixture, 110 * 1000);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_DROPPED_UNRESOLVED], 105);
+  ck_assert_uint_eq (fixture.forward_count, 0);
+  ck_assert_uint_eq (fixture.reset_count, 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/*
+ * The correction of a cookie is lost. Guards against a flow that is lost with the instances although they could have
+ * seen that its caller still has the wrong cookie, and against a copy of the opening for each packet.
+ */
+START_TEST (lost_correction_is_repeated)
+{
+  static ForwardFixture fixture;
+  uint64_t              host;
+
+  init_with_hosts (&fixture);
+  host = open_at_second_host (&fixture, 100);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      send_with_opening_cookie (&fixture, 100, 200 + i, 3 - host, WC_COOKIE_FIRST_HOST);
+      fixture_advance (&fixture, 50 * 1000);
+    }
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_COOKIE_CORRECTED], 3);
+  ck_assert_uint_eq (last_cookie_of (&fixture, 3 - host), wc_cookie_from_host (host));
+  /* The host of the flow itself has nothing to correct. */
+  fixture_advance (&fixture, 1000 * 1000);
+  send_with_opening_cookie (&fixture, 100, 300, host, WC_COOKIE_FURTHER_HOST);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_COOKIE_CORRECTED], 3);
+  /* The host has given up its answer. */
+  fixture_advance (&fixture, 10 * 1000 * 1000);
+  send_with_opening_cookie (&fixture, 100, 400, 3 - host, WC_COOKIE_FIRST_HOST);
+  ck_assert_uint_eq (fixture.decisions[WC_DECISION_COOKIE_CORRECTED], 3);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/*
+ * The fabric's rotation changes between two copies of an opening, so that two instances forward it. Guards against the
+ * wrong cookie of the host that only the other instance knows.
+ */
+START_TEST (announcement_corrects_cookie)
+{
+  static ForwardFixture first;
+  static ForwardFixture second;
+  uint64_t              host;
+  uint64_t              chosen;
+
+  init_with_hosts (&first);
+  init_with_hosts (&second);
+  fixture_syn (&first, 100, FIXTURE_ROUTE_PORT, 0);
+  host = fixture_last_host (&first);
+  fixture_syn (&second, 100, FIXTURE_ROUTE_PORT, 1);
+  chosen = 3 - host;
+  send_with_opening_cookie (&second, 100, 0, chosen, WC_COOKIE_FURTHER_HOST);
+  ck_assert_uint_eq (second.announcements, 1);
+  wc_forwarder_apply_flow_note (first.forwarder, &second.last_announcement, first.now_us);
+  ck_assert_uint_eq (last_cookie_of (&first, host), wc_cookie_from_host (chosen));
+  fixture_finish (&first);
+  fixture_finish (&second);
+}
+END_TEST
+
+/* Guards against an opening, which counts as new work, at a host that must not get any. */
+START_TEST (leaving_host_is_not_corrected)
+{
+  static const WcHostState states[] = { WC_HOST_DRAINING, WC_HOST_GONE };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      static ForwardFixture fixture;
+      uint64_t              first;
+      size_t                count;
+
+      init_with_hosts (&fixture);
+      fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 0);
+      first = fixture_last_host (&fixture);
+      fixture_advance (&fixture, 50 * 1000);
+      if (states[i] == WC_HOST_GONE)
+        wc_forwarder_set_host_gone (fixture.forwarder, first, fixture.now_us);
+      else
+        fixture_put_host (&fixture, first, "a", states[i]);
+      count = fixture.forward_count;
+      send_with_opening_cookie (&fixture, 100, 0, 3 - first, WC_COOKIE_FURTHER_HOST);
+      ck_assert_uint_eq (fixture.forward_count, count + 1);
+      ck_assert_uint_eq (fixture.decisions[WC_DECISION_COOKIE_CORRECTED], 0);
+      fixture_finish (&fixture);
+    }
+}
+END_TEST
+
 /*
  * A copy of an opening is read after the flow was opened through another instance, for example when a frozen process
  * continues. Guards against a second host for an open flow.
@@ -189,12 +365,12 @@
   note.cookie = wc_cookie_from_host (3 - late);
   wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
   ck_assert_uint_eq (fixture_find_host (&fixture, late)->flows, 0);
-  send_unconfirmed (&fixture, 100, 200, late);
+  send_with_opening_cookie (&fixture, 100, 200, late, WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (fixture_last_host (&fixture), 3 - late);
   /* What this instance has seen itself is not replaced. */
   note.cookie = wc_cookie_from_host (late);
   wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
-  send_unconfirmed (&fixture, 100, 400, late);
+  send_with_opening_cookie (&fixture, 100, 400, late, WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (fixture_last_host (&fixture), 3 - late);
   fixture_finish (&fixture);
 }
@@ -213,11 +389,11 @@
   init_with_hosts (&fixture);
   fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 1);
   host = fixture_last_host (&fixture);
-  send_unconfirmed (&fixture, 100, 0, host);
+  send_with_opening_cookie (&fixture, 100, 0, host, WC_COOKIE_FURTHER_HOST);
   ck_assert_uint_eq (fixture.announcements, 1);
   ck_assert_uint_eq (fixture.last_announcement.cookie, wc_cookie_from_host (host));
   fixture_syn (&fixture, 101, FIXTURE_ROUTE_PORT, 0);
-  send_unconfirmed (&fixture, 101, 200, 1);
+  send_with_opening_cookie (&fixture, 101, 200, 1, WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (fixture.questions, 1);
   fixture_finish (&fixture);
 }
@@ -262,6 +438,11 @@
       wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
     }
   ck_assert_uint_eq (wc_forwarder_get_flow_count (fixture.forwarder), 2048);
+  /* The answer to a question is used although it cannot be kept. */
+  send_with_opening_cookie (&fixture, 101, 200, 2, WC_COOKIE_FIRST_HOST);
+  note.key = fixture.last_question.key;
+  wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 1);
   fixture_finish (&fixture);
 }
 END_TEST
@@ -272,7 +453,12 @@
   tcase_add_test (tests, restarted_instance_finds_host_of_flow);
   tcase_add_test (tests, announced_host_outlives_instance);
   tcase_add_test (tests, confirmed_cookie_is_trusted);
-  tcase_add_test (tests, unknown_flow_follows_cookie);
+  tcase_add_test (tests, first_packet_follows_first_host);
+  tcase_add_test (tests, cookie_names_chosen_host_after_kill_of_all);
+  tcase_add_test (tests, unproven_cookie_is_not_followed);
+  tcase_add_test (tests, lost_correction_is_repeated);
+  tcase_add_test (tests, announcement_corrects_cookie);
+  tcase_add_test (tests, leaving_host_is_not_corrected);
   tcase_add_test (tests, late_opening_is_dropped);
   tcase_add_test (tests, announcement_replaces_opening);
   tcase_add_test (tests, retransmitted_opening_is_ambiguous);
--- a/tests/test_opening_fate.c
+++ b/tests/test_opening_fate.c
@@ -34,7 +34,7 @@
   uint64_t forwarded_us;
   uint64_t reset_us;
   uint32_t resets;
-  uint64_t host;
+  uint32_t cookie;
 } Opening;
 
 typedef struct
@@ -56,7 +56,7 @@
 }
 
 static void
-forward (void *user_data, const WcPacket *packet, const WcHost *host)
+forward (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie)
 {
   Fuzz    *fuzz = user_data;
   Opening *opening = opening_of (fuzz, &packet->key);
@@ -67,7 +67,8 @@
   ck_assert_int_ne (host->record.state, WC_HOST_DRAINING);
   if (opening->forwarded_us == 0)
     opening->forwarded_us = fuzz->now_us;
-  opening->host = host->record.id;
+  /* Hosts answer at once, and the caller repeats the cookie that it received last. */
+  opening->cookie = cookie;
 }
 
 static void
@@ -142,7 +143,7 @@
   static uint8_t bytes[HEADER_BYTES + 200];
   const WcPacket packet = {
     .key = { CALLER_IP + index, ROUTE_IP, 1000, (uint16_t)(443 + index % ROUTES) },
-    .cookie = (uint32_t)fuzz->openings[index].host,
+    .cookie = fuzz->openings[index].cookie,
     .sequence = flags & WC_PACKET_SYN ? 1000 : 1001,
     .acknowledged = acknowledged,
     .data_bytes = data_bytes,
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -231,12 +231,13 @@
 }
 
 static void
-forward (void *user_data, const WcPacket *packet, const WcHost *host)
+forward (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie)
 {
   Simulation *simulation = user_data;
   uint32_t    call = packet->key.caller_ip - 0x64400000;
   uint32_t    attempt = packet->key.caller_port - 1000;
 
+  (void)cookie;
   if (packet->flags & WC_PACKET_SYN)
     add_event (simulation, 2 * DELAY_MS, SEND_REQUEST, call, attempt, (uint32_t)host->record.id);
   else if (packet->data_bytes > 0)
