Do not be ready before a peer is heard of, and drop what nobody can resolve

Cause: an instance was ready 1 ms after its start, although it knew no peer that it could ask for the hosts of flows, and followed every cookie as long as it knew none. Its seeds were not there, and peers send nothing to an instance that has announced its stop.

Fix: peers send a datagram to an instance that stopped or fell silent about once a second; an instance tries its seeds every 0.1 s until it hears of a peer, and is not ready before that, for 1 s at most. A packet whose cookie proves nothing waits 0.1 s for a peer that tells its host. The same cause on related paths: packets beyond the 64 that may wait, a host named by a peer when the flow table is full, and a flow that did not fit into it no longer go by an unproven cookie.

packet_for_unknown_host_is_dropped waits for the 0.1 s.

--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -21,6 +21,7 @@
 #include "edge/store_view.h"
 #include "edge/view_reader.h"
 #include "forward/forwarder.h"
+#include "forward/readiness.h"
 
 static const double TICK_S = 0.1;
 
@@ -63,14 +64,18 @@
   /* Hosts of flows that are sent to a peer that has started; 16 datagrams. The peer asks for others when it needs them.
    */
   JOIN_FLOW_NOTES_MAX = 256,
-  /* An instance that has received data neither from the store nor from a peer for this long counts as isolated. */
-  ISOLATION_TIMEOUT_US = 3000 * 1000
+  /* Until a peer is heard of, rounds follow at this interval for a while: instances may start before their seeds. */
+  DISCOVERY_INTERVAL_US = 100 * 1000,
+  DISCOVERY_MAX_US = 2000 * 1000
 };
 
 /*
  * @forwarder_timer: timer for the next deadline of the forwarder.
  * @forwarder_timer_us: when it expires, if it is active.
  * @is_view_loaded: the replica and the routes were loaded once; packets are read from then on.
+ * @peers_deadline_us: until then the instance is not ready before it has heard of a peer; set with @is_view_loaded.
+ * @was_ready: the instance has been ready.
+ * @discovery_deadline_us: end of the time of frequent gossip rounds.
  * @last_tick_us: time of the last tick.
  * @full_batches: value of the packet socket's counter of full batches at the last tick.
  * @stop_start_us: when a planned stop began; 0 when none is in progress.
@@ -96,6 +101,9 @@
   ev_timer                 forwarder_timer;
   ev_signal                signals[3];
   bool                     is_view_loaded;
+  uint64_t                 peers_deadline_us;
+  bool                     was_ready;
+  uint64_t                 discovery_deadline_us;
   uint64_t                 forwarder_timer_us;
   uint64_t                 now_us;
   uint64_t                 last_tick_us;
@@ -105,44 +113,46 @@
   size_t                   next_reported_host;
 };
 
-static uint64_t   generate_incarnation (void);
-static bool       open_sockets (WcForwardServer *server, WcError *error);
-static void       start_watchers (WcForwardServer *server);
-static void       forwarder_timer_expired (struct ev_loop *loop, ev_timer *watcher, int events);
-static void       run_forwarder_timers (WcForwardServer *server);
-static void       receive_packet (void *user_data, const WcPacket *packet, uint64_t now_us);
-static void       packet_batch_received (void *user_data, uint64_t now_us);
-static void       forward_packet (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie);
-static void       reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
-static void       log_decision (void *user_data, const WcDecision *decision);
-static void       flow_opened (void *user_data, uint64_t duration_us);
-static void       request_answered (void *user_data, uint64_t duration_us);
-static size_t     send_flow_note (void *user_data, const WcFlowNote *note);
-static void       announce_host (void *user_data, const WcFlowNote *note);
-static void       apply_change (void *user_data, const WcStoreChange *change);
-static void       view_updated (void *user_data);
-static void       source_lost (void *user_data);
-static void       indirect_changed (void *user_data, bool is_indirect);
-static uint64_t   get_view_age_us (const WcForwardServer *server);
-static bool       is_ready (void *user_data);
-static char      *format_metrics (void *user_data);
-static char      *format_status (void *user_data);
-static char      *format_explanation (void *user_data, const char *route, const char *caller, WcError *error);
-static void       fill_own_state (void *user_data, WcGossip *gossip);
-static void       add_next_host_reports (void *user_data, WcGossip *gossip);
-static void       add_host_reports (void *user_data, uint64_t id, WcGossip *gossip);
-static void       gossip_received (void *user_data, const WcGossip *gossip);
-static WcFlowNote answer_flow_note (void *user_data, const WcFlowNote *question);
-static void       peer_joined (void *user_data, const WcPeerEntry *peer);
-static void       settings_changed (void *user_data, const WcForwardSettings *settings);
-static void       tick_timer_expired (struct ev_loop *loop, ev_timer *watcher, int events);
-static void       detect_delay (WcForwardServer *server);
-static void       run_gossip_round (WcForwardServer *server);
-static void       query_peers_about_hosts (WcForwardServer *server);
-static void       report_failures (WcForwardServer *server);
-static void       signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
-static void       stop_when_idle (WcForwardServer *server);
-static void       log_state (WcForwardServer *server, const char *event);
+static uint64_t    generate_incarnation (void);
+static bool        open_sockets (WcForwardServer *server, WcError *error);
+static void        start_watchers (WcForwardServer *server);
+static void        forwarder_timer_expired (struct ev_loop *loop, ev_timer *watcher, int events);
+static void        run_forwarder_timers (WcForwardServer *server);
+static void        receive_packet (void *user_data, const WcPacket *packet, uint64_t now_us);
+static void        packet_batch_received (void *user_data, uint64_t now_us);
+static void        forward_packet (void *user_data, const WcPacket *packet, const WcHost *host, uint32_t cookie);
+static void        reset_flow (void *user_data, const WcFlowKey *key, uint32_t sequence);
+static void        log_decision (void *user_data, const WcDecision *decision);
+static void        flow_opened (void *user_data, uint64_t duration_us);
+static void        request_answered (void *user_data, uint64_t duration_us);
+static size_t      send_flow_note (void *user_data, const WcFlowNote *note);
+static void        announce_host (void *user_data, const WcFlowNote *note);
+static void        apply_change (void *user_data, const WcStoreChange *change);
+static void        view_updated (void *user_data);
+static void        source_lost (void *user_data);
+static void        indirect_changed (void *user_data, bool is_indirect);
+static uint64_t    get_view_age_us (const WcForwardServer *server);
+static WcReadiness get_readiness (const WcForwardServer *server);
+static bool        is_ready (void *user_data);
+static void        log_first_readiness (WcForwardServer *server);
+static char       *format_metrics (void *user_data);
+static char       *format_status (void *user_data);
+static char       *format_explanation (void *user_data, const char *route, const char *caller, WcError *error);
+static void        fill_own_state (void *user_data, WcGossip *gossip);
+static void        add_next_host_reports (void *user_data, WcGossip *gossip);
+static void        add_host_reports (void *user_data, uint64_t id, WcGossip *gossip);
+static void        gossip_received (void *user_data, const WcGossip *gossip);
+static WcFlowNote  answer_flow_note (void *user_data, const WcFlowNote *question);
+static void        peer_joined (void *user_data, const WcPeerEntry *peer);
+static void        settings_changed (void *user_data, const WcForwardSettings *settings);
+static void        tick_timer_expired (struct ev_loop *loop, ev_timer *watcher, int events);
+static void        detect_delay (WcForwardServer *server);
+static void        run_gossip_round (WcForwardServer *server);
+static void        query_peers_about_hosts (WcForwardServer *server);
+static void        report_failures (WcForwardServer *server);
+static void        signal_received (struct ev_loop *loop, ev_signal *watcher, int events);
+static void        stop_when_idle (WcForwardServer *server);
+static void        log_state (WcForwardServer *server, const char *event);
 
 static const WcForwarderOps FORWARDER_OPS = {
   .forward = forward_packet,
@@ -216,7 +226,9 @@
       return NULL;
     }
   start_watchers (server);
-  wc_peer_endpoint_send_gossip (server->peer_endpoint, wc_clock_monotonic_us ());
+  server->now_us = wc_clock_monotonic_us ();
+  server->discovery_deadline_us = server->now_us + DISCOVERY_MAX_US;
+  run_gossip_round (server);
   server->reader = wc_view_reader_new (server->loop, &settings->store, server->replica, server->peers, server->log,
                                        &VIEW_READER_OPS, server);
   log_state (server, "started");
@@ -432,9 +444,10 @@
       !wc_forwarder_get_routes (server->forwarder))
     return;
   server->is_view_loaded = true;
+  server->peers_deadline_us = wc_clock_monotonic_us () + WC_READINESS_PEERS_WAIT_US;
   /* Packets that arrived earlier are still in the kernel's receive buffer. */
   wc_packet_socket_start (server->packet_socket);
-  log_state (server, "ready");
+  log_first_readiness (server);
 }
 
 static void
@@ -457,18 +470,32 @@
   return view_us > 0 ? wc_clock_monotonic_us () - view_us : UINT64_MAX;
 }
 
-/*
- * The host information of an isolated instance becomes stale, so its readiness check fails and the fabric prefers other
- * instances. When there is no other, the fabric keeps using this one.
- */
+static WcReadiness
+get_readiness (const WcForwardServer *server)
+{
+  const WcReadinessInput input = {
+    .is_stopping = server->stop_start_us > 0,
+    .is_view_loaded = server->is_view_loaded,
+    .view_age_us = get_view_age_us (server),
+    .peers_deadline_us = server->peers_deadline_us,
+  };
+
+  return wc_readiness_evaluate (&input, server->peers, wc_clock_monotonic_us ());
+}
+
 static bool
 is_ready (void *user_data)
 {
-  const WcForwardServer *server = user_data;
-  bool                   is_isolated = get_view_age_us (server) > ISOLATION_TIMEOUT_US &&
-                     wc_peer_table_is_isolated (server->peers, ISOLATION_TIMEOUT_US, wc_clock_monotonic_us ());
+  return get_readiness (user_data) == WC_READINESS_READY;
+}
 
-  return server->is_view_loaded && server->stop_start_us == 0 && !is_isolated;
+static void
+log_first_readiness (WcForwardServer *server)
+{
+  if (server->was_ready || !is_ready (server))
+    return;
+  server->was_ready = true;
+  log_state (server, "ready");
 }
 
 static char *
@@ -501,8 +528,7 @@
     .domain = server->settings->domain,
     .forwarder = server->forwarder,
     .view_age_us = get_view_age_us (server),
-    .is_ready = is_ready (server),
-    .is_stopping = server->stop_start_us > 0,
+    .readiness = get_readiness (server),
   };
 
   return wc_forward_status_format (&status, wc_clock_monotonic_us ());
@@ -585,6 +611,7 @@
   bool             is_own_domain = gossip->sender.domain == wc_peer_table_get_self (server->peers)->domain;
 
   server->now_us = now_us;
+  log_first_readiness (server);
   wc_forwarder_set_domain_peers (server->forwarder, wc_peer_table_count_domain (server->peers, now_us));
   wc_forwarder_update_leases (server->forwarder, server->peers, now_us);
   for (size_t i = 0; i < gossip->host_count; i++)
@@ -633,6 +660,7 @@
   (void)events;
   server->now_us = wc_clock_monotonic_us ();
   detect_delay (server);
+  log_first_readiness (server);
   wc_forwarder_update_leases (server->forwarder, server->peers, server->now_us);
   wc_forwarder_tick (server->forwarder, server->now_us);
   wc_peer_endpoint_tick (server->peer_endpoint, server->now_us);
@@ -669,7 +697,9 @@
 static void
 run_gossip_round (WcForwardServer *server)
 {
-  server->gossip_deadline_us = server->now_us + GOSSIP_INTERVAL_US;
+  bool is_discovering = server->now_us < server->discovery_deadline_us && !wc_peer_table_has_heard (server->peers);
+
+  server->gossip_deadline_us = server->now_us + (is_discovering ? DISCOVERY_INTERVAL_US : GOSSIP_INTERVAL_US);
   wc_peer_table_evict (server->peers, server->now_us);
   wc_forwarder_set_domain_peers (server->forwarder, wc_peer_table_count_domain (server->peers, server->now_us));
   wc_peer_endpoint_send_gossip (server->peer_endpoint, server->now_us);
--- a/src/edge/forward_status.c
+++ b/src/edge/forward_status.c
@@ -21,7 +21,10 @@
   json_object_object_add (object, "domain", json_object_new_string (status->domain));
   json_object_object_add (object, "data_path", json_object_new_string ("packets"));
   json_object_object_add (object, "lifecycle", json_object_new_string (get_lifecycle (status)));
-  json_object_object_add (object, "ready", json_object_new_boolean (status->is_ready));
+  json_object_object_add (object, "ready", json_object_new_boolean (status->readiness == WC_READINESS_READY));
+  if (status->readiness != WC_READINESS_READY)
+    json_object_object_add (object, "not_ready_because",
+                            json_object_new_string (WC_READINESS_STRINGS[status->readiness]));
   json_object_object_add (object, "config", format_config (status));
   json_object_object_add (object, "flows", json_object_new_uint64 (wc_forwarder_get_flow_count (status->forwarder)));
   json_object_object_add (object, "evacuated_domains",
@@ -67,7 +70,7 @@
 static const char *
 get_lifecycle (const WcForwardStatus *status)
 {
-  if (status->is_stopping)
+  if (status->readiness == WC_READINESS_STOPPING)
     return "stopping";
   return wc_forwarder_get_routes (status->forwarder) ? "serving" : "joining";
 }
--- a/src/edge/forward_status.h
+++ b/src/edge/forward_status.h
@@ -5,12 +5,12 @@
 #include <stdint.h>
 
 #include "forward/forwarder.h"
+#include "forward/readiness.h"
 
 /**
  * struct WcForwardStatus - state of an instance that forwards packets, for the command "status".
  * @view_age_us: time since the store confirmed the view; UINT64_MAX when it never did.
- * @is_ready: the instance answers readiness checks with success.
- * @is_stopping: a planned stop is in progress.
+ * @readiness: whether the instance answers readiness checks with success, and why not.
  */
 typedef struct
 {
@@ -18,8 +18,7 @@
   const char        *domain;
   const WcForwarder *forwarder;
   uint64_t           view_age_us;
-  bool               is_ready;
-  bool               is_stopping;
+  WcReadiness        readiness;
 } WcForwardStatus;
 
 /** wc_forward_status_format() - format the status as JSON; free the result with g_free(). */
--- a/src/forward/forwarder_inquiry.c
+++ b/src/forward/forwarder_inquiry.c
@@ -64,10 +64,12 @@
       if (wc_flow_inquiries_is_full (forwarder->inquiries))
         return false;
       asked = forwarder->ops.ask_host (forwarder->user_data, &question);
-      if (asked == 0)
+      /* Peers that are heard of while the packet waits tell the hosts that they know. */
+      if (asked == 0 && wc_forwarder_find_opening_host (forwarder, packet))
         return false;
       wc_flow_inquiries_start (forwarder->inquiries, &packet->key, asked, forwarder->now_us + INQUIRY_TIMEOUT_US);
-      wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_ASKED, &packet->key, NULL);
+      if (asked > 0)
+        wc_forwarder_emit_decision (forwarder, WC_DECISION_HOST_ASKED, &packet->key, NULL);
     }
   wc_flow_inquiries_hold (forwarder->inquiries, packet);
   return true;
--- a/src/forward/peer_table.c
+++ b/src/forward/peer_table.c
@@ -29,6 +29,11 @@
   SEED_ROUNDS = 8,
   /* Rounds between two datagrams to another failure domain. */
   OTHER_DOMAIN_ROUNDS = 2,
+  /*
+   * How long an instance that stopped or fell silent is sent a datagram now and then. A restart takes a second or two,
+   * and the new process may know no address that answers.
+   */
+  RETURN_MAX_US = 20 * 1000 * 1000,
   /*
    * Entries of a datagram that are reserved for the instances of the own domain with the lowest ranks, from which all
    * others read, and for instances of other domains.
@@ -43,6 +48,7 @@
   GPtrArray  *peers;
   WcAddress   seeds[SEEDS_MAX];
   size_t      seed_count;
+  size_t      next_seed;
   uint64_t    rounds;
   uint64_t    random_state;
 
@@ -62,7 +68,8 @@
 static uint64_t next_random (WcPeerTable *table);
 static bool     is_self (const WcPeerTable *table, const WcAddress *address);
 static WcPeer  *pick_peer (WcPeerTable *table, bool own_domain, uint64_t now_us);
-static bool     pick_seed (WcPeerTable *table, WcAddress *address);
+static WcPeer  *pick_absent_peer (WcPeerTable *table, uint64_t now_us);
+static size_t   add_seeds (WcPeerTable *table, WcAddress *targets, size_t max);
 
 WcPeerTable *
 wc_peer_table_new (const WcPeerEntry *self)
@@ -74,6 +81,8 @@
   table->self = *self;
   table->peers = g_ptr_array_new_with_free_func (g_free);
   table->random_state = self->incarnation;
+  /* Instances that start together begin with different seeds. */
+  table->next_seed = (size_t)next_random (table);
   return table;
 }
 
@@ -103,6 +112,17 @@
   return table->seed_count > 0;
 }
 
+bool
+wc_peer_table_has_heard (const WcPeerTable *table)
+{
+  assert (table != NULL);
+
+  for (guint i = 0; i < table->peers->len; i++)
+    if (((const WcPeer *)table->peers->pdata[i])->last_received_us > 0)
+      return true;
+  return false;
+}
+
 bool
 wc_peer_table_receive (WcPeerTable *table, const WcGossip *gossip, uint64_t now_us)
 {
@@ -190,6 +210,7 @@
 {
   const WcPeer *own = pick_peer (table, true, now_us);
   const WcPeer *other = pick_peer (table, false, now_us);
+  const WcPeer *absent;
   size_t        count = 0;
 
   table->rounds++;
@@ -197,9 +218,13 @@
     targets[count++] = own->entry.address;
   if (other && (!own || table->rounds % OTHER_DOMAIN_ROUNDS == 0))
     targets[count++] = other->entry.address;
-  if (count < WC_GOSSIP_FANOUT && ((!own && !other) || table->rounds % SEED_ROUNDS == 1) &&
-      pick_seed (table, &targets[count]))
-    count++;
+  if (count == 0)
+    return add_seeds (table, targets, WC_GOSSIP_FANOUT);
+  if (count < WC_GOSSIP_FANOUT && table->rounds % SEED_ROUNDS == 1)
+    count += add_seeds (table, &targets[count], 1);
+  absent = count < WC_GOSSIP_FANOUT ? pick_absent_peer (table, now_us) : NULL;
+  if (absent)
+    targets[count++] = absent->entry.address;
   return count;
 }
 
@@ -586,11 +611,38 @@
   return chosen;
 }
 
-static bool
-pick_seed (WcPeerTable *table, WcAddress *address)
+/*
+ * Load pattern: instances are restarted in turn while the seeds are out of date. An instance that has stopped is no
+ * longer sent anything as a peer, and its successor at the same address knows nobody, until one side hears of the other
+ * through a third.
+ */
+static WcPeer *
+pick_absent_peer (WcPeerTable *table, uint64_t now_us)
 {
-  if (table->seed_count == 0)
-    return false;
-  *address = table->seeds[next_random (table) % table->seed_count];
-  return true;
+  WcPeer *chosen = NULL;
+
+  for (guint i = 0; i < table->peers->len; i++)
+    {
+      WcPeer *peer = table->peers->pdata[i];
+
+      if (wc_peer_is_live (peer, now_us) || now_us - peer->last_heartbeat_us >= RETURN_MAX_US ||
+          peer->last_sent_us == now_us)
+        continue;
+      if (!chosen || peer->last_sent_us < chosen->last_sent_us)
+        chosen = peer;
+    }
+  if (chosen)
+    chosen->last_sent_us = now_us;
+  return chosen;
+}
+
+/* Adds up to @max seeds, different ones each time. Return: number of addresses written. */
+static size_t
+add_seeds (WcPeerTable *table, WcAddress *targets, size_t max)
+{
+  size_t count = MIN (max, table->seed_count);
+
+  for (size_t i = 0; i < count; i++)
+    targets[i] = table->seeds[table->next_seed++ % table->seed_count];
+  return count;
 }
--- a/src/forward/peer_table.h
+++ b/src/forward/peer_table.h
@@ -62,6 +62,9 @@
 /** wc_peer_table_has_seeds() - whether there are seeds other than this instance. */
 bool wc_peer_table_has_seeds (const WcPeerTable *table);
 
+/** wc_peer_table_has_heard() - whether a datagram of another instance has been received. */
+bool wc_peer_table_has_heard (const WcPeerTable *table);
+
 /**
  * wc_peer_table_receive() - process a gossip datagram. Return: true when the sender is new and is to receive a reply at
  * once.
--- a/tests/test_forward_status.c
+++ b/tests/test_forward_status.c
@@ -19,7 +19,7 @@
 START_TEST (evacuated_domains_are_shown)
 {
   static ForwardFixture fixture;
-  WcForwardStatus       status = { .instance = "edge-1", .domain = "a", .view_age_us = UINT64_MAX, .is_ready = true };
+  WcForwardStatus       status = { .instance = "edge-1", .domain = "a", .view_age_us = UINT64_MAX };
 
   fixture_init (&fixture);
   status.forwarder = fixture.forwarder;
@@ -34,9 +34,29 @@
 }
 END_TEST
 
+/* Guards against an instance of which operators cannot tell why the fabric does not use it. */
+START_TEST (reason_for_not_ready_is_shown)
+{
+  static ForwardFixture fixture;
+  WcForwardStatus       status = { .instance = "edge-1", .domain = "a", .view_age_us = UINT64_MAX };
+
+  fixture_init (&fixture);
+  status.forwarder = fixture.forwarder;
+  ck_assert (contains (&status, fixture.now_us, "\"ready\":true"));
+  ck_assert (!contains (&status, fixture.now_us, "not_ready_because"));
+  status.readiness = WC_READINESS_NO_PEER;
+  ck_assert (contains (&status, fixture.now_us, "\"ready\":false,\"not_ready_because\":\"no peer yet\""));
+  ck_assert (contains (&status, fixture.now_us, "\"lifecycle\":\"serving\""));
+  status.readiness = WC_READINESS_STOPPING;
+  ck_assert (contains (&status, fixture.now_us, "\"lifecycle\":\"stopping\""));
+  fixture_finish (&fixture);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
+  tcase_add_test (tests, reason_for_not_ready_is_shown);
   tcase_add_test (tests, evacuated_domains_are_shown);
 }
 
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -90,6 +90,8 @@
   fixture_init (&fixture);
   fixture_packet (&fixture, 100, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, 1, 1, 10, 0x12345678);
   fixture_packet (&fixture, 101, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, 1, 1, 10, 0);
+  /* Longer than peers are waited for. */
+  fixture_advance (&fixture, 110 * 1000);
   ck_assert_uint_eq (fixture.forward_count, 0);
   ck_assert_uint_eq (fixture.decisions[WC_DECISION_DROPPED_UNRESOLVED], 2);
   fixture_syn (&fixture, 102, FIXTURE_ROUTE_PORT, 0);
--- a/tests/test_forwarder_inquiry.c
+++ b/tests/test_forwarder_inquiry.c
@@ -239,6 +239,35 @@
 }
 END_TEST
 
+/*
+ * An instance that has just started has heard of no peer yet. Guards against a packet of an open flow that goes to the
+ * host of an unproven cookie because there is nobody to ask (case 8 of the second review), or is dropped although a
+ * peer tells the host a moment later.
+ */
+START_TEST (packet_waits_for_first_peer)
+{
+  static ForwardFixture opener;
+  static ForwardFixture started;
+  WcFlowNote            notes[4];
+  uint64_t              host;
+
+  init_with_hosts (&opener);
+  init_with_hosts (&started);
+  started.peers = 0;
+  host = open_at_second_host (&opener, 100);
+  send_with_opening_cookie (&started, 100, 200, 3 - host, WC_COOKIE_FIRST_HOST);
+  fixture_advance (&started, 50 * 1000);
+  ck_assert_uint_eq (started.forward_count, 0);
+  ck_assert_uint_eq (started.decisions[WC_DECISION_HOST_ASKED], 0);
+  ck_assert_uint_eq (wc_forwarder_get_flow_notes (opener.forwarder, notes, G_N_ELEMENTS (notes)), 1);
+  wc_forwarder_apply_flow_note (started.forwarder, &notes[0], started.now_us);
+  ck_assert_uint_eq (started.forward_count, 1);
+  ck_assert_uint_eq (fixture_last_host (&started), host);
+  fixture_finish (&opener);
+  fixture_finish (&started);
+}
+END_TEST
+
 /*
  * The correction of a cookie is lost. Guards against a flow that is lost with the instances although they could have
  * seen that its caller still has the wrong cookie, and against a copy of the opening for each packet.
@@ -395,6 +424,11 @@
   fixture_syn (&fixture, 101, FIXTURE_ROUTE_PORT, 0);
   send_with_opening_cookie (&fixture, 101, 200, 1, WC_COOKIE_FIRST_HOST);
   ck_assert_uint_eq (fixture.questions, 1);
+  /* The same on a port that is used again. */
+  fixture_syn_again (&fixture, 100, FIXTURE_ROUTE_PORT, 1);
+  fixture_packet (&fixture, 100, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, 900 * 1000 * 1000 + 1, 5001, 200,
+                  fixture.forwards[fixture.forward_count - 1].cookie);
+  ck_assert_uint_eq (fixture.announcements, 2);
   fixture_finish (&fixture);
 }
 END_TEST
@@ -425,6 +459,30 @@
 }
 END_TEST
 
+/*
+ * Guards against first packets that are dropped, or for which peers are asked, because the flow table has no room for
+ * the flow.
+ */
+START_TEST (opening_without_room_is_remembered)
+{
+  static ForwardFixture     fixture;
+  const WcForwarderSettings settings = { .domain = g_quark_from_string ("a"),
+                                         .max_flows = 1,
+                                         .flow_lifetime_us = 60 * 1000 * 1000 };
+
+  fixture_init_with (&fixture, &settings);
+  fixture_put_host (&fixture, 1, "a", WC_HOST_READY);
+  fixture.peers = 2;
+  fixture_syn (&fixture, 100, FIXTURE_ROUTE_PORT, 0);
+  fixture_syn (&fixture, 101, FIXTURE_ROUTE_PORT, 1);
+  ck_assert_uint_eq (wc_forwarder_get_flow_count (fixture.forwarder), 1);
+  send_with_opening_cookie (&fixture, 101, 0, 1, WC_COOKIE_FURTHER_HOST);
+  ck_assert_uint_eq (fixture.forward_count, 3);
+  ck_assert_uint_eq (fixture.questions, 0);
+  fixture_finish (&fixture);
+}
+END_TEST
+
 /* Guards against flows of peers that fill the table, so that this instance no longer tracks its own. */
 START_TEST (learned_flows_leave_room)
 {
@@ -456,6 +514,7 @@
   tcase_add_test (tests, first_packet_follows_first_host);
   tcase_add_test (tests, cookie_names_chosen_host_after_kill_of_all);
   tcase_add_test (tests, unproven_cookie_is_not_followed);
+  tcase_add_test (tests, packet_waits_for_first_peer);
   tcase_add_test (tests, lost_correction_is_repeated);
   tcase_add_test (tests, announcement_corrects_cookie);
   tcase_add_test (tests, leaving_host_is_not_corrected);
@@ -463,6 +522,7 @@
   tcase_add_test (tests, announcement_replaces_opening);
   tcase_add_test (tests, retransmitted_opening_is_ambiguous);
   tcase_add_test (tests, answer_is_for_the_same_flow);
+  tcase_add_test (tests, opening_without_room_is_remembered);
   tcase_add_test (tests, learned_flows_leave_room);
 }
 
--- a/tests/test_peer_table.c
+++ b/tests/test_peer_table.c
@@ -151,6 +151,76 @@
 }
 END_TEST
 
+/* An instance tells all others that it stops, and is started again with seeds of which none is there. */
+static void
+restart_with_stale_seeds (Fleet *fleet, uint32_t number, uint32_t instances)
+{
+  static const uint32_t seeds[] = { 250, 251, 252 };
+
+  for (uint32_t i = 0; i < instances; i++)
+    {
+      WcGossip gossip = { .stopping = true };
+
+      wc_peer_table_fill_sender (fleet->tables[number], &gossip);
+      wc_peer_table_receive (fleet->tables[i], &gossip, fleet->now_us);
+    }
+  fleet->down[number] = true;
+  run_rounds (fleet, 4);
+  fleet->down[number] = false;
+  start (fleet, number, 999, seeds, G_N_ELEMENTS (seeds));
+}
+
+/*
+ * Guards against an instance that has nobody to ask after a planned restart (case 8 of the second review): others know
+ * its address, but do not send to one that has announced its stop.
+ */
+START_TEST (restarted_instance_is_found_without_seeds)
+{
+  enum
+  {
+    SMALL_FLEET = 3 * DOMAINS
+  };
+  Fleet fleet;
+
+  init_fleet (&fleet);
+  for (uint32_t i = SMALL_FLEET; i < INSTANCES; i++)
+    fleet.down[i] = true;
+  run_rounds (&fleet, 30);
+  for (uint32_t number = 1; number < SMALL_FLEET; number++)
+    {
+      restart_with_stale_seeds (&fleet, number, SMALL_FLEET);
+      ck_assert (!wc_peer_table_has_heard (fleet.tables[number]));
+      run_rounds (&fleet, 2);
+      ck_assert (wc_peer_table_has_heard (fleet.tables[number]));
+      run_rounds (&fleet, 8);
+      ck_assert_uint_eq (wc_peer_table_count_live (fleet.tables[number], fleet.now_us), SMALL_FLEET - 1);
+    }
+  finish_fleet (&fleet);
+}
+END_TEST
+
+/* Guards against discovery that depends on one seed of several, and against datagrams beyond the fan-out. */
+START_TEST (seeds_are_tried_in_turn)
+{
+  static const uint32_t seeds[] = { 250, 251, 252 };
+  static Fleet          fleet;
+  bool                  tried[3] = { false };
+
+  start (&fleet, 0, 100, seeds, G_N_ELEMENTS (seeds));
+  for (int round = 0; round < 2; round++)
+    {
+      WcAddress targets[WC_GOSSIP_FANOUT];
+      size_t    count = wc_peer_table_pick_targets (fleet.tables[0], ROUND_US, targets);
+
+      ck_assert_uint_eq (count, WC_GOSSIP_FANOUT);
+      for (size_t i = 0; i < count; i++)
+        tried[targets[i].ip[3] - 251] = true;
+    }
+  ck_assert (tried[0] && tried[1] && tried[2]);
+  finish_fleet (&fleet);
+}
+END_TEST
+
 /* Guards against a domain in which every instance reads the store, or none does. */
 START_TEST (one_instance_of_a_domain_reads_the_store)
 {
@@ -506,6 +576,8 @@
 {
   tcase_add_test (tests, fleet_is_discovered_through_seeds);
   tcase_add_test (tests, dead_and_restarted_instances_are_detected);
+  tcase_add_test (tests, restarted_instance_is_found_without_seeds);
+  tcase_add_test (tests, seeds_are_tried_in_turn);
   tcase_add_test (tests, one_instance_of_a_domain_reads_the_store);
   tcase_add_test (tests, readers_form_a_tree);
   tcase_add_test (tests, failed_reader_is_skipped);
