Follow the cookie of any answer to the opening with the first packet

Cause: the first packet after an opening was followed by an instance without the flow only if the opening had gone to no host before, as far as the instance that forwarded it knew. A caller that repeated its opening to an instance that was stopped has a cookie that says otherwise, and its first packet came to an instance that had just started: the opening was held for 0.4 s, so that the fabric's rotation changed between (dropped_unresolved lines of both flows of a run, after held and placed lines of another instance).

The first packet follows the answer of the chosen host. Only its repetition after 0.2 s can carry another cookie, which has been corrected when the flow is open. The distinction is dropped, and with it one of the two forms of the cookie in openings.

--- a/src/forward/cookie.h
+++ b/src/forward/cookie.h
@@ -19,29 +19,19 @@
  *   any later packet it names no host: by then the caller has had packets of the host of the flow, in confirmed form,
  *   and one in opening form is from a host that answered the opening and was not chosen.
  *
- * The opening form also tells whether another host may have had the opening before, so that both may have answered.
- *
  * Earlier releases send the complement of the confirmed form with an opening. It proves nothing, and is read as none.
  */
 
-/** enum WcCookieRank - whether an opening was sent to one host or may have reached several. */
-typedef enum
-{
-  WC_COOKIE_FIRST_HOST = 0,
-  WC_COOKIE_FURTHER_HOST,
-  WC_COOKIE_RANK_COUNT
-} WcCookieRank;
-
 /** wc_cookie_from_host() - the cookie of the host with identifier @id, in its confirmed form; never 0. */
 uint32_t wc_cookie_from_host (uint64_t id);
 
 /** wc_cookie_for_opening() - the opening form of @cookie, which is in confirmed form; never equal to it. */
-uint32_t wc_cookie_for_opening (uint32_t cookie, const WcPacket *opening, WcCookieRank rank);
+uint32_t wc_cookie_for_opening (uint32_t cookie, const WcPacket *opening);
 
 /**
  * wc_cookie_from_first_packet() - the confirmed form of the cookie of a packet, if that is in opening form and the
  * packet is the first after the opening. It is a random value otherwise.
  */
-uint32_t wc_cookie_from_first_packet (const WcPacket *packet, WcCookieRank rank);
+uint32_t wc_cookie_from_first_packet (const WcPacket *packet);
 
 #endif
--- a/src/forward/forwarder_cookies.c
+++ b/src/forward/forwarder_cookies.c
@@ -21,10 +21,9 @@
   uint32_t     chosen;
 } Correction;
 
-static WcHost *find_first_packet_host (const WcForwarder *forwarder, const WcPacket *packet, WcCookieRank rank);
-static bool    is_after_own_opening (const WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet);
-static void    correct_host (void *user_data, const WcPacket *opening, uint32_t cookie);
-static bool    serves_route (const WcRoute *route, uint32_t service);
+static bool is_after_own_opening (const WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet);
+static void correct_host (void *user_data, const WcPacket *opening, uint32_t cookie);
+static bool serves_route (const WcRoute *route, uint32_t service);
 
 /*
  * The first packet after an opening follows the answer of the chosen host at once and carries its cookie, in whichever
@@ -41,15 +40,14 @@
   if (flow && flow->state != WC_FLOW_OPENING)
     return wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
   if (is_after_own_opening (forwarder, flow, packet))
-    for (int rank = 0; rank < WC_COOKIE_RANK_COUNT && !host; rank++)
-      host = find_first_packet_host (forwarder, packet, (WcCookieRank)rank);
+    host = wc_forwarder_find_opening_host (forwarder, packet);
   return host ? host : wc_host_table_find_cookie (forwarder->hosts, packet->cookie);
 }
 
 WcHost *
 wc_forwarder_find_opening_host (const WcForwarder *forwarder, const WcPacket *packet)
 {
-  return find_first_packet_host (forwarder, packet, WC_COOKIE_FIRST_HOST);
+  return wc_host_table_find_cookie (forwarder->hosts, wc_cookie_from_first_packet (packet));
 }
 
 void
@@ -71,12 +69,6 @@
 
 /* local functions */
 
-static WcHost *
-find_first_packet_host (const WcForwarder *forwarder, const WcPacket *packet, WcCookieRank rank)
-{
-  return wc_host_table_find_cookie (forwarder->hosts, wc_cookie_from_first_packet (packet, rank));
-}
-
 /* The opening of a flow that did not fit into the flow table is known from its copies only. */
 static bool
 is_after_own_opening (const WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet)
--- a/src/forward/forwarder_inquiry.c
+++ b/src/forward/forwarder_inquiry.c
@@ -76,9 +76,10 @@
 }
 
 /*
- * The first packet after an opening goes to the host of its cookie if that was the first host that got the opening: it
- * is the host of the flow, unless another one was chosen while all who saw that have ended, within the 200 ms in which
- * the caller waits for an answer. Without this, the openings in progress while instances end would be lost.
+ * The first packet after an opening goes to the host whose answer its cookie is from. Sent at once, it follows the
+ * answer that the caller chose. Repeated after 200 ms without an answer, it may carry the cookie of another host, but
+ * only if that host was not corrected and all who saw the choice have ended meanwhile. If the packet is dropped
+ * instead, the openings in progress are lost whenever the fabric's rotation changes or instances end.
  */
 void
 wc_forwarder_handle_unresolved (WcForwarder *forwarder, const WcPacket *packet)
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -38,8 +38,7 @@
 open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host, bool is_diverted);
 static void
 place_again (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcFlow *flow, WcOpeningCause cause);
-static void
-forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, WcCookieRank rank, bool is_diverted);
+static void     forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, bool is_diverted);
 static bool     can_keep_host (const WcForwarder *forwarder, const WcPlacement *placement, const WcHost *host);
 static bool     is_trial_due (const WcForwarder *forwarder);
 static uint32_t find_refusing_host (WcForwarder *forwarder, const WcFlowKey *key);
@@ -341,20 +340,19 @@
 open_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host, bool is_diverted)
 {
   WcFlow *flow = wc_flow_table_add (forwarder->flows, &packet->key);
-  /* Another instance may have forwarded the first copy. On an opening, this is the number of retransmissions. */
-  bool is_ambiguous = packet->acknowledged > 0;
 
   wc_opening_budget_record_first (&forwarder->budget, host->record.service, forwarder->now_us);
   wc_forwarder_emit_decision (forwarder, WC_DECISION_PLACED, &packet->key, host);
   if (flow)
     {
       wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
-      flow->is_ambiguous = is_ambiguous;
+      /* Another instance may have forwarded the first copy. On an opening, this is the number of retransmissions. */
+      flow->is_ambiguous = packet->acknowledged > 0;
       wc_forwarder_set_flow_host (forwarder, flow, host);
       wc_host_failures_record_flow (&host->failures);
       wc_opening_queue_add (forwarder->openings, packet, forwarder->now_us + OPENING_ANSWER_TIMEOUT_US);
     }
-  forward_opening (forwarder, packet, host, is_ambiguous ? WC_COOKIE_FURTHER_HOST : WC_COOKIE_FIRST_HOST, is_diverted);
+  forward_opening (forwarder, packet, host, is_diverted);
 }
 
 /*
@@ -418,17 +416,16 @@
   wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
   wc_forwarder_set_flow_host (forwarder, flow, host);
   wc_forwarder_record_placed (forwarder, &packet->key, host, &reason);
-  forward_opening (forwarder, packet, host, flow->is_ambiguous ? WC_COOKIE_FURTHER_HOST : WC_COOKIE_FIRST_HOST,
-                   is_diverted);
+  forward_opening (forwarder, packet, host, is_diverted);
 }
 
 static void
-forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, WcCookieRank rank, bool is_diverted)
+forward_opening (WcForwarder *forwarder, const WcPacket *packet, WcHost *host, bool is_diverted)
 {
   wc_warm_up_record (host, forwarder->now_us);
   forwarder->flows_diverted += is_diverted;
   wc_opening_copies_add (forwarder->copies, packet, host->cookie, forwarder->now_us);
-  forwarder->ops.forward (forwarder->user_data, packet, host, wc_cookie_for_opening (host->cookie, packet, rank));
+  forwarder->ops.forward (forwarder->user_data, packet, host, wc_cookie_for_opening (host->cookie, packet));
 }
 
 /* Whether an opening may be forwarded again to @host, which has it already. */
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -121,8 +121,8 @@
 WcHost *wc_forwarder_find_host (const WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet);
 
 /**
- * wc_forwarder_find_opening_host() - the host that the opening before @packet was sent to as its first host, if the
- * cookie is from that opening. It is the host of the flow unless another instance sent the opening to a second one.
+ * wc_forwarder_find_opening_host() - the host from whose answer to the opening the cookie of @packet is, if that is the
+ * first packet after the opening. Return: NULL otherwise.
  */
 WcHost *wc_forwarder_find_opening_host (const WcForwarder *forwarder, const WcPacket *packet);
 
--- a/src/forward/opening_copies.c
+++ b/src/forward/opening_copies.c
@@ -39,7 +39,6 @@
 static Copy    *find_copy (const WcOpeningCopies *copies, const WcFlowKey *key);
 static Copy    *add_copy (WcOpeningCopies *copies, const WcPacket *opening);
 static void     remove_copy (WcOpeningCopies *copies, Copy *copy);
-static bool     is_opening_form (const Copy *copy, uint32_t host, uint32_t value);
 static guint    hash_key (gconstpointer key);
 static gboolean equal_keys (gconstpointer a, gconstpointer b);
 
@@ -159,7 +158,7 @@
   opening = wc_opening_get_packet (&copy->opening);
   for (size_t i = 0; i < copy->host_count; i++)
     {
-      if (copy->hosts[i] == chosen || !is_opening_form (copy, copy->hosts[i], packet->cookie))
+      if (copy->hosts[i] == chosen || packet->cookie != wc_cookie_for_opening (copy->hosts[i], &opening))
         continue;
       copy->repeat_deadline_us = now_us + REPEAT_INTERVAL_US;
       visit (user_data, &opening, copy->hosts[i]);
@@ -202,15 +201,6 @@
   g_free (copy);
 }
 
-static bool
-is_opening_form (const Copy *copy, uint32_t host, uint32_t value)
-{
-  for (int rank = 0; rank < WC_COOKIE_RANK_COUNT; rank++)
-    if (value == wc_cookie_for_opening (host, &copy->opening.packet, (WcCookieRank)rank))
-      return true;
-  return false;
-}
-
 static guint
 hash_key (gconstpointer key)
 {
