Do not use what is known of a flow for the next flow of its port

Cause: what peers had told of a flow was not compared with the packets that it was used for, and each instance that was told counted the age of the flow from that moment, so that a statement lived as long as instances were restarted within a minute. State of a flow whose end passed another instance was used in the same way.

Fix: state of a flow is used only for packets whose sequence number can be of it, a confirmed cookie goes before what a peer has told, and statements carry the age of the flow and end with it. An opening on such a port passes admission.

Tests: host_of_earlier_flow_is_not_used, confirmed_cookie_replaces_learned_host and told_hosts_end_with_their_flow failed before.

--- a/proto/wigeoncart.pb-c.c
+++ b/proto/wigeoncart.pb-c.c
@@ -2699,7 +2699,7 @@
   (ProtobufCMessageInit) wc__host_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wc__flow_note__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wc__flow_note__field_descriptors[8] =
 {
   {
     "caller_ip",
@@ -2785,8 +2785,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wc__FlowNote, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wc__flow_note__field_indices_by_name[] = {
+  7,   /* field[7] = age_ms */
   6,   /* field[6] = asks */
   0,   /* field[0] = caller_ip */
   2,   /* field[2] = caller_port */
@@ -2798,7 +2811,7 @@
 static const ProtobufCIntRange wc__flow_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wc__flow_note__descriptor =
 {
@@ -2808,7 +2821,7 @@
   "Wc__FlowNote",
   "wc",
   sizeof(Wc__FlowNote),
-  7,
+  8,
   wc__flow_note__field_descriptors,
   wc__flow_note__field_indices_by_name,
   1,  wc__flow_note__number_ranges,
--- a/proto/wigeoncart.pb-c.h
+++ b/proto/wigeoncart.pb-c.h
@@ -369,10 +369,14 @@
    */
   uint32_t cookie;
   protobuf_c_boolean asks;
+  /*
+   * Time since the flow was opened, as far as the sender knows; earlier releases send none. 
+   */
+  uint32_t age_ms;
 };
 #define WC__FLOW_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wc__flow_note__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wc__PeerNews
--- a/src/edge/forward_server.c
+++ b/src/edge/forward_server.c
@@ -628,7 +628,7 @@
 static WcFlowNote
 answer_flow_note (void *user_data, const WcFlowNote *question)
 {
-  return wc_forwarder_answer_flow_note (((WcForwardServer *)user_data)->forwarder, question);
+  return wc_forwarder_answer_flow_note (((WcForwardServer *)user_data)->forwarder, question, wc_clock_monotonic_us ());
 }
 
 /* An instance that has started knows no flow. */
@@ -637,10 +637,12 @@
 {
   WcForwardServer *server = user_data;
   WcFlowNote       notes[JOIN_FLOW_NOTES_MAX];
+  size_t           count;
 
-  if (peer->domain == wc_peer_table_get_self (server->peers)->domain)
-    wc_peer_endpoint_send_flow_notes (server->peer_endpoint, &peer->address, notes,
-                                      wc_forwarder_get_flow_notes (server->forwarder, notes, G_N_ELEMENTS (notes)));
+  if (peer->domain != wc_peer_table_get_self (server->peers)->domain)
+    return;
+  count = wc_forwarder_get_flow_notes (server->forwarder, notes, G_N_ELEMENTS (notes), wc_clock_monotonic_us ());
+  wc_peer_endpoint_send_flow_notes (server->peer_endpoint, &peer->address, notes, count);
 }
 
 static void
--- a/src/forward/flow_note.h
+++ b/src/forward/flow_note.h
@@ -11,6 +11,7 @@
  * @sequence: a sequence number of the caller; tells flows apart that use the same port one after the other.
  * @cookie: cookie of the host; 0 in a question, and in the answer of an instance that does not know the flow.
  * @asks: it is a question.
+ * @age_ms: time since the flow was opened, as far as the sender of a statement knows.
  */
 typedef struct
 {
@@ -18,6 +19,7 @@
   uint32_t  sequence;
   uint32_t  cookie;
   bool      asks;
+  uint32_t  age_ms;
 } WcFlowNote;
 
 #endif
--- a/src/forward/flow_progress.c
+++ b/src/forward/flow_progress.c
@@ -2,6 +2,8 @@
 
 #include <assert.h>
 
+#include <glib.h>
+
 enum
 {
   /* A caller gives up an opening after 1.4 s; no further packets follow. */
@@ -12,7 +14,13 @@
    * A caller retransmits a request after 200, 600 and 1,400 ms, so that each interval is at most 200 ms longer than the
    * time since the request. If no packet arrives for this much longer, another instance receives the flow.
    */
-  MOVED_TIMEOUT_US = 300 * 1000
+  MOVED_TIMEOUT_US = 300 * 1000,
+  /*
+   * How far the sequence number of a packet may be after and before the last one that is known of its flow. The next
+   * flow of the same port starts elsewhere.
+   */
+  SEQUENCE_AFTER_MAX = 1 << 20,
+  SEQUENCE_BEFORE_MAX = 1 << 16
 };
 
 static bool is_sequence_after (uint32_t a, uint32_t b);
@@ -25,11 +33,13 @@
   assert (flow != NULL && packet != NULL);
 
   is_opening = (packet->flags & WC_PACKET_SYN) != 0;
+  /* A flow that a peer has named keeps its age. */
+  if (is_opening || flow->state != WC_FLOW_LEARNED)
+    flow->opened_us = now_us;
   flow->state = is_opening ? WC_FLOW_OPENING : WC_FLOW_OPEN;
   flow->kind = kind;
   flow->sent_end = is_opening ? packet->sequence + 1 : packet->sequence;
   flow->acknowledged = is_opening ? 0 : packet->acknowledged;
-  flow->opened_us = now_us;
   flow->last_packet_us = now_us;
 }
 
@@ -46,11 +56,19 @@
     .sent_end = note->sequence,
     .state = WC_FLOW_LEARNED,
     .is_ambiguous = 1,
-    .opened_us = now_us,
+    .opened_us = now_us - MIN (now_us, (uint64_t)note->age_ms * 1000),
     .last_packet_us = now_us,
   };
 }
 
+bool
+wc_flow_contains (const WcFlow *flow, uint32_t sequence)
+{
+  assert (flow != NULL);
+
+  return sequence - flow->sent_end < SEQUENCE_AFTER_MAX || flow->sent_end - sequence < SEQUENCE_BEFORE_MAX;
+}
+
 WcFlowProgress
 wc_flow_update (WcFlow *flow, const WcPacket *packet, uint64_t now_us)
 {
--- a/src/forward/flow_progress.h
+++ b/src/forward/flow_progress.h
@@ -37,6 +37,12 @@
  */
 void wc_flow_learn (WcFlow *flow, const WcFlowNote *note, uint64_t now_us);
 
+/**
+ * wc_flow_contains() - whether a packet with this sequence number can be of the flow, and not of an earlier or later
+ * one that uses the same port.
+ */
+bool wc_flow_contains (const WcFlow *flow, uint32_t sequence);
+
 /** wc_flow_update() - update @flow from a packet that follows the host's answer to the opening. */
 WcFlowProgress wc_flow_update (WcFlow *flow, const WcPacket *packet, uint64_t now_us);
 
--- a/src/forward/forwarder.c
+++ b/src/forward/forwarder.c
@@ -24,11 +24,10 @@
   WALK_SLOTS = 512
 };
 
-static void receive_open (WcForwarder *forwarder, const WcPacket *packet);
-static void
-forward_open (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host);
-static bool is_tracked (const WcFlow *flow);
-static bool has_lost_host (const WcFlow *flow, const WcHost *host);
+static void    receive_open (WcForwarder *forwarder, const WcPacket *packet);
+static void    forward_open (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host);
+static WcFlow *track_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet);
+static bool    has_lost_host (const WcFlow *flow, const WcHost *host);
 static void
 update_flow (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host);
 static void record_answer_time (WcForwarder *forwarder, const WcRoute *route, WcHost *host, uint64_t duration_us);
@@ -236,8 +235,21 @@
 
   wc_forwarder_emit_decision (forwarder, kind, &packet->key, host);
   forwarder->ops.reset (forwarder->user_data, &packet->key, packet->acknowledged);
-  if (!flow)
-    return;
+  if (flow)
+    wc_forwarder_remove_flow (forwarder, flow);
+}
+
+bool
+wc_forwarder_is_other_flow (const WcFlow *flow, uint32_t sequence)
+{
+  assert (flow != NULL);
+
+  return flow->state != WC_FLOW_OPENING && !wc_flow_contains (flow, sequence);
+}
+
+void
+wc_forwarder_remove_flow (WcForwarder *forwarder, WcFlow *flow)
+{
   wc_forwarder_uncount_flow (forwarder, flow);
   wc_flow_table_remove (forwarder->flows, flow);
 }
@@ -247,7 +259,7 @@
 {
   const WcRoute *route = forwarder->routes ? wc_route_table_find (forwarder->routes, &packet->key) : NULL;
 
-  forward_open (forwarder, route, wc_flow_table_find (forwarder->flows, &packet->key), packet, host);
+  forward_open (forwarder, route, packet, host);
 }
 
 void
@@ -289,19 +301,21 @@
 receive_open (WcForwarder *forwarder, const WcPacket *packet)
 {
   const WcRoute *route = wc_route_table_find (forwarder->routes, &packet->key);
-  WcFlow        *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  const WcFlow  *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+  WcHost        *host = wc_forwarder_find_host (forwarder, flow, packet);
+  bool is_known = flow && flow->state != WC_FLOW_OPENING && !wc_forwarder_is_other_flow (flow, packet->sequence);
 
-  WcHost *host = wc_forwarder_find_host (forwarder, flow, packet);
-
-  if (host || !route || (flow && flow->state != WC_FLOW_OPENING))
-    forward_open (forwarder, route, flow, packet, host);
+  if (host || !route || is_known)
+    forward_open (forwarder, route, packet, host);
   else if (!wc_forwarder_inquire (forwarder, packet))
     wc_forwarder_handle_unresolved (forwarder, packet);
 }
 
 static void
-forward_open (WcForwarder *forwarder, const WcRoute *route, WcFlow *flow, const WcPacket *packet, WcHost *host)
+forward_open (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet, WcHost *host)
 {
+  WcFlow *flow;
+
   if (!route)
     {
       if (packet->flags & WC_PACKET_RST)
@@ -314,12 +328,7 @@
       wc_forwarder_emit_decision (forwarder, WC_DECISION_DROPPED_UNKNOWN_HOST, &packet->key, NULL);
       return;
     }
-  if (!is_tracked (flow))
-    {
-      flow = flow ? flow : wc_flow_table_add (forwarder->flows, &packet->key);
-      if (flow)
-        wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
-    }
+  flow = track_flow (forwarder, route, packet);
   if (flow)
     update_flow (forwarder, route, flow, packet, host);
   if (flow && has_lost_host (flow, host))
@@ -334,11 +343,23 @@
     wc_forwarder_correct_sender (forwarder, packet, host->cookie);
 }
 
-/* Whether packets of the flow have arrived at this instance. */
-static bool
-is_tracked (const WcFlow *flow)
+/* Return: the flow of a packet, started if no packet of it has arrived before; NULL when there is no room for it. */
+static WcFlow *
+track_flow (WcForwarder *forwarder, const WcRoute *route, const WcPacket *packet)
 {
-  return flow && flow->state != WC_FLOW_LEARNED;
+  WcFlow *flow = wc_flow_table_find (forwarder->flows, &packet->key);
+
+  if (flow && wc_forwarder_is_other_flow (flow, packet->sequence))
+    {
+      wc_forwarder_remove_flow (forwarder, flow);
+      flow = NULL;
+    }
+  if (flow && flow->state != WC_FLOW_LEARNED)
+    return flow;
+  flow = flow ? flow : wc_flow_table_add (forwarder->flows, &packet->key);
+  if (flow)
+    wc_flow_start (flow, packet, (uint8_t)route->kind, forwarder->now_us);
+  return flow;
 }
 
 /*
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -100,7 +100,7 @@
 void wc_forwarder_apply_flow_note (WcForwarder *forwarder, const WcFlowNote *note, uint64_t now_us);
 
 /** wc_forwarder_answer_flow_note() - answer a peer's question about the host of a flow. */
-WcFlowNote wc_forwarder_answer_flow_note (const WcForwarder *forwarder, const WcFlowNote *question);
+WcFlowNote wc_forwarder_answer_flow_note (const WcForwarder *forwarder, const WcFlowNote *question, uint64_t now_us);
 
 /**
  * wc_forwarder_get_flow_notes() - the hosts of flows that an instance without state could mistake, for a peer that has
@@ -108,7 +108,7 @@
  *
  * Return: number of notes written, at most @max.
  */
-size_t wc_forwarder_get_flow_notes (const WcForwarder *forwarder, WcFlowNote *notes, size_t max);
+size_t wc_forwarder_get_flow_notes (const WcForwarder *forwarder, WcFlowNote *notes, size_t max, uint64_t now_us);
 
 /** wc_forwarder_set_domain_peers() - set the number of other live instances of this domain. */
 void wc_forwarder_set_domain_peers (WcForwarder *forwarder, uint32_t count);
--- a/src/forward/forwarder_cookies.c
+++ b/src/forward/forwarder_cookies.c
@@ -29,6 +29,9 @@
  * The first packet after an opening follows the answer of the chosen host at once and carries its cookie, in whichever
  * form; the instance that forwarded the opening therefore trusts it. Other instances cannot tell it from a
  * retransmission, which carries whatever cookie arrived last.
+ *
+ * Load pattern: callers use a port for one flow after the other, and the end of the first, or the opening of the
+ * second, passes another instance. What is known of the port then is of another flow.
  */
 WcHost *
 wc_forwarder_find_host (const WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet)
@@ -37,8 +40,11 @@
 
   assert (forwarder != NULL && packet != NULL);
 
-  if (flow && flow->state != WC_FLOW_OPENING)
-    return wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+  if (flow && flow->state != WC_FLOW_OPENING && !wc_forwarder_is_other_flow (flow, packet->sequence))
+    {
+      host = flow->state == WC_FLOW_LEARNED ? wc_host_table_find_cookie (forwarder->hosts, packet->cookie) : NULL;
+      return host ? host : wc_host_table_find_cookie (forwarder->hosts, flow->cookie);
+    }
   if (is_after_own_opening (forwarder, flow, packet))
     host = wc_forwarder_find_opening_host (forwarder, packet);
   return host ? host : wc_host_table_find_cookie (forwarder->hosts, packet->cookie);
@@ -73,9 +79,8 @@
 static bool
 is_after_own_opening (const WcForwarder *forwarder, const WcFlow *flow, const WcPacket *packet)
 {
-  if (flow)
-    return flow->state == WC_FLOW_OPENING && packet->sequence == flow->sent_end;
-  return wc_opening_copies_has (forwarder->copies, packet);
+  return (flow && flow->state == WC_FLOW_OPENING && packet->sequence == flow->sent_end) ||
+         wc_opening_copies_has (forwarder->copies, packet);
 }
 
 /*
--- a/src/forward/forwarder_inquiry.c
+++ b/src/forward/forwarder_inquiry.c
@@ -19,12 +19,8 @@
   /* Half of the interval after which the caller retransmits. A peer answers within 1 ms, in another domain within 10.
    */
   INQUIRY_TIMEOUT_US = 100 * 1000,
-  /*
-   * How far the sequence number of a packet may be after and before the last one that is known of its flow. The next
-   * flow of the same port starts elsewhere.
-   */
-  SEQUENCE_AFTER_MAX = 1 << 20,
-  SEQUENCE_BEFORE_MAX = 1 << 16,
+  /* How far the sequence number of a delayed opening may be before the last one that is known of its flow. */
+  LATE_OPENING_MAX = 1 << 16,
   /* Flows that are known only from peers leave this part of the flow table to the instance's own. */
   OWN_FLOWS_DIVISOR = 2
 };
@@ -34,6 +30,7 @@
   WcFlowNote *notes;
   size_t      max;
   size_t      count;
+  uint64_t    now_us;
 } NoteWalk;
 
 /* @cookie: cookie of the host that a peer has stated; 0 for none. */
@@ -43,12 +40,12 @@
   uint32_t     cookie;
 } Release;
 
-static bool add_note (void *user_data, WcFlow *flow);
-static bool is_same_flow (const WcFlow *flow, uint32_t sequence);
-static bool may_replace (const WcFlow *flow, const WcFlowNote *note);
-static void learn_host (WcForwarder *forwarder, const WcFlowNote *note);
-static void handle_held (void *user_data, const WcPacket *packet);
-static void announce_flow (WcForwarder *forwarder, const WcFlow *flow);
+static WcFlowNote note_of (const WcFlow *flow, uint32_t sequence, uint64_t now_us);
+static bool       add_note (void *user_data, WcFlow *flow);
+static bool       may_replace (const WcFlow *flow, const WcFlowNote *note, uint64_t now_us);
+static void       learn_host (WcForwarder *forwarder, const WcFlowNote *note);
+static void       handle_held (void *user_data, const WcPacket *packet);
+static void       announce_flow (WcForwarder *forwarder, const WcFlow *flow);
 
 bool
 wc_forwarder_inquire (WcForwarder *forwarder, const WcPacket *packet)
@@ -129,7 +126,7 @@
 wc_forwarder_is_late_opening (const WcFlow *flow, const WcPacket *packet)
 {
   return (flow->state == WC_FLOW_OPEN || flow->state == WC_FLOW_LEARNED) &&
-         flow->sent_end - (packet->sequence + 1) < SEQUENCE_BEFORE_MAX;
+         flow->sent_end - (packet->sequence + 1) < LATE_OPENING_MAX;
 }
 
 void
@@ -147,7 +144,7 @@
 }
 
 WcFlowNote
-wc_forwarder_answer_flow_note (const WcForwarder *forwarder, const WcFlowNote *question)
+wc_forwarder_answer_flow_note (const WcForwarder *forwarder, const WcFlowNote *question, uint64_t now_us)
 {
   WcFlowNote    answer = { .key = question->key, .sequence = question->sequence };
   const WcFlow *flow;
@@ -155,15 +152,15 @@
   assert (forwarder != NULL && question->asks);
 
   flow = wc_flow_table_find (forwarder->flows, &question->key);
-  if (flow && flow->state != WC_FLOW_OPENING && is_same_flow (flow, question->sequence))
-    answer.cookie = flow->cookie;
+  if (flow && flow->state != WC_FLOW_OPENING && wc_flow_contains (flow, question->sequence))
+    answer = note_of (flow, question->sequence, now_us);
   return answer;
 }
 
 size_t
-wc_forwarder_get_flow_notes (const WcForwarder *forwarder, WcFlowNote *notes, size_t max)
+wc_forwarder_get_flow_notes (const WcForwarder *forwarder, WcFlowNote *notes, size_t max, uint64_t now_us)
 {
-  NoteWalk walk = { .notes = notes, .max = max };
+  NoteWalk walk = { .notes = notes, .max = max, .now_us = now_us };
 
   assert (forwarder != NULL && notes != NULL);
 
@@ -173,6 +170,17 @@
 
 /* local functions */
 
+static WcFlowNote
+note_of (const WcFlow *flow, uint32_t sequence, uint64_t now_us)
+{
+  return (WcFlowNote){
+    .key = flow->key,
+    .sequence = sequence,
+    .cookie = flow->cookie,
+    .age_ms = (uint32_t)MIN ((now_us - MIN (now_us, flow->opened_us)) / 1000, UINT32_MAX),
+  };
+}
+
 static bool
 add_note (void *user_data, WcFlow *flow)
 {
@@ -180,26 +188,21 @@
 
   if (walk->count < walk->max &&
       (flow->state == WC_FLOW_LEARNED || (flow->state == WC_FLOW_OPEN && flow->is_ambiguous)))
-    walk->notes[walk->count++] = (WcFlowNote){ .key = flow->key, .sequence = flow->sent_end, .cookie = flow->cookie };
+    walk->notes[walk->count++] = note_of (flow, flow->sent_end, walk->now_us);
   return true;
 }
 
-static bool
-is_same_flow (const WcFlow *flow, uint32_t sequence)
-{
-  return sequence - flow->sent_end < SEQUENCE_AFTER_MAX || flow->sent_end - sequence < SEQUENCE_BEFORE_MAX;
-}
-
 /*
- * What this instance has seen itself is kept. Of an opening it has seen nothing of the caller's choice; a note about
- * another flow of the same port says nothing about it, and may be the older or the newer one.
+ * What this instance has seen itself is kept. Of an opening it has seen nothing of the caller's choice. Of two flows of
+ * one port that it knows from peers, the younger one is kept; a note about another flow says nothing about an opening.
  */
 static bool
-may_replace (const WcFlow *flow, const WcFlowNote *note)
+may_replace (const WcFlow *flow, const WcFlowNote *note, uint64_t now_us)
 {
-  bool is_same = is_same_flow (flow, note->sequence);
+  bool is_same = wc_flow_contains (flow, note->sequence);
+  bool is_younger = flow->opened_us + (uint64_t)note->age_ms * 1000 < now_us;
 
-  return flow->state == WC_FLOW_OPENING ? is_same : flow->state == WC_FLOW_LEARNED && !is_same;
+  return flow->state == WC_FLOW_OPENING ? is_same : flow->state == WC_FLOW_LEARNED && !is_same && is_younger;
 }
 
 static void
@@ -207,7 +210,8 @@
 {
   WcFlow *flow = wc_flow_table_find (forwarder->flows, &note->key);
 
-  if (flow && !may_replace (flow, note))
+  if ((uint64_t)note->age_ms * 1000 >= forwarder->settings.flow_lifetime_us ||
+      (flow && !may_replace (flow, note, forwarder->now_us)))
     return;
   if (flow)
     wc_forwarder_uncount_flow (forwarder, flow);
@@ -233,7 +237,7 @@
   const WcFlow  *flow = wc_flow_table_find (forwarder->flows, &packet->key);
   WcHost        *host = wc_forwarder_find_host (forwarder, flow, packet);
 
-  if (!host && !flow)
+  if (!host && (!flow || wc_forwarder_is_other_flow (flow, packet->sequence)))
     host = wc_host_table_find_cookie (forwarder->hosts, release->cookie);
   if (host)
     wc_forwarder_forward_open (forwarder, packet, host);
@@ -244,7 +248,7 @@
 static void
 announce_flow (WcForwarder *forwarder, const WcFlow *flow)
 {
-  const WcFlowNote note = { .key = flow->key, .sequence = flow->sent_end, .cookie = flow->cookie };
+  const WcFlowNote note = note_of (flow, flow->sent_end, forwarder->now_us);
 
   if (forwarder->ops.announce_host)
     forwarder->ops.announce_host (forwarder->user_data, &note);
--- a/src/forward/forwarder_openings.c
+++ b/src/forward/forwarder_openings.c
@@ -60,6 +60,11 @@
       wc_forwarder_reset_flow (forwarder, packet, WC_DECISION_REJECTED_NO_ROUTE, NULL);
       return;
     }
+  if (flow && wc_forwarder_is_other_flow (flow, packet->sequence + 1))
+    {
+      wc_forwarder_remove_flow (forwarder, flow);
+      flow = NULL;
+    }
   if (!flow)
     {
       receive_new_opening (forwarder, route, packet);
--- a/src/forward/forwarder_private.h
+++ b/src/forward/forwarder_private.h
@@ -109,6 +109,15 @@
 /** wc_forwarder_uncount_busy() - remove a flow from the busy flows of its host. */
 void wc_forwarder_uncount_busy (WcForwarder *forwarder, WcFlow *flow);
 
+/**
+ * wc_forwarder_is_other_flow() - whether a sequence number shows that @flow is an earlier or later one that uses the
+ * same port. An opening has no state that could mislead.
+ */
+bool wc_forwarder_is_other_flow (const WcFlow *flow, uint32_t sequence);
+
+/** wc_forwarder_remove_flow() - stop tracking a flow. */
+void wc_forwarder_remove_flow (WcForwarder *forwarder, WcFlow *flow);
+
 /** wc_forwarder_forward_open() - forward a packet of an open flow to @host, or drop it when that is NULL. */
 void wc_forwarder_forward_open (WcForwarder *forwarder, const WcPacket *packet, WcHost *host);
 
--- a/src/forward/gossip.c
+++ b/src/forward/gossip.c
@@ -258,6 +258,7 @@
   message->sequence = note->sequence;
   message->cookie = note->cookie;
   message->asks = note->asks;
+  message->age_ms = note->age_ms;
 }
 
 static bool
@@ -271,6 +272,7 @@
     .sequence = message->sequence,
     .cookie = message->cookie,
     .asks = message->asks,
+    .age_ms = message->age_ms,
   };
   return true;
 }
--- a/tests/test_forwarder_inquiry.c
+++ b/tests/test_forwarder_inquiry.c
@@ -86,7 +86,7 @@
   send_with_opening_cookie (&restarted, 100, 400, 3 - host);
   ck_assert_uint_eq (restarted.forward_count, 0);
   ck_assert_uint_eq (restarted.questions, 1);
-  answer = wc_forwarder_answer_flow_note (opener.forwarder, &restarted.last_question);
+  answer = wc_forwarder_answer_flow_note (opener.forwarder, &restarted.last_question, opener.now_us);
   wc_forwarder_apply_flow_note (restarted.forwarder, &answer, restarted.now_us);
   ck_assert_uint_eq (restarted.forward_count, 2);
   ck_assert_uint_eq (restarted.forwards[0].host, host);
@@ -120,7 +120,7 @@
   fixture_finish (&opener);
   /* Longer than the idle timeout. */
   fixture_advance (&peer, 20 * 1000 * 1000);
-  ck_assert_uint_eq (wc_forwarder_get_flow_notes (peer.forwarder, notes, G_N_ELEMENTS (notes)), 1);
+  ck_assert_uint_eq (wc_forwarder_get_flow_notes (peer.forwarder, notes, G_N_ELEMENTS (notes), peer.now_us), 1);
   wc_forwarder_apply_flow_note (started.forwarder, &notes[0], started.now_us);
   send_with_opening_cookie (&started, 100, 200, 3 - host);
   ck_assert_uint_eq (fixture_last_host (&started), host);
@@ -256,7 +256,7 @@
   fixture_advance (&started, 50 * 1000);
   ck_assert_uint_eq (started.forward_count, 0);
   ck_assert_uint_eq (started.decisions[WC_DECISION_HOST_ASKED], 0);
-  ck_assert_uint_eq (wc_forwarder_get_flow_notes (opener.forwarder, notes, G_N_ELEMENTS (notes)), 1);
+  ck_assert_uint_eq (wc_forwarder_get_flow_notes (opener.forwarder, notes, G_N_ELEMENTS (notes), opener.now_us), 1);
   wc_forwarder_apply_flow_note (started.forwarder, &notes[0], started.now_us);
   ck_assert_uint_eq (started.forward_count, 1);
   ck_assert_uint_eq (fixture_last_host (&started), host);
@@ -439,9 +439,10 @@
   init_with_hosts (&fixture);
   fixture_request (&fixture, 100, FIXTURE_ROUTE_PORT, 0, 0, 1);
   question.key = fixture.forwards[0].key;
-  ck_assert_uint_eq (wc_forwarder_answer_flow_note (fixture.forwarder, &question).cookie, wc_cookie_from_host (1));
+  ck_assert_uint_eq (wc_forwarder_answer_flow_note (fixture.forwarder, &question, fixture.now_us).cookie,
+                     wc_cookie_from_host (1));
   question.sequence = 900 * 1000 * 1000;
-  ck_assert_uint_eq (wc_forwarder_answer_flow_note (fixture.forwarder, &question).cookie, 0);
+  ck_assert_uint_eq (wc_forwarder_answer_flow_note (fixture.forwarder, &question, fixture.now_us).cookie, 0);
   /* A late statement about that flow does not replace the one that is opened or open now. */
   question.asks = false;
   question.cookie = wc_cookie_from_host (2);
@@ -480,6 +481,105 @@
 }
 END_TEST
 
+/*
+ * A caller uses a port again, and this instance knows the earlier flow of it: from a peer, or because its end passed
+ * another instance. Guards against packets of the later flow that go to the host of the earlier one, which resets it.
+ */
+START_TEST (host_of_earlier_flow_is_not_used)
+{
+  static ForwardFixture fixture;
+  WcFlowNote            note = { .key = { 0x64400007, FIXTURE_ROUTE_IP, 100, FIXTURE_ROUTE_PORT },
+                                 .sequence = 1001,
+                                 .cookie = wc_cookie_from_host (1) };
+  const uint32_t        sequence = 900 * 1000 * 1000;
+
+  init_with_hosts (&fixture);
+  wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
+  fixture_request (&fixture, 101, FIXTURE_ROUTE_PORT, 0, 0, 1);
+  for (uint16_t caller = 100; caller <= 101; caller++)
+    {
+      fixture_packet (&fixture, caller, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, sequence + 200, 5001, 200,
+                      wc_cookie_from_host (2));
+      ck_assert_uint_eq (fixture_last_host (&fixture), 2);
+      fixture_packet (&fixture, caller, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, sequence + 400, 5001, 200,
+                      wc_cookie_from_host (1));
+      ck_assert_uint_eq (fixture_last_host (&fixture), 2);
+    }
+  ck_assert_uint_eq (fixture_find_host (&fixture, 1)->flows, 0);
+  ck_assert_uint_eq (fixture_find_host (&fixture, 2)->flows, 2);
+  /* An answer about the later flow is used, although the earlier one is in the table. */
+  fixture_packet (&fixture, 100, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, 1201, 5001, 200, 0);
+  ck_assert_uint_eq (fixture.questions, 1);
+  note = fixture.last_question;
+  note.asks = false;
+  note.cookie = wc_cookie_from_host (1);
+  wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/* Guards against what a peer has stated in place of what the host of the flow itself has said since. */
+START_TEST (confirmed_cookie_replaces_learned_host)
+{
+  static ForwardFixture fixture;
+  const WcFlowNote      note = { .key = { 0x64400007, FIXTURE_ROUTE_IP, 100, FIXTURE_ROUTE_PORT },
+                                 .sequence = 1001,
+                                 .cookie = wc_cookie_from_host (1) };
+
+  init_with_hosts (&fixture);
+  wc_forwarder_apply_flow_note (fixture.forwarder, &note, fixture.now_us);
+  fixture_request (&fixture, 100, FIXTURE_ROUTE_PORT, 200, 0, 2);
+  ck_assert_uint_eq (fixture_last_host (&fixture), 2);
+  ck_assert_uint_eq (fixture_find_host (&fixture, 2)->flows, 1);
+  fixture_finish (&fixture);
+}
+END_TEST
+
+/*
+ * Instances are restarted one after the other, and each is told the hosts of flows by those that were told. Guards
+ * against what is told for ever, long after the flow has ended, and against an old statement in place of a new one.
+ */
+START_TEST (told_hosts_end_with_their_flow)
+{
+  static ForwardFixture told;
+  static ForwardFixture later;
+  WcFlowNote            note = { .key = { 0x64400007, FIXTURE_ROUTE_IP, 100, FIXTURE_ROUTE_PORT },
+                                 .sequence = 1001,
+                                 .cookie = wc_cookie_from_host (1) };
+  WcFlowNote            notes[4];
+
+  init_with_hosts (&told);
+  init_with_hosts (&later);
+  wc_forwarder_apply_flow_note (told.forwarder, &note, told.now_us);
+  fixture_advance (&told, 40 * 1000 * 1000);
+  ck_assert_uint_eq (wc_forwarder_get_flow_notes (told.forwarder, notes, G_N_ELEMENTS (notes), told.now_us), 1);
+  ck_assert_uint_eq (notes[0].age_ms, 40 * 1000);
+  wc_forwarder_apply_flow_note (later.forwarder, &notes[0], later.now_us);
+  ck_assert_uint_eq (wc_forwarder_get_flow_count (later.forwarder), 1);
+  /* A packet does not make the flow younger. */
+  fixture_request (&later, 100, FIXTURE_ROUTE_PORT, 200, 0, 1);
+  fixture_advance (&later, 10 * 1000 * 1000);
+  ck_assert_uint_eq (wc_forwarder_get_flow_notes (later.forwarder, notes, G_N_ELEMENTS (notes), later.now_us), 1);
+  ck_assert_uint_eq (notes[0].age_ms, 50 * 1000);
+  fixture_advance (&later, 12 * 1000 * 1000);
+  ck_assert_uint_eq (wc_forwarder_get_flow_count (later.forwarder), 0);
+  notes[0].age_ms = 60 * 1000;
+  wc_forwarder_apply_flow_note (later.forwarder, &notes[0], later.now_us);
+  ck_assert_uint_eq (wc_forwarder_get_flow_count (later.forwarder), 0);
+  /* The next flow of the port is known already. */
+  note.sequence = 900 * 1000 * 1000;
+  note.cookie = wc_cookie_from_host (2);
+  wc_forwarder_apply_flow_note (later.forwarder, &note, later.now_us);
+  notes[0].age_ms = 50 * 1000;
+  wc_forwarder_apply_flow_note (later.forwarder, &notes[0], later.now_us);
+  fixture_packet (&later, 100, FIXTURE_ROUTE_PORT, WC_PACKET_ACK, 900 * 1000 * 1000 + 200, 5001, 200, 0);
+  ck_assert_uint_eq (fixture_last_host (&later), 2);
+  fixture_finish (&told);
+  fixture_finish (&later);
+}
+END_TEST
+
 /* Guards against flows of peers that fill the table, so that this instance no longer tracks its own. */
 START_TEST (learned_flows_leave_room)
 {
@@ -520,6 +620,9 @@
   tcase_add_test (tests, retransmitted_opening_is_ambiguous);
   tcase_add_test (tests, answer_is_for_the_same_flow);
   tcase_add_test (tests, opening_without_room_is_remembered);
+  tcase_add_test (tests, host_of_earlier_flow_is_not_used);
+  tcase_add_test (tests, confirmed_cookie_replaces_learned_host);
+  tcase_add_test (tests, told_hosts_end_with_their_flow);
   tcase_add_test (tests, learned_flows_leave_room);
 }
 
--- a/tests/test_peer_endpoint.c
+++ b/tests/test_peer_endpoint.c
@@ -73,8 +73,9 @@
 {
   const Instance *instance = user_data;
 
-  return (
-      WcFlowNote){ .key = question->key, .sequence = question->sequence, .cookie = (uint32_t)instance->incarnation };
+  return (WcFlowNote){
+    .key = question->key, .sequence = question->sequence, .cookie = (uint32_t)instance->incarnation, .age_ms = 1500
+  };
 }
 
 static void
@@ -302,6 +303,7 @@
   ck_assert_uint_eq (a.flow_answers, 1);
   ck_assert_uint_eq (a.last_gossip.flows[0].cookie, 2);
   ck_assert_uint_eq (a.last_gossip.flows[0].sequence, 77);
+  ck_assert_uint_eq (a.last_gossip.flows[0].age_ms, 1500);
   ck_assert_uint_eq (a.last_gossip.flows[0].key.caller_port, 40001);
   finish (&a);
   finish (&b);
