--- a/tests/fuzz/fuzz_parsers.c
+++ b/tests/fuzz/fuzz_parsers.c
@@ -57,8 +57,9 @@
 static const char HEAD[] = "{\"revision\":2,\"parts\":[{\"key\":\"base\",\"digest\":\""
                            "0000000000000000000000000000000000000000000000000000000000000000\"}]}";
 
-static const char HOST_ENTRY[] = "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"a\",\"slots\":2,"
-                                 "\"state\":\"ready\",\"warmup-left-ms\":0,\"seq\":4,\"born\":5}";
+static const char HOST_ENTRY[] =
+    "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":2,"
+    "\"state\":\"ready\",\"warmup-left-ms\":0,\"seq\":4,\"born\":5}";
 static const char CONFIG[] = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"198.18.0.1\",\"prefix\":\"/8443/\","
                              "\"kind\":\"safe\",\"priority\":2,\"traffic-split\":[{\"service\":\"x\",\"weight\":90}]}],"
                              "\"limits\":{\"idle-timeout-ms\":15000}}";
--- a/tests/test_host_list.c
+++ b/tests/test_host_list.c
@@ -131,8 +131,8 @@
 static char *
 nested (uint32_t depth)
 {
-  GString *text = g_string_new ("{\"service\":\"desk\",\"address\":\"10.0.0.7:80\",\"zone\":\"a\",\"slots\":2,"
-                                "\"state\":\"ready\",\"more\":");
+  GString *text = g_string_new ("{\"service\":\"desk\",\"address\":\"10.0.0.7:80\",\"zone\":\"a\",\"version\":\"v1\","
+                                "\"slots\":2,\"state\":\"ready\",\"warmup-left-ms\":0,\"seq\":4,\"more\":");
 
   for (uint32_t i = 0; i < depth; i++)
     g_string_append_c (text, '[');
@@ -158,6 +158,10 @@
   HOST_WITH ("10.0.0.7:80", ",\"service\":\"\""),
   HOST_WITH ("10.0.0.7:80", ",\"zone\":\"\""),
   HOST_WITH ("10.0.0.7:80", ",\"state\":\"asleep\""),
+  HOST_WITH ("10.0.0.7:80", ",\"version\":2"),
+  HOST_WITH ("10.0.0.7:80", ",\"seq\":null"),
+  /* Without version, warmup-left-ms and seq. */
+  "{\"service\":\"desk\",\"address\":\"10.0.0.7:80\",\"zone\":\"a\",\"slots\":2,\"state\":\"ready\"}",
   HOST ("10.0.0.7:80") " and more",
   HOST ("10.0.0.7:80") HOST ("10.0.0.7:81"),
   "",
--- a/tests/test_store_restore.c
+++ b/tests/test_store_restore.c
@@ -12,8 +12,8 @@
 
 /* Entries of a host: after its start, when it drains, and those of its next start under the same identifier. */
 #define HOST_ENTRY(state, sequence, started)                                                                           \
-  "{\"service\":\"a\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"slots\":2,\"state\":\"" state                       \
-  "\",\"seq\":" sequence ",\"born\":" started "}"
+  "{\"service\":\"a\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":2,\"warmup-left-ms\":0," \
+  "\"state\":\"" state "\",\"seq\":" sequence ",\"born\":" started "}"
 static const char HOST_READY[] = HOST_ENTRY ("ready", "1", "1000");
 static const char HOST_DRAINING[] = HOST_ENTRY ("draining", "9", "1000");
 static const char HOST_RESTARTED[] = HOST_ENTRY ("ready", "1", "5000");
--- a/tests/test_store_view.c
+++ b/tests/test_store_view.c
@@ -51,8 +51,8 @@
 }
 
 #define HOST(state, sequence, started)                                                                                 \
-  "{\"service\":\"a\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"slots\":2,\"state\":\"" state                       \
-  "\",\"seq\":" sequence ",\"born\":" started "}"
+  "{\"service\":\"a\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":2,\"warmup-left-ms\":0," \
+  "\"state\":\"" state "\",\"seq\":" sequence ",\"born\":" started "}"
 
 /* Guards against an older entry that is taken for newer, and against entries that are ordered without knowledge. */
 START_TEST (values_are_ordered_by_content)
