Do not take the stamp of a read for the arrival of a datagram

An old opening could count as new right after the start of an instance.

Cause: the kernel stamps a datagram when it is read if it has no stamp, and stamps arrivals only some time after a socket has asked for it, unless another socket of the machine has. The stamp was trusted.

Fix: a stamp that is later than the beginning of the read gives no arrival, and the datagram counts as having waited as long as it can have.

--- a/src/edge/packet_socket.c
+++ b/src/edge/packet_socket.c
@@ -170,6 +170,7 @@
 
   (void)loop;
   (void)events;
+  wc_udp_batch_mark_read (sock->batch);
   sock->now_us = wc_clock_monotonic_us ();
   sock->last_received_us = sock->now_us;
   sock->is_behind = wc_udp_batch_receive (sock->batch, receive_datagram, sock) == WC_UDP_BATCH_DATAGRAMS;
@@ -199,15 +200,11 @@
 static uint64_t
 get_waited_us (const WcPacketSocket *sock)
 {
-  uint64_t arrival_us = wc_udp_batch_get_arrival_us (sock->batch);
   uint64_t limit_us = sock->now_us - sock->empty_us;
-  uint64_t wall_us;
+  uint64_t waited_us;
 
-  if (arrival_us == 0)
-    return limit_us;
   /* The wall clock may have been set since the arrival; the limit does not depend on it. */
-  wall_us = wc_clock_wall_us ();
-  return wall_us > arrival_us ? MIN (wall_us - arrival_us, limit_us) : 0;
+  return wc_udp_batch_get_waited_us (sock->batch, &waited_us) ? MIN (waited_us, limit_us) : limit_us;
 }
 
 static void
--- a/src/edge/udp_batch.c
+++ b/src/edge/udp_batch.c
@@ -31,7 +31,11 @@
   uint8_t                 data[WC_UDP_BATCH_DATAGRAMS][DATAGRAM_MAX_BYTES];
 } Buffers;
 
-/* @controls: ancillary data of the datagrams in @in; NULL without timestamps. */
+/*
+ * @controls: ancillary data of the datagrams in @in; NULL without timestamps.
+ * @read_ns: when the current read began, by the wall clock, which the kernel's timestamps use.
+ * @arrival_ns: when the current datagram arrived, by the same clock; 0 when not known.
+ */
 struct WcUdpBatch
 {
   int      fd;
@@ -39,10 +43,12 @@
   Buffers  in;
   Buffers  out;
   Control *controls;
-  uint64_t arrival_us;
+  uint64_t read_ns;
+  uint64_t arrival_ns;
 };
 
-static uint64_t find_arrival_us (struct msghdr *header);
+static uint64_t to_ns (const struct timespec *time);
+static uint64_t find_arrival_ns (struct msghdr *header);
 static void     init_buffers (Buffers *buffers);
 
 WcUdpBatch *
@@ -88,10 +94,26 @@
   return true;
 }
 
-uint64_t
-wc_udp_batch_get_arrival_us (const WcUdpBatch *batch)
+void
+wc_udp_batch_mark_read (WcUdpBatch *batch)
 {
-  return batch->arrival_us;
+  struct timespec now;
+
+  assert (batch != NULL);
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  batch->read_ns = to_ns (&now);
+}
+
+bool
+wc_udp_batch_get_waited_us (const WcUdpBatch *batch, uint64_t *waited_us)
+{
+  assert (batch != NULL && waited_us != NULL);
+
+  if (batch->arrival_ns == 0 || batch->arrival_ns > batch->read_ns)
+    return false;
+  *waited_us = (batch->read_ns - batch->arrival_ns) / 1000;
+  return true;
 }
 
 unsigned
@@ -117,7 +139,7 @@
       if ((in->headers[i].msg_hdr.msg_flags & MSG_TRUNC) ||
           !wc_socket_address_from_sockaddr (&in->addresses[i], &source))
         continue;
-      batch->arrival_us = batch->controls ? find_arrival_us (&in->headers[i].msg_hdr) : 0;
+      batch->arrival_ns = batch->controls ? find_arrival_ns (&in->headers[i].msg_hdr) : 0;
       receive (user_data, &source, in->data[i], in->headers[i].msg_len);
     }
   return (unsigned)count;
@@ -162,7 +184,13 @@
 /* local functions */
 
 static uint64_t
-find_arrival_us (struct msghdr *header)
+to_ns (const struct timespec *time)
+{
+  return (uint64_t)time->tv_sec * 1000000000 + (uint64_t)time->tv_nsec;
+}
+
+static uint64_t
+find_arrival_ns (struct msghdr *header)
 {
   for (struct cmsghdr *control = CMSG_FIRSTHDR (header); control; control = CMSG_NXTHDR (header, control))
     if (control->cmsg_level == SOL_SOCKET && control->cmsg_type == SCM_TIMESTAMPNS)
@@ -170,7 +198,7 @@
         struct timespec arrival;
 
         memcpy (&arrival, CMSG_DATA (control), sizeof arrival);
-        return (uint64_t)arrival.tv_sec * 1000000 + (uint64_t)arrival.tv_nsec / 1000;
+        return to_ns (&arrival);
       }
   return 0;
 }
--- a/src/edge/udp_batch.h
+++ b/src/edge/udp_batch.h
@@ -34,10 +34,19 @@
 bool wc_udp_batch_enable_timestamps (WcUdpBatch *batch);
 
 /**
- * wc_udp_batch_get_arrival_us() - when the datagram arrived for which WcUdpReceive is being called, by the wall clock;
- * 0 when not known.
+ * wc_udp_batch_mark_read() - note that a read begins; with timestamps, to be called before each wc_udp_batch_receive(),
+ * and before the caller reads its own clock, so that no datagram waited for longer than that clock tells.
  */
-uint64_t wc_udp_batch_get_arrival_us (const WcUdpBatch *batch);
+void wc_udp_batch_mark_read (WcUdpBatch *batch);
+
+/**
+ * wc_udp_batch_get_waited_us() - how long the datagram for which WcUdpReceive is being called was in the kernel when
+ * wc_udp_batch_mark_read() was called.
+ *
+ * Return: false when this is not known: without timestamps, for a datagram that arrived before they took effect, which
+ * the kernel stamps when it is read, or after the wall clock was set back.
+ */
+bool wc_udp_batch_get_waited_us (const WcUdpBatch *batch, uint64_t *waited_us);
 
 /**
  * wc_udp_batch_send() - queue a datagram; a full queue is flushed first.
