Let the soak judge rollbacks by the version that an instance states

A route was removed and added again in a burst; a flow of it was taken for a sign of the newer version.

Cause: the check knew only the last change of a route. Flows of a route that exists in several ranges of versions show the lowest of them at most, so that by flows alone the check has little to hold an instance to.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -54,6 +54,9 @@
   wc_emulated_store_delete (soak.store);
   g_hash_table_destroy (soak.runs);
   g_hash_table_destroy (soak.departed);
+  for (int i = 0; i < SOAK_ROUTES; i++)
+    if (soak.routes[i].changes)
+      g_array_free (soak.routes[i].changes, TRUE);
   g_rand_free (soak.random);
   g_rand_free (soak.fault_random);
   g_free (soak.directory);
@@ -148,7 +151,7 @@
       return false;
     }
   for (int i = 0; i < SOAK_ROUTES; i++)
-    soak->routes[i] = (SoakRoute){ (uint16_t)(8000 + i), i % SOAK_SERVICES, i % 3 == 0, true, soak->now_us, 0 };
+    soak->routes[i] = (SoakRoute){ (uint16_t)(8000 + i), i % SOAK_SERVICES, i % 3 == 0, true, soak->now_us, 0, NULL };
   soak_config_publish (soak);
   return soak_hosts_start (soak) && soak_instances_start (soak) && soak_callers_start (soak);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -71,7 +71,9 @@
  * @stop_deadline_us: time limit of a planned stop; 0 for none.
  * @blocked_domain, @blocked_deadline_us: domain whose hosts the instance cannot reach, and until when; -1 for none.
  * @relay_deadline_us: end of the fault on the instance's store connections; 0 for none.
- * @shown_version, @shown_us: newest configuration whose effect a host has seen since the process started, and when.
+ * @status: reads the status of the process.
+ * @shown_version, @shown_us: lowest version that the process can have after what it has stated and hosts have seen of
+ * it since its start, and since when.
  * @shows_evacuation: the process has had to observe the current evacuation of a domain, and does so under any fault.
  */
 typedef struct
@@ -83,6 +85,7 @@
   char             *settings_path;
   WcTcpRelay       *store_relay;
   WcPlatformClient *probe;
+  WcPlatformClient *status;
   bool              in_rotation;
   int               missed_probes;
   bool              is_paused;
@@ -137,6 +140,7 @@
 /**
  * struct SoakRoute - a route of the configuration.
  * @changed_us, @changed_version: when it was last added or removed, and in which version.
+ * @changes: see route_versions.h.
  */
 typedef struct
 {
@@ -146,6 +150,7 @@
   bool     exists;
   uint64_t changed_us;
   uint64_t changed_version;
+  GArray  *changes;
 } SoakRoute;
 
 /** struct SoakEvacuation - evacuation of a domain; @since_us, @deadline_us: when it was published, and when it ends. */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "route_versions.h"
 #include "soak.h"
 
 #include "edge/socket_address.h"
@@ -271,6 +272,7 @@
   route->changed_us = soak->now_us;
   soak_config_publish (soak);
   route->changed_version = soak->config_version;
+  route_versions_record_change (&route->changes, soak->config_version);
 }
 
 static void
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "route_versions.h"
 #include "soak.h"
 
 #include "edge/socket_address.h"
@@ -384,19 +385,22 @@
 }
 
 /*
- * A host sees a new flow of @route. An instance that has shown a configuration without the route, or a later one, may
- * not forward it; this holds under any fault, until the process ends.
+ * A host sees a new flow of @route, so that the instance has a version in which the route exists. It may not be older
+ * than one that the instance has shown before; this holds under any fault, until the process ends. A route that was
+ * removed and added again exists in several ranges of versions, of which the lowest possible one is what is shown.
  */
 static void
 check_rollback (Soak *soak, SoakInstance *instance, const SoakRoute *route)
 {
-  if (route->exists && route->changed_version > instance->shown_version)
+  uint64_t version;
+
+  if (route_versions_find (route->changes, instance->shown_version, &version))
     {
-      instance->shown_version = route->changed_version;
-      instance->shown_us = soak->now_us;
+      if (version > instance->shown_version)
+        instance->shown_us = soak->now_us;
+      instance->shown_version = version;
+      return;
     }
-  if (route->exists || route->changed_version > instance->shown_version)
-    return;
   if (soak->now_us > MAX (instance->shown_us, route->changed_us) + SOAK_ROLLBACK_US)
     soak_report_violation (soak, "configuration",
                            "instance %d forwards an opening packet of route %u, which version %" G_GUINT64_FORMAT
--- a/tests/soak/soak_instances.c
+++ b/tests/soak/soak_instances.c
@@ -6,6 +6,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <json-c/json.h>
+
 #include "soak.h"
 
 #include "forward/flow_table.h"
@@ -18,6 +20,8 @@
 
 static void probe_done (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
                         const char *body, size_t size_bytes);
+static void status_done (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version,
+                         const char *body, size_t size_bytes);
 static void reap (SoakInstance *instance);
 
 bool
@@ -32,6 +36,7 @@
       SoakInstance *instance = &soak->instances[i];
       WcAddress     listen = soak_address (soak, SOAK_SUBNET_INSTANCES, i, 0);
       WcAddress     ready = soak_address (soak, SOAK_SUBNET_INSTANCES, i, soak->port + SOAK_READY_PORT);
+      WcAddress     operators = soak_address (soak, SOAK_SUBNET_INSTANCES, i, soak->port + SOAK_OPERATORS_PORT);
 
       instance->soak = soak;
       instance->number = i;
@@ -46,6 +51,8 @@
         }
       instance->probe = wc_platform_client_new (soak->loop, &ready, 1, probe_done, instance);
       wc_platform_client_set_response_timeout_us (instance->probe, PROBE_TIMEOUT_US);
+      instance->status = wc_platform_client_new (soak->loop, &operators, 1, status_done, instance);
+      wc_platform_client_set_response_timeout_us (instance->status, PROBE_TIMEOUT_US);
       soak_instance_write_settings (instance);
       soak_instance_start (instance);
     }
@@ -145,7 +152,10 @@
 soak_instances_probe (Soak *soak)
 {
   for (int i = 0; i < SOAK_INSTANCES; i++)
-    wc_platform_client_get (soak->instances[i].probe, WC_PLATFORM_READ_STORE_ITEMS, "/ready", 0);
+    {
+      wc_platform_client_get (soak->instances[i].probe, WC_PLATFORM_READ_STORE_ITEMS, "/ready", 0);
+      wc_platform_client_get (soak->instances[i].status, WC_PLATFORM_READ_STORE_ITEMS, "/status", 0);
+    }
 }
 
 bool
@@ -202,6 +212,7 @@
           waitpid (instance->pid, NULL, 0);
         }
       wc_platform_client_delete (instance->probe);
+      wc_platform_client_delete (instance->status);
       wc_tcp_relay_delete (instance->store_relay);
       g_free (instance->settings_path);
     }
@@ -226,6 +237,42 @@
     instance->in_rotation = false;
 }
 
+/*
+ * An instance states the version that it has. Until the process ends, the version may not go back, whatever is stated
+ * or seen of it.
+ */
+static void
+status_done (void *user_data, WcPlatformRead read, WcPlatformResult result, uint64_t version, const char *body,
+             size_t size_bytes)
+{
+  SoakInstance        *instance = user_data;
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object  *status;
+  struct json_object  *config;
+  struct json_object  *revision;
+
+  (void)read;
+  (void)version;
+  status = result == WC_PLATFORM_RESULT_OK ? json_tokener_parse_ex (tokener, body, (int)size_bytes) : NULL;
+  json_tokener_free (tokener);
+  if (status && json_object_object_get_ex (status, "config", &config) &&
+      json_object_object_get_ex (config, "revision", &revision))
+    {
+      uint64_t stated = json_object_get_uint64 (revision);
+
+      if (stated < instance->shown_version)
+        soak_report_violation (instance->soak, "configuration",
+                               "instance %d has version %" G_GUINT64_FORMAT " after version %" G_GUINT64_FORMAT,
+                               instance->number, stated, instance->shown_version);
+      else if (stated > instance->shown_version)
+        {
+          instance->shown_version = stated;
+          instance->shown_us = instance->soak->now_us;
+        }
+    }
+  json_object_put (status);
+}
+
 /* A process may exit by itself only after a planned stop was requested, and with status 0. */
 static void
 reap (SoakInstance *instance)
