--- a/src/forward/opening_copies.c
+++ b/src/forward/opening_copies.c
@@ -10,7 +10,7 @@
 
 enum
 {
-  /* Memory of about 45 kB; openings whose caller has chosen the only host that has them are removed at once. */
+  /* Memory of up to 55 kB; an opening is removed at once when its caller has chosen the only host that has it. */
   COPIES_MAX = 256,
   /* A host that is not chosen repeats its answer for 9.4 s after the last copy of the opening. */
   LIFETIME_US = 10 * 1000 * 1000,
