--- a/review/12/world.c
+++ b/review/12/world.c
@@ -31,7 +31,7 @@
   ZONES = 3,
   HOSTS = 9,
   INSTANCES_MAX = 12,
-  ROUTE_IP = 0xc6120001,
+  ROUTE_IP = 0x7fc80001,
   ROUTE_PORT = 443,
   HEADER_BYTES = 31,
   PACKET_MAX_BYTES = 1300,
@@ -702,7 +702,7 @@
   store_fd = open_socket (SOCK_STREAM, 1);
   caller_fd = open_socket (SOCK_DGRAM, 2);
   put_item ("op/config",
-            "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/443/\",\"kind\":\"safe\","
+            "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"127.200.0.1\",\"prefix\":\"/443/\",\"kind\":\"safe\","
             "\"timeout-ms\":4000,\"target-latency-ms\":600,\"priority\":2,\"service\":\"desk\",\"max-attempts\":2}],"
             "\"services\":[{\"name\":\"desk\",\"health-path\":\"/health\",\"max-conns\":2000,\"warmup-s\":2.0,"
             "\"warmup-per-s\":4.0}],\"limits\":{\"idle-timeout-ms\":15000}}");
